Serve one streamed request from end to end in separate processes

Cause: the repository was empty; nothing could be served or tested. Change: package skeleton, typed messages over msgpack, streams with a keyed handshake, settings read from INI, a thin entry and endpoint process, a thin engine stand-in, a loopback fleet and the test command. Before: no test. Conclusion: the thin whole path stands; parts can be widened side by side.

--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Features of zinniaramp, by subject."""
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,24 @@
+"""Hooks that run around scenarios."""
+
+import shutil
+import tempfile
+from pathlib import Path
+
+from hypothesis import settings
+
+from zinniaramp.standins.fleet import bring_down
+
+settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.load_profile("fixed")
+
+
+def before_scenario(context, scenario):
+    """Give each scenario a directory of its own."""
+    context.directory = Path(tempfile.mkdtemp(prefix="zinniaramp-"))
+
+
+def after_scenario(context, scenario):
+    """End the scenario's processes and remove its directory."""
+    if (context.directory / "fleet.json").exists():
+        bring_down(context.directory)
+    shutil.rmtree(context.directory)
--- /dev/null
+++ b/features/path/whole_path.feature
@@ -0,0 +1,10 @@
+Feature: The whole path
+  A caller's streamed request goes through an entry process and an endpoint
+  process to the engine, and its answer comes back whole.
+
+  Scenario: A streamed chat request is answered whole
+    Given a fleet with 1 entry and 1 endpoint
+    When a caller sends a streamed chat request for 40 tokens
+    Then the answer equals the engine's text for that request
+    And the entry's log has a routing decision for it
+    And the endpoint's log has a placement decision for it
--- /dev/null
+++ b/zinniaramp/commands/__init__.py
@@ -0,0 +1,5 @@
+"""The command ``zinniaramp``."""
+
+from .core import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/zinniaramp/commands/__main__.py
@@ -0,0 +1,5 @@
+"""Run the command as a module."""
+
+from .core import main
+
+main()
--- /dev/null
+++ b/zinniaramp/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Following the published configuration."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/zinniaramp/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon ``zinniarampd``."""
+
+from .core import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/zinniaramp/daemon/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as a module."""
+
+from .core import main
+
+main()
--- /dev/null
+++ b/zinniaramp/links/__init__.py
@@ -0,0 +1,7 @@
+"""Streams of messages between processes."""
+
+from .core import Connection, LinkError
+from .handshake import Identity, accept, dial
+from .listener import Listener
+
+__all__ = ["Connection", "Identity", "LinkError", "Listener", "accept", "dial"]
--- /dev/null
+++ b/zinniaramp/load/__init__.py
@@ -0,0 +1,3 @@
+"""Open-loop load and its report."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/zinniaramp/scheduling/__init__.py
@@ -0,0 +1,3 @@
+"""Order, admission and preemption at one endpoint."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/zinniaramp/settings/core.py
@@ -0,0 +1,260 @@
+"""The sections of a settings file and their keys."""
+
+from pathlib import Path
+from typing import Literal
+
+from pydantic import ConfigDict, Field
+from pydantic.dataclasses import dataclass
+from result import Err, Ok, Result
+
+from ..ini import Problem, Seconds, declare_key, read_section, read_text
+
+__all__ = [
+    "EngineSettings",
+    "FleetSettings",
+    "ListenSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "ProcessSettings",
+    "Settings",
+    "read_settings",
+]
+
+_section = dataclass(
+    slots=True,
+    kw_only=True,
+    frozen=True,
+    config=ConfigDict(extra="forbid", validate_default=True),
+)
+
+ADDRESS_PATTERN = r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$"
+
+
+@_section
+class ProcessSettings:
+    """``[process]``: what this process is."""
+
+    role: Literal["entry", "endpoint"] = declare_key("Role of the process.")
+    name: str = declare_key(
+        "Name of the host, as the host list gives it.", pattern=r"^[a-z0-9-]{1,40}$"
+    )
+    data_centre: str = declare_key(
+        "Data centre in which the host stands.", pattern=r"^[a-z0-9-]{1,40}$"
+    )
+
+
+@_section
+class ListenSettings:
+    """``[listen]``: addresses, each an IP number and a port."""
+
+    operator: str = declare_key(
+        "Address for health, metrics and status.", pattern=ADDRESS_PATTERN
+    )
+    callers: str = declare_key(
+        "Address for callers; entry processes need it.", default="", max_length=60
+    )
+    streams: str = declare_key(
+        "Address for entry processes' streams; endpoint processes need it.",
+        default="",
+        max_length=60,
+    )
+
+
+@_section
+class PlatformSettings:
+    """``[platform]``: where the platform's services are."""
+
+    configuration: str = declare_key(
+        "URL of the configuration service; empty to use only `declarations`.",
+        default="",
+    )
+    hosts: str = declare_key(
+        "URL of the host list; empty to use only `endpoints`.", default=""
+    )
+    declarations: str = declare_key(
+        "File of declarations to use until the service has answered.", default=""
+    )
+    endpoints: str = declare_key(
+        "Stream addresses of endpoint processes, separated by spaces, for use "
+        "without a host list.",
+        default="",
+    )
+    lookup_timeout: Seconds = declare_key(
+        "Longest wait for the platform at start.", unit="s", default=3, ge=0, le=60
+    )
+
+
+@_section
+class FleetSettings:
+    """``[fleet]``: what all processes of a fleet share."""
+
+    key: str = declare_key(
+        "Secret with which processes prove that they belong to the fleet.",
+        min_length=16,
+    )
+    heartbeat: Seconds = declare_key(
+        "Time between heartbeats on a stream.", unit="s", default=1, gt=0, le=60
+    )
+    silence: Seconds = declare_key(
+        "Time without any message after which a stream is replaced.",
+        unit="s",
+        default=3,
+        gt=0,
+        le=300,
+    )
+    drain_limit: Seconds = declare_key(
+        "Longest time that a shutdown waits for requests in flight.",
+        unit="s",
+        default=600,
+        ge=0,
+        le=86400,
+    )
+
+
+@_section
+class EngineSettings:
+    """``[engine]``: the engine or plain service beside an endpoint process."""
+
+    url: str = declare_key("Base URL.", pattern=r"^https?://")
+    serves: str = declare_key("Models or services that it serves, separated by spaces.")
+    kind: Literal["engine", "service"] = declare_key(
+        "Model engine or plain service.", default="engine"
+    )
+    width: int = declare_key(
+        "Requests that it runs at a time.", default=8, ge=1, le=4096
+    )
+    fence: Literal["checked", "ignored"] = declare_key(
+        "Whether it refuses orders that carry an old fencing number.",
+        default="ignored",
+    )
+
+
+@_section
+class LogSettings:
+    """``[log]``: the process's log."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = declare_key(
+        "Lowest level that is written.", default="INFO"
+    )
+    file: str = declare_key("File to write; empty for standard error.", default="")
+
+
+_SECTIONS = {
+    "process": ProcessSettings,
+    "listen": ListenSettings,
+    "platform": PlatformSettings,
+    "fleet": FleetSettings,
+    "engine": EngineSettings,
+    "log": LogSettings,
+}
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Settings:
+    """All sections of one settings file."""
+
+    process: ProcessSettings
+    listen: ListenSettings
+    platform: PlatformSettings
+    fleet: FleetSettings
+    log: LogSettings
+    engine: EngineSettings | None = Field(default=None)
+
+
+def _unknown_section(file: str, section: str) -> Problem:
+    return Problem(
+        file=file,
+        section=section,
+        key="",
+        value="",
+        message="unknown section",
+        remedy=f"remove it or use one of: {', '.join(_SECTIONS)}",
+    )
+
+
+def _role_problems(settings: Settings, file: str) -> list[Problem]:
+    role = settings.process.role
+    needed = {"entry": "callers", "endpoint": "streams"}[role]
+    problems = []
+    if not getattr(settings.listen, needed):
+        problems.append(
+            Problem(
+                file=file,
+                section="listen",
+                key=needed,
+                value="",
+                message=f"an {role} process needs this address",
+                remedy="add the key with an IP number and a port",
+            )
+        )
+    if role == "endpoint" and settings.engine is None:
+        problems.append(
+            Problem(
+                file=file,
+                section="engine",
+                key="",
+                value="",
+                message="an endpoint process needs this section",
+                remedy="add the section with url and serves",
+            )
+        )
+    return problems
+
+
+def read_settings(path: Path) -> Result[Settings, list[Problem]]:
+    """Read and check one settings file.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+
+    Returns
+    -------
+    Result
+        The settings; or every `Problem` found.
+    """
+    file = str(path)
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return Err(
+            [
+                Problem(
+                    file=file,
+                    section="",
+                    key="",
+                    value="",
+                    message=f"cannot be read: {error.strerror}",
+                    remedy="give the path of a settings file",
+                )
+            ]
+        )
+    match read_text(text, file=file):
+        case Err(problem):
+            return Err([problem])
+        case Ok(parser):
+            return _read_sections(parser, file)
+
+
+def _read_sections(parser, file: str) -> Result[Settings, list[Problem]]:
+    problems = [
+        _unknown_section(file, name)
+        for name in parser.sections()
+        if name not in _SECTIONS
+    ]
+    sections = {}
+    for name, section_class in _SECTIONS.items():
+        if name == "engine" and name not in parser:
+            continue
+        values = dict(parser[name]) if name in parser else {}
+        match read_section(section_class, values, file=file, section=name):
+            case Ok(section):
+                sections[name] = section
+            case Err(found):
+                problems.extend(found)
+    if problems:
+        return Err(problems)
+    settings = Settings(**sections)
+    problems = _role_problems(settings, file)
+    return Err(problems) if problems else Ok(settings)
--- /dev/null
+++ b/zinniaramp/tickets/__init__.py
@@ -0,0 +1,3 @@
+"""Tickets for non-repeatable requests."""
+
+__all__: list[str] = []
