Land the interfaces that parts are built against

Cause: parts that go on side by side need settled message and call shapes. Conclusion: endpoint, entry, declarations and stand-ins can be widened apart.

--- a/zinniaramp/configuration/__init__.py
+++ b/zinniaramp/configuration/__init__.py
@@ -1,3 +1,5 @@
 """Following the published configuration."""
 
-__all__: list[str] = []
+from .core import ConfigurationError, RevisionStore
+
+__all__ = ["ConfigurationError", "RevisionStore"]
--- a/zinniaramp/daemon/core.py
+++ b/zinniaramp/daemon/core.py
@@ -10,9 +10,12 @@
 from tornado.httputil import split_host_and_port
 
 from ..clock import monotonic_clock
+from ..configuration import RevisionStore
 from ..contracts import RevisionId
+from ..declarations import Declarations, read_declarations
 from ..endpoint import EndpointProcess
 from ..entry import EntryProcess
+from ..hosts import HostView
 from ..links import Identity
 from ..observability import configure_logging, emit
 from ..settings import Settings, read_settings
@@ -30,22 +33,43 @@
 _PROCESS_CLASSES = {"entry": EntryProcess, "endpoint": EndpointProcess}
 
 
-def _identity(settings: Settings) -> Identity:
+NO_REVISION = RevisionId(index=0, digest="")
+"""Revision of a process that has not read any declarations."""
+
+
+def _initial_declarations(settings: Settings) -> Declarations:
+    path = settings.platform.declarations
+    text = Path(path).read_text() if path else ""
+    match read_declarations(text, file=path, revision=NO_REVISION):
+        case Ok(declarations):
+            return declarations
+        case Err(problems):
+            for problem in problems:
+                print(problem, file=sys.stderr)
+            sys.exit(EXIT_USAGE)
+
+
+def _identity(settings: Settings, revisions: RevisionStore) -> Identity:
     start = secrets.token_hex(START_ID_BYTES)
     return Identity(
         incarnation=f"{settings.process.name}/{start}",
         role=settings.process.role,
         key=settings.fleet.key,
-        revision=lambda: RevisionId(index=0, digest=""),
+        revision=revisions.revision,
     )
 
 
 async def run(settings: Settings) -> None:
     """Run the process until it is told to stop."""
-    identity = _identity(settings)
+    revisions = RevisionStore(initial=_initial_declarations(settings))
+    identity = _identity(settings, revisions)
     process_class = _PROCESS_CLASSES[settings.process.role]
     process = process_class(
-        settings=settings, identity=identity, clock=monotonic_clock()
+        settings=settings,
+        identity=identity,
+        revisions=revisions,
+        hosts=HostView(),
+        clock=monotonic_clock(),
     )
     process.start()
     host, port = split_host_and_port(settings.listen.operator)
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -8,6 +8,7 @@
 from tornado.httputil import split_host_and_port
 
 from ..clock import Clock
+from ..configuration import RevisionStore
 from ..contracts import (
     Accepted,
     Chunk,
@@ -20,6 +21,7 @@
     RevisionId,
     Welcome,
 )
+from ..hosts import HostView
 from ..links import Connection, Identity, Listener
 from ..observability import emit
 from ..settings import Settings
@@ -41,12 +43,26 @@
         Settings of this process.
     identity : Identity
         Identity of this start.
+    revisions : RevisionStore
+        The declarations in force.
+    hosts : HostView
+        The platform's list of hosts.
     clock : Clock
         The process's clock.
     """
 
-    def __init__(self, *, settings: Settings, identity: Identity, clock: Clock):
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        identity: Identity,
+        revisions: RevisionStore,
+        hosts: HostView,
+        clock: Clock,
+    ):
         self.settings = settings
+        self.revisions = revisions
+        self.hosts = hosts
         self.identity = identity
         self.clock = clock
         self.tasks: dict[str, asyncio.Task] = {}
--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -8,7 +8,9 @@
 
 from ..answers import AttemptId, new_attempt_id
 from ..clock import Clock
+from ..configuration import RevisionStore
 from ..contracts import Offer
+from ..hosts import HostView
 from ..links import Identity
 from ..observability import emit
 from ..settings import Settings
@@ -40,12 +42,26 @@
         Settings of this process.
     identity : Identity
         Identity of this start.
+    revisions : RevisionStore
+        The declarations in force.
+    hosts : HostView
+        The platform's list of hosts.
     clock : Clock
         The process's clock.
     """
 
-    def __init__(self, *, settings: Settings, identity: Identity, clock: Clock):
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        identity: Identity,
+        revisions: RevisionStore,
+        hosts: HostView,
+        clock: Clock,
+    ):
         self.settings = settings
+        self.revisions = revisions
+        self.hosts = hosts
         self.clock = clock
         self.peers = [
             Peer(address=address, identity=identity, clock=clock)
--- a/zinniaramp/hosts/__init__.py
+++ b/zinniaramp/hosts/__init__.py
@@ -1,3 +1,5 @@
 """Hosts, data centres and the platform's list of them."""
 
-__all__: list[str] = []
+from .core import Host, HostState, HostView
+
+__all__ = ["Host", "HostState", "HostView"]
--- a/zinniaramp/scheduling/__init__.py
+++ b/zinniaramp/scheduling/__init__.py
@@ -1,3 +1,23 @@
 """Order, admission and preemption at one endpoint."""
 
-__all__: list[str] = []
+from .core import (
+    Admission,
+    ExpireJob,
+    Job,
+    JobState,
+    PauseJob,
+    ResumeJob,
+    Scheduler,
+    StartJob,
+)
+
+__all__ = [
+    "Admission",
+    "ExpireJob",
+    "Job",
+    "JobState",
+    "PauseJob",
+    "ResumeJob",
+    "Scheduler",
+    "StartJob",
+]
--- a/zinniaramp/tickets/__init__.py
+++ b/zinniaramp/tickets/__init__.py
@@ -1,3 +1,19 @@
 """Tickets for non-repeatable requests."""
 
-__all__: list[str] = []
+from .core import (
+    Ticket,
+    TicketClaim,
+    TicketError,
+    TicketTable,
+    read_ticket,
+    sign_ticket,
+)
+
+__all__ = [
+    "Ticket",
+    "TicketClaim",
+    "TicketError",
+    "TicketTable",
+    "read_ticket",
+    "sign_ticket",
+]
