Stand-ins for engine, plain service, configuration and hosts; fleet script

Cause: the engine stand-in answered at a fixed pace without a batch, a queue or pause, resume and cancel, so neither scheduling nor recovery could be tried against it, and the platform's services had no stand-in.

The engine batches continuously; its step time grows with the batch by the plain functions of standins/engine/speed.py.

--- /dev/null
+++ b/scripts/fleet.py
@@ -0,0 +1,65 @@
+"""Brings a small fleet with its stand-ins up or down on loopback."""
+
+import signal
+import sys
+import time
+from pathlib import Path
+
+import fire
+
+from zinniaramp.standins.fleet import FleetError, bring_down, bring_up
+
+EXIT_FAILED = 1
+"""Exit code when the fleet did not come up or is not there."""
+
+
+def up(
+    *, dir: str, entries: int = 1, endpoints: int = 1, services: int = 0, example=""
+) -> None:
+    """Start a fleet and return when all of it is ready.
+
+    Parameters
+    ----------
+    dir : str
+        Directory for settings, logs and ``fleet.json``.
+    entries, endpoints, services : int
+        Number of entry processes, of engines and of plain services; an endpoint
+        process runs beside each engine and each plain service.
+    example : str
+        Deployment below ``examples``; built-in declarations if left out.
+    """
+    started = time.monotonic()
+    processes = bring_up(
+        Path(dir),
+        entries=entries,
+        endpoints=endpoints,
+        services=services,
+        example=example,
+    )
+    seconds = time.monotonic() - started
+    print(f"{len(processes)} processes ready after {seconds:.1f} s")
+
+
+def down(*, dir: str) -> None:
+    """End the processes of a fleet.
+
+    Parameters
+    ----------
+    dir : str
+        Directory that the fleet was brought up with.
+    """
+    bring_down(Path(dir))
+
+
+def main() -> None:
+    """Run ``fleet.py up`` or ``fleet.py down``."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    try:
+        fire.Fire({"up": up, "down": down}, name="fleet.py")
+    except FleetError as error:
+        print(error, file=sys.stderr)
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/zinniaramp/standins/daemons.py
@@ -0,0 +1,117 @@
+"""Daemon processes of a fleet: their addresses, settings files and start."""
+
+import configparser
+from dataclasses import dataclass, field
+
+from .hosts import HostEntry
+from .processes import Fleet, FleetProcess
+
+__all__ = ["DaemonPlan", "plan_daemon", "start_daemon"]
+
+FLEET_KEY = "loopback-fleet-key"
+"""Key of fleets on loopback."""
+
+DATA_CENTRES = 3
+"""Data centres over which a fleet's hosts are spread."""
+
+LOOPBACK = "127.0.0.1"
+"""Address of every process."""
+
+LISTEN_KEYS = {"entry": "callers", "endpoint": "streams"}
+"""Key of ``[listen]`` for the role's own listener."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class DaemonPlan:
+    """A daemon process that is not started yet.
+
+    Parameters
+    ----------
+    name, role, data_centre : str
+        As in its settings and in the host list.
+    address, operator : str
+        IP number and port of its own listener and of the one for operators.
+    engine : dict of str
+        Its ``[engine]`` section; empty for entries.
+    """
+
+    name: str
+    role: str
+    data_centre: str
+    address: str
+    operator: str
+    engine: dict[str, str] = field(default_factory=dict)
+
+    def host_entry(self) -> HostEntry:
+        """Return the process's host as the host list names it."""
+        return HostEntry(
+            name=self.name,
+            data_centre=self.data_centre,
+            role=self.role,
+            address=self.address if self.role == "endpoint" else "",
+            serves=self.engine.get("serves", "").split(),
+        )
+
+    def settings(self, platform: dict[str, str]) -> configparser.ConfigParser:
+        """Return the process's settings."""
+        settings = configparser.ConfigParser(interpolation=None)
+        settings["process"] = {
+            "role": self.role,
+            "name": self.name,
+            "data_centre": self.data_centre,
+        }
+        settings["listen"] = {
+            "operator": self.operator,
+            LISTEN_KEYS[self.role]: self.address,
+        }
+        settings["platform"] = platform
+        settings["fleet"] = {"key": FLEET_KEY}
+        if self.engine:
+            settings["engine"] = self.engine
+        return settings
+
+
+def plan_daemon(
+    fleet: Fleet, *, name: str, role: str, number: int, **engine: str
+) -> DaemonPlan:
+    """Reserve the addresses of a daemon process.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The fleet that it will belong to.
+    name, role : str
+        Name and role of the process.
+    number : int
+        Its number within the role, which chooses the data centre.
+    **engine
+        Keys of its ``[engine]`` section.
+    """
+    return DaemonPlan(
+        name=name,
+        role=role,
+        data_centre=f"dc-{number % DATA_CENTRES + 1}",
+        address=f"{LOOPBACK}:{fleet.free_port()}",
+        operator=f"{LOOPBACK}:{fleet.free_port()}",
+        engine=engine,
+    )
+
+
+def start_daemon(
+    fleet: Fleet, plan: DaemonPlan, platform: dict[str, str]
+) -> FleetProcess:
+    """Write a daemon process's settings file and start it."""
+    settings = fleet.directory / f"{plan.name}.ini"
+    with settings.open("w") as file:
+        plan.settings(platform).write(file)
+    scheme = "http://" if plan.role == "entry" else ""
+    operator = f"http://{plan.operator}"
+    return fleet.add(
+        name=plan.name,
+        role=plan.role,
+        url=scheme + plan.address,
+        ready_url=f"{operator}/readyz",
+        arguments=["zinniaramp.daemon", str(settings)],
+        settings=str(settings),
+        operator=operator,
+    )
--- /dev/null
+++ b/zinniaramp/standins/engine/__init__.py
@@ -0,0 +1,5 @@
+"""Stand-in for a model engine that batches continuously."""
+
+from .speed import prefill_seconds, step_seconds, tokens_per_second
+
+__all__ = ["prefill_seconds", "step_seconds", "tokens_per_second"]
--- a/zinniaramp/standins/fleet.py
+++ b/zinniaramp/standins/fleet.py
@@ -1,161 +1,154 @@
 """Starts and ends a small fleet with its stand-ins on loopback."""
 
-import contextlib
 import json
-import os
-import signal
-import socket
-import subprocess
-import sys
-import time
-import urllib.error
-import urllib.request
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 from pathlib import Path
 
-__all__ = ["FleetError", "FleetProcess", "bring_down", "bring_up", "read_fleet"]
-
-READY_SECONDS = 20
-"""Longest wait until every process is ready, in seconds."""
-
-POLL_SECONDS = 0.05
-"""Time between two questions whether a process is ready, in seconds."""
-
-END_SECONDS = 10
-"""Longest wait for a process to end after SIGTERM, in seconds."""
-
-MODEL = "small-model"
-"""Model that the engine stand-ins serve."""
-
-FLEET_KEY = "loopback-fleet-key"
-"""Key of fleets on loopback."""
-
-
-class FleetError(Exception):
-    """The fleet did not come up."""
-
-
-@dataclass(slots=True, kw_only=True)
-class FleetProcess:
-    """One process of the fleet, as written to ``fleet.json``."""
-
-    name: str
-    role: str
-    pid: int
-    url: str
-    settings: str
-    log: str
-    ready_url: str
-
-
-def free_port() -> int:
-    """Return a port of loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def _start(directory: Path, name: str, arguments: list[str]) -> subprocess.Popen:
-    log = (directory / f"{name}.log").open("w")
-    with log:
-        return subprocess.Popen(
-            arguments, stdout=log, stderr=log, start_new_session=True
-        )
-
-
-def _start_engine(directory: Path, name: str) -> FleetProcess:
-    port = free_port()
-    started = _start(
-        directory,
-        name,
-        [sys.executable, "-m", "zinniaramp.standins.engine", str(port)],
-    )
+from .daemons import DaemonPlan, plan_daemon, start_daemon
+from .deployments import Deployment, read_deployment
+from .processes import (
+    FLEET_FILE,
+    Fleet,
+    FleetError,
+    FleetProcess,
+    end_processes,
+    is_alive,
+)
+from .text import DEFAULT_MODEL
+
+__all__ = [
+    "FleetError",
+    "FleetProcess",
+    "MODEL",
+    "bring_down",
+    "bring_up",
+    "is_alive",
+    "read_fleet",
+]
+
+MODEL = DEFAULT_MODEL
+"""Model that the engine stand-ins serve in a fleet without an example."""
+
+ENGINE_WIDTH = 8
+"""Batch width of the engine stand-ins."""
+
+FIRST_INDEX = 1
+"""Index under which the configuration stand-in publishes the declarations."""
+
+HOSTS_LAG_SECONDS = 1.0
+"""Age of the list that the host list stand-in serves, in seconds."""
+
+DAEMON_ROLES = ("entry", "endpoint")
+"""Roles that ``zinniarampd`` runs in; these end before the stand-ins."""
+
+
+def _start_standin(
+    fleet: Fleet, role: str, name: str, ready_path: str, **options
+) -> FleetProcess:
+    port = fleet.free_port()
     url = f"http://127.0.0.1:{port}"
-    return FleetProcess(
+    flags = [f"--{key}={value}" for key, value in options.items()]
+    return fleet.add(
         name=name,
-        role="engine",
-        pid=started.pid,
+        role=role,
         url=url,
-        settings="",
-        log=str(directory / f"{name}.log"),
-        ready_url=url,
+        ready_url=url + ready_path,
+        arguments=[f"zinniaramp.standins.{role}", f"--port={port}", *flags],
     )
 
 
-def _start_daemon(
-    directory: Path, name: str, role: str, url: str, text: str, operator_port: int
-) -> FleetProcess:
-    settings = directory / f"{name}.ini"
-    settings.write_text(text)
-    started = _start(
-        directory,
-        name,
-        [sys.executable, "-m", "zinniaramp.daemon", str(settings)],
+def _plan_engine_endpoint(
+    fleet: Fleet, deployment: Deployment, number: int
+) -> DaemonPlan:
+    serves = " ".join(deployment.models)
+    engine = _start_standin(
+        fleet,
+        "engine",
+        f"engine-{number}",
+        "/v1/models",
+        width=ENGINE_WIDTH,
+        models=serves,
     )
-    return FleetProcess(
-        name=name,
-        role=role,
-        pid=started.pid,
-        url=url,
-        settings=str(settings),
-        log=str(directory / f"{name}.log"),
-        ready_url=f"http://127.0.0.1:{operator_port}/readyz",
+    return plan_daemon(
+        fleet,
+        name=f"endpoint-{number}",
+        role="endpoint",
+        number=number,
+        url=engine.url,
+        serves=serves,
+        kind="engine",
+        width=str(ENGINE_WIDTH),
     )
 
 
-def _start_endpoint(directory: Path, name: str, engine: FleetProcess) -> FleetProcess:
-    streams, operator = free_port(), free_port()
-    text = (
-        f"[process]\nrole = endpoint\nname = {name}\ndata_centre = dc-1\n"
-        f"[listen]\noperator = 127.0.0.1:{operator}\nstreams = 127.0.0.1:{streams}\n"
-        f"[fleet]\nkey = {FLEET_KEY}\n"
-        f"[engine]\nurl = {engine.url}\nserves = {MODEL}\n"
+def _plan_service_endpoint(
+    fleet: Fleet, deployment: Deployment, number: int
+) -> DaemonPlan:
+    service = _start_standin(
+        fleet, "service", f"service-{number}", "/standin/log", width=ENGINE_WIDTH
     )
-    url = f"127.0.0.1:{streams}"
-    return _start_daemon(directory, name, "endpoint", url, text, operator)
-
-
-def _start_entry(
-    directory: Path, name: str, endpoints: list[FleetProcess]
-) -> FleetProcess:
-    callers, operator = free_port(), free_port()
-    addresses = " ".join(endpoint.url for endpoint in endpoints)
-    text = (
-        f"[process]\nrole = entry\nname = {name}\ndata_centre = dc-1\n"
-        f"[listen]\noperator = 127.0.0.1:{operator}\ncallers = 127.0.0.1:{callers}\n"
-        f"[fleet]\nkey = {FLEET_KEY}\n"
-        f"[platform]\nendpoints = {addresses}\n"
+    return plan_daemon(
+        fleet,
+        name=f"service-endpoint-{number}",
+        role="endpoint",
+        number=number,
+        url=service.url,
+        serves=" ".join(deployment.services),
+        kind="service",
+        width=str(ENGINE_WIDTH),
     )
-    url = f"http://127.0.0.1:{callers}"
-    return _start_daemon(directory, name, "entry", url, text, operator)
 
 
-def _answers(url: str) -> bool:
-    try:
-        with urllib.request.urlopen(url, timeout=1):
-            return True
-    except urllib.error.HTTPError as error:
-        return error.code == 404
-    except OSError:
-        return False
-
-
-def _wait_ready(processes: list[FleetProcess]) -> None:
-    deadline = time.monotonic() + READY_SECONDS
-    waiting = list(processes)
-    while waiting:
-        waiting = [one for one in waiting if not _answers(one.ready_url)]
-        if waiting and time.monotonic() > deadline:
-            names = ", ".join(one.name for one in waiting)
-            raise FleetError(
-                f"not ready after {READY_SECONDS} s: {names}; see the logs"
-            )
-        if waiting:
-            time.sleep(POLL_SECONDS)
+def _start_platform(
+    fleet: Fleet, deployment: Deployment, plans: list[DaemonPlan]
+) -> dict[str, str]:
+    declarations = fleet.directory / "declarations.ini"
+    declarations.write_text(deployment.text)
+    hosts = fleet.directory / "hosts.json"
+    hosts.write_text(json.dumps([asdict(plan.host_entry()) for plan in plans]))
+    configuration_service = _start_standin(
+        fleet,
+        "configuration",
+        "configuration",
+        "/standin/log",
+        file=declarations,
+        index=FIRST_INDEX,
+    )
+    host_list = _start_standin(
+        fleet, "hosts", "hosts", "/standin/log", file=hosts, lag_s=HOSTS_LAG_SECONDS
+    )
+    return {
+        "configuration": configuration_service.url,
+        "hosts": host_list.url,
+        "declarations": str(declarations),
+    }
+
+
+def _start_all(
+    fleet: Fleet, deployment: Deployment, *, entries: int, endpoints: int, services: int
+) -> None:
+    doors = [_plan_engine_endpoint(fleet, deployment, i) for i in range(endpoints)]
+    doors += [_plan_service_endpoint(fleet, deployment, i) for i in range(services)]
+    fronts = [
+        plan_daemon(fleet, name=f"entry-{i}", role="entry", number=i)
+        for i in range(entries)
+    ]
+    platform = _start_platform(fleet, deployment, [*doors, *fronts])
+    addresses = " ".join(plan.address for plan in doors)
+    for plan in doors:
+        start_daemon(fleet, plan, platform)
+    for plan in fronts:
+        start_daemon(fleet, plan, {**platform, "endpoints": addresses})
+    fleet.wait_ready()
 
 
 def bring_up(
-    directory: Path, *, entries: int = 1, endpoints: int = 1
+    directory: Path,
+    *,
+    entries: int = 1,
+    endpoints: int = 1,
+    services: int = 0,
+    example: str = "",
 ) -> list[FleetProcess]:
     """Start a fleet and return when all of it is ready.
 
@@ -163,55 +156,73 @@
     ----------
     directory : Path
         Where settings, logs and ``fleet.json`` are written.
-    entries, endpoints : int
-        Number of processes of each role.
+    entries, endpoints, services : int
+        Number of entry processes, of engines and of plain services; an endpoint
+        process runs beside each engine and each plain service.
+    example : str
+        Name of the deployment below ``examples`` whose declarations are
+        published; empty for built-in ones.
+
+    Returns
+    -------
+    list of FleetProcess
+        Every process, also written to ``fleet.json``.
 
     Raises
     ------
     FleetError
-        A process was not ready in time; all of them have been ended.
+        A fleet runs from this directory already, the example does not exist, or
+        a process was not ready in time; what was started has been ended.
     """
+    directory = directory.resolve()
     directory.mkdir(parents=True, exist_ok=True)
-    engines = [_start_engine(directory, f"engine-{i}") for i in range(endpoints)]
-    doors = [
-        _start_endpoint(directory, f"endpoint-{i}", engine)
-        for i, engine in enumerate(engines)
-    ]
-    fronts = [_start_entry(directory, f"entry-{i}", doors) for i in range(entries)]
-    processes = [*engines, *doors, *fronts]
-    text = json.dumps([asdict(one) for one in processes], indent=2)
-    (directory / "fleet.json").write_text(text)
+    if any(is_alive(one) for one in _listed(directory)):
+        raise FleetError(f"a fleet runs from {directory}; bring it down first")
+    try:
+        deployment = read_deployment(example)
+    except OSError as error:
+        raise FleetError(f"example {example} cannot be read: {error}") from error
+    fleet = Fleet(directory=directory)
+    fleet.write()
     try:
-        _wait_ready(processes)
-    except FleetError:
-        bring_down(directory)
+        _start_all(
+            fleet, deployment, entries=entries, endpoints=endpoints, services=services
+        )
+    except BaseException:
+        end_processes(fleet.processes)
         raise
-    return processes
+    return fleet.processes
 
 
-def read_fleet(directory: Path) -> list[FleetProcess]:
-    """Return the processes that ``fleet.json`` lists."""
-    listed = json.loads((directory / "fleet.json").read_text())
-    return [FleetProcess(**one) for one in listed]
+def _listed(directory: Path) -> list[FleetProcess]:
+    path = directory / FLEET_FILE
+    if not path.exists():
+        return []
+    return [FleetProcess(**one) for one in json.loads(path.read_text())]
 
 
-def _is_alive(pid: int) -> bool:
-    with contextlib.suppress(ChildProcessError):
-        os.waitpid(pid, os.WNOHANG)
-    try:
-        os.kill(pid, 0)
-    except ProcessLookupError:
-        return False
-    return True
+def read_fleet(directory: Path) -> list[FleetProcess]:
+    """Return the processes that ``fleet.json`` lists.
+
+    Raises
+    ------
+    FleetError
+        The directory has no ``fleet.json``.
+    """
+    if not (directory / FLEET_FILE).exists():
+        raise FleetError(f"{directory} has no {FLEET_FILE}; give a fleet's directory")
+    return _listed(directory)
 
 
 def bring_down(directory: Path) -> None:
-    """End the processes of a fleet: SIGTERM, then SIGKILL for those that stay."""
-    pids = [one.pid for one in reversed(read_fleet(directory))]
-    for pid in filter(_is_alive, pids):
-        os.kill(pid, signal.SIGTERM)
-    deadline = time.monotonic() + END_SECONDS
-    while any(_is_alive(pid) for pid in pids) and time.monotonic() < deadline:
-        time.sleep(POLL_SECONDS)
-    for pid in filter(_is_alive, pids):
-        os.kill(pid, signal.SIGKILL)
+    """End the processes of a fleet, daemons first, and leave none.
+
+    Raises
+    ------
+    FleetError
+        The directory has no ``fleet.json``.
+    """
+    processes = read_fleet(directory)
+    daemons = [one for one in processes if one.role in DAEMON_ROLES]
+    end_processes(daemons)
+    end_processes([one for one in processes if one not in daemons])
