--- /dev/null
+++ b/features/steps/standins_steps.py
@@ -0,0 +1,149 @@
+"""Steps about the laws that the stand-ins keep."""
+
+import statistics
+
+from behave import then
+from hypothesis import given as forall
+from hypothesis import strategies as st
+
+from features.standins.support import START, fixed_clock
+from zinniaramp.standins import expected_text, expected_tokens
+from zinniaramp.standins.engine import prefill_seconds, step_seconds
+from zinniaramp.standins.engine.core import Ending, Engine
+from zinniaramp.standins.engine.prefix import PrefixCache, prompt_blocks
+from zinniaramp.standins.fleet import MODEL
+from zinniaramp.standins.serving import Controls
+
+
+def new_engine(width):
+    """Return an engine whose loop is not running."""
+    return Engine(
+        width=width,
+        models=[MODEL],
+        cache=PrefixCache(capacity=64),
+        controls=Controls(),
+        clock=fixed_clock([START]),
+    )
+
+
+def take(engine, number, priority, count):
+    """Queue a request with tokens that name it."""
+    return engine.take(
+        request_id=str(number),
+        mark="",
+        priority=priority,
+        tokens=[f"{number}-{i}" for i in range(count)],
+        messages=[{"role": "user", "content": "x" * number}],
+    )
+
+
+def drained(request):
+    """Return the tokens and the end of an answer so far."""
+    items = []
+    while not request.answer.empty():
+        items.append(request.answer.get_nowait())
+    return items
+
+
+def check_step(engine):
+    """Run one step and check who was admitted."""
+    waiting = sorted(engine.waiting, key=lambda one: (one.priority, one.number))
+    free = engine.width - len(engine.running)
+    before = list(engine.running)
+    engine.fill_batch()
+    assert engine.running == before + waiting[:free]
+    assert len(engine.running) <= engine.width
+    engine.generate()
+
+
+@then(
+    "any mix of requests, pauses, resumptions and cancellations keeps the batching law"
+)
+def check_batching(context):
+    operation = st.tuples(
+        st.sampled_from(["take", "pause", "resume", "cancel", "step"]),
+        st.integers(0, 20),
+        st.integers(1, 5),
+    )
+
+    @forall(st.integers(1, 4), st.lists(operation, max_size=60))
+    def check(width, operations):
+        engine, taken, paused = new_engine(width), [], set()
+        for verb, choice, count in operations:
+            if verb == "step":
+                check_step(engine)
+            elif verb == "take":
+                taken.append(take(engine, len(taken), choice % 3, count))
+            elif live := [
+                r for r in taken if r.execution.request_id in engine.requests
+            ]:
+                request = live[choice % len(live)]
+                getattr(engine, verb)(request)
+                {"pause": paused.add}.get(verb, paused.discard)(request)
+            assert not paused & {*engine.running, *engine.waiting}
+        for request in paused:
+            engine.resume(request)
+        while engine.requests:
+            check_step(engine)
+        for request in taken:
+            *tokens, ending = drained(request)
+            texts = [token.text for token in tokens]
+            assert texts == request.tokens[: len(texts)]
+            is_whole = len(texts) == len(request.tokens)
+            assert ending is (Ending.STOP if is_whole else Ending.CANCELLED)
+            assert request.execution.cancelled is not is_whole
+
+    check()
+
+
+@then("the speed law grows with the batch and with uncached prompt tokens")
+def check_speed(context):
+    @forall(st.integers(1, 500), st.integers(0, 5000), st.integers(1, 5000))
+    def check(batch, cached, more):
+        assert step_seconds(batch) < step_seconds(batch + 1)
+        assert batch / step_seconds(batch) < (batch + 1) / step_seconds(batch + 1)
+        assert prefill_seconds(cached, cached) == 0
+        assert prefill_seconds(cached + more, cached) > 0
+
+    check()
+
+
+@then("a prefix cache holds no more blocks than its capacity")
+def check_cache(context):
+    prompts = st.lists(st.text("ab", max_size=400), max_size=20)
+
+    @forall(st.integers(1, 8), prompts)
+    def check(capacity, texts):
+        cache = PrefixCache(capacity=capacity)
+        for text in texts:
+            cache.use(prompt_blocks([{"content": text}]))
+            assert len(cache.blocks) <= capacity
+        first = prompt_blocks([{"content": "c" * 30}])
+        assert cache.use(first) == 0
+        assert cache.use(first) > 0
+
+    check()
+
+
+@then("the expected text does not depend on identity, priority or streaming")
+def check_text_function(context):
+    @forall(st.text(), st.text(), st.integers(), st.booleans(), st.integers(1, 50))
+    def check(content, mark, priority, stream, count):
+        messages = [{"role": "user", "content": content}]
+        bare = {"model": MODEL, "messages": messages}
+        full = bare | {"priority": priority, "stream": stream, "request_id": mark}
+        assert expected_text(full | {"metadata": {"mark": mark}}) == expected_text(bare)
+        exact = full | {"metadata": {"output_tokens": count}}
+        assert len(expected_tokens(exact)) == count
+        assert len(expected_tokens(bare | {"max_tokens": count})) <= count
+        other = bare | {"messages": [{"role": "user", "content": content + "!"}]}
+        assert expected_text(other) != expected_text(bare)
+
+    check()
+
+
+@then("lengths that requests do not fix have a heavy tail")
+def check_tail(context):
+    requests = [{"model": MODEL, "messages": [{"content": i}]} for i in range(2000)]
+    lengths = [len(expected_tokens(request)) for request in requests]
+    assert statistics.mean(lengths) > 2 * statistics.median(lengths)
--- a/zinniaramp/standins/daemons.py
+++ b/zinniaramp/standins/daemons.py
@@ -104,14 +104,15 @@
     settings = fleet.directory / f"{plan.name}.ini"
     with settings.open("w") as file:
         plan.settings(platform).write(file)
-    scheme = "http://" if plan.role == "entry" else ""
     operator = f"http://{plan.operator}"
+    callers = f"http://{plan.address}"
     return fleet.add(
         name=plan.name,
         role=plan.role,
-        url=scheme + plan.address,
+        url=callers if plan.role == "entry" else operator,
         ready_url=f"{operator}/readyz",
         arguments=["zinniaramp.daemon", str(settings)],
         settings=str(settings),
         operator=operator,
+        address=plan.address,
     )
--- a/zinniaramp/standins/fleet.py
+++ b/zinniaramp/standins/fleet.py
@@ -13,6 +13,7 @@
     FleetProcess,
     end_processes,
     is_alive,
+    start_standin,
 )
 from .text import DEFAULT_MODEL
 
@@ -42,30 +43,14 @@
 """Roles that ``zinniarampd`` runs in; these end before the stand-ins."""
 
 
-def _start_standin(
-    fleet: Fleet, role: str, name: str, ready_path: str, **options
-) -> FleetProcess:
-    port = fleet.free_port()
-    url = f"http://127.0.0.1:{port}"
-    flags = [f"--{key}={value}" for key, value in options.items()]
-    return fleet.add(
-        name=name,
-        role=role,
-        url=url,
-        ready_url=url + ready_path,
-        arguments=[f"zinniaramp.standins.{role}", f"--port={port}", *flags],
-    )
-
-
 def _plan_engine_endpoint(
     fleet: Fleet, deployment: Deployment, number: int
 ) -> DaemonPlan:
     serves = " ".join(deployment.models)
-    engine = _start_standin(
+    engine = start_standin(
         fleet,
         "engine",
         f"engine-{number}",
-        "/v1/models",
         width=ENGINE_WIDTH,
         models=serves,
     )
@@ -84,9 +69,7 @@
 def _plan_service_endpoint(
     fleet: Fleet, deployment: Deployment, number: int
 ) -> DaemonPlan:
-    service = _start_standin(
-        fleet, "service", f"service-{number}", "/standin/log", width=ENGINE_WIDTH
-    )
+    service = start_standin(fleet, "service", f"service-{number}", width=ENGINE_WIDTH)
     return plan_daemon(
         fleet,
         name=f"service-endpoint-{number}",
@@ -106,16 +89,15 @@
     declarations.write_text(deployment.text)
     hosts = fleet.directory / "hosts.json"
     hosts.write_text(json.dumps([asdict(plan.host_entry()) for plan in plans]))
-    configuration_service = _start_standin(
+    configuration_service = start_standin(
         fleet,
         "configuration",
         "configuration",
-        "/standin/log",
         file=declarations,
         index=FIRST_INDEX,
     )
-    host_list = _start_standin(
-        fleet, "hosts", "hosts", "/standin/log", file=hosts, lag_s=HOSTS_LAG_SECONDS
+    host_list = start_standin(
+        fleet, "hosts", "hosts", file=hosts, lag_s=HOSTS_LAG_SECONDS
     )
     return {
         "configuration": configuration_service.url,
@@ -127,17 +109,21 @@
 def _start_all(
     fleet: Fleet, deployment: Deployment, *, entries: int, endpoints: int, services: int
 ) -> None:
-    doors = [_plan_engine_endpoint(fleet, deployment, i) for i in range(endpoints)]
-    doors += [_plan_service_endpoint(fleet, deployment, i) for i in range(services)]
-    fronts = [
+    endpoint_plans = [
+        _plan_engine_endpoint(fleet, deployment, i) for i in range(endpoints)
+    ]
+    endpoint_plans += [
+        _plan_service_endpoint(fleet, deployment, i) for i in range(services)
+    ]
+    entry_plans = [
         plan_daemon(fleet, name=f"entry-{i}", role="entry", number=i)
         for i in range(entries)
     ]
-    platform = _start_platform(fleet, deployment, [*doors, *fronts])
-    addresses = " ".join(plan.address for plan in doors)
-    for plan in doors:
+    platform = _start_platform(fleet, deployment, [*endpoint_plans, *entry_plans])
+    addresses = " ".join(plan.address for plan in endpoint_plans)
+    for plan in endpoint_plans:
         start_daemon(fleet, plan, platform)
-    for plan in fronts:
+    for plan in entry_plans:
         start_daemon(fleet, plan, {**platform, "endpoints": addresses})
     fleet.wait_ready()
 
--- a/zinniaramp/standins/processes.py
+++ b/zinniaramp/standins/processes.py
@@ -14,7 +14,15 @@
 
 import psutil
 
-__all__ = ["Fleet", "FleetError", "FleetProcess", "end_processes", "is_alive"]
+__all__ = [
+    "FLEET_FILE",
+    "Fleet",
+    "FleetError",
+    "FleetProcess",
+    "end_processes",
+    "is_alive",
+    "start_standin",
+]
 
 READY_SECONDS = 20
 """Longest wait until every process is ready, in seconds."""
@@ -55,13 +63,14 @@
     created : float
         When it started, in Unix seconds, which tells a process id used again.
     url : str
-        Where it serves: a URL, or the stream address of an endpoint.
+        Where it serves HTTP: callers at an entry, operators at an endpoint.
     settings, log : str
         Its settings file, empty for stand-ins, and its log file.
     ready_url : str
         URL that answers when the process is ready.
-    operator : str
-        Base URL for operators; empty for stand-ins.
+    operator, address : str
+        Base URL for operators, and IP number and port of a daemon's own listener
+        for callers or streams; both empty for stand-ins.
     """
 
     name: str
@@ -73,6 +82,7 @@
     log: str
     ready_url: str
     operator: str = ""
+    address: str = ""
 
 
 def _candidate_ports() -> Iterator[int]:
@@ -120,6 +130,7 @@
         arguments: list[str],
         settings: str = "",
         operator: str = "",
+        address: str = "",
     ) -> FleetProcess:
         """Start one Python module as a process and list it in ``fleet.json``."""
         log = self.directory / f"{name}.log"
@@ -141,6 +152,7 @@
             log=str(log),
             ready_url=ready_url,
             operator=operator,
+            address=address,
         )
         self.processes.append(process)
         self.write()
@@ -172,6 +184,30 @@
             time.sleep(POLL_SECONDS)
 
 
+def start_standin(fleet: Fleet, role: str, name: str, **options) -> FleetProcess:
+    """Start a stand-in.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The fleet that it will belong to.
+    role, name : str
+        Role, which is also the name of its module, and name of the process.
+    **options
+        Options of its command line.
+    """
+    port = fleet.free_port()
+    url = f"http://127.0.0.1:{port}"
+    flags = [f"--{key}={value}" for key, value in options.items()]
+    return fleet.add(
+        name=name,
+        role=role,
+        url=url,
+        ready_url=f"{url}/standin/log",
+        arguments=[f"zinniaramp.standins.{role}", f"--port={port}", *flags],
+    )
+
+
 def _describe(processes: list[FleetProcess]) -> str:
     return ", ".join(f"{one.name} (see {one.log})" for one in processes)
 
