--- a/features/steps/standins_engine_steps.py
+++ b/features/steps/standins_engine_steps.py
@@ -138,9 +138,9 @@
 @when('a caller of request "{name}" for {count:d} tokens drops its connection')
 def drop_connection(context, name, count):
     connection = http.client.HTTPConnection(context.url.removeprefix("http://"))
-    body = json.dumps(chat_body(name, count))
+    body = json.dumps(chat_body(name, count) | {"stream": False})
     connection.request("POST", "/v1/chat/completions", body)
-    connection.getresponse().read(1)
+    wait_until(lambda: log_entry(context, name))
     connection.close()
 
 
--- a/zinniaramp/standins/processes.py
+++ b/zinniaramp/standins/processes.py
@@ -1,7 +1,9 @@
 """Processes of a fleet: starting them, waiting until they are ready, ending them."""
 
+import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -237,12 +239,23 @@
     return _find(process) is not None
 
 
+def _signal_all(processes: list[FleetProcess], number: signal.Signals) -> None:
+    for process in processes:
+        found = _find(process)
+        with contextlib.suppress(psutil.NoSuchProcess):
+            if found is not None:
+                found.send_signal(number)
+
+
+def _wait_ended(processes: list[FleetProcess]) -> None:
+    deadline = time.monotonic() + END_SECONDS
+    while any(map(is_alive, processes)) and time.monotonic() < deadline:
+        time.sleep(POLL_SECONDS)
+
+
 def end_processes(processes: list[FleetProcess]) -> None:
     """End processes: SIGTERM, then SIGKILL for those that stay."""
-    found = [one for one in map(_find, processes) if one is not None]
-    for process in found:
-        process.terminate()
-    _, staying = psutil.wait_procs(found, timeout=END_SECONDS)
-    for process in staying:
-        process.kill()
-    psutil.wait_procs(staying, timeout=END_SECONDS)
+    _signal_all(processes, signal.SIGTERM)
+    _wait_ended(processes)
+    _signal_all(processes, signal.SIGKILL)
+    _wait_ended(processes)
