Add the load tool, its report and byte counts by kind of message

Cause: nothing could drive the system with a plan or judge a run; and control could not be told from data on a stream, which the control budget needs. Conclusion: to be shown by the first run against a fleet.

--- a/zinniaramp/commands/core.py
+++ b/zinniaramp/commands/core.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from ..settings import read_settings
+from .load import load, report
 
 __all__ = ["main"]
 
@@ -31,7 +32,7 @@
             sys.exit(EXIT_WRONG)
 
 
-VERBS = {"check": check}
+VERBS = {"check": check, "load": load, "report": report}
 
 
 def main() -> None:
--- a/zinniaramp/contracts/codec.py
+++ b/zinniaramp/contracts/codec.py
@@ -1,15 +1,48 @@
 """Encoding of messages as msgpack arrays of a kind number and the fields."""
 
 import dataclasses
+from collections.abc import Iterator
 from typing import get_args
 
 import msgpack
 from pydantic import ValidationError
 from result import Err, Ok, Result
 
-from .core import Load, Message, RevisionId
-
-__all__ = ["MAX_FRAME_BYTES", "ContractError", "Decoder", "encode"]
+from .core import (
+    Challenge,
+    Hello,
+    Leaving,
+    Load,
+    Message,
+    Ping,
+    Pong,
+    RevisionId,
+    SectionsReply,
+    SectionsRequest,
+    Welcome,
+)
+
+__all__ = [
+    "CONTROL_TYPES",
+    "MAX_FRAME_BYTES",
+    "ContractError",
+    "Decoder",
+    "encode",
+]
+
+CONTROL_TYPES = frozenset(
+    {
+        Challenge,
+        Hello,
+        Welcome,
+        Leaving,
+        Ping,
+        Pong,
+        SectionsRequest,
+        SectionsReply,
+    }
+)
+"""Messages that serve the fleet itself; all others serve callers' requests."""
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Largest encoded message, in bytes: the largest request body and its headers."""
@@ -79,12 +112,18 @@
     ----------
     max_frame_bytes : int
         Bound on the bytes that are held for one frame.
+
+    Attributes
+    ----------
+    control_bytes : int
+        Bytes of the control messages decoded so far.
     """
 
-    __slots__ = ("unpacker",)
+    __slots__ = ("unpacker", "control_bytes")
 
     def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES):
         self.unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
+        self.control_bytes = 0
 
     def feed(self, data: bytes) -> Result[list[Message], ContractError]:
         """Decode the messages that ``data`` completes.
@@ -102,10 +141,20 @@
         """
         try:
             self.unpacker.feed(data)
-            return Ok([_message_of(frame) for frame in self.unpacker])
+            return Ok(list(self._messages()))
         except ContractError as error:
             return Err(error)
         except (ValidationError, TypeError) as error:
             return Err(ContractError(f"wrong field: {error}"[:400]))
         except (msgpack.UnpackException, ValueError, RecursionError) as error:
             return Err(ContractError(f"not msgpack: {error}"[:400]))
+
+    def _messages(self) -> Iterator[Message]:
+        start = self.unpacker.tell()
+        for frame in self.unpacker:
+            message = _message_of(frame)
+            end = self.unpacker.tell()
+            if type(message) in CONTROL_TYPES:
+                self.control_bytes += end - start
+            start = end
+            yield message
--- a/zinniaramp/links/core.py
+++ b/zinniaramp/links/core.py
@@ -7,9 +7,16 @@
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from ..clock import Clock
-from ..contracts import Decoder, Message, encode
+from ..contracts import CONTROL_TYPES, Decoder, Message, encode
 from ..observability import emit
 from .events import BAD_FRAME, STREAM_CLOSED, WRITE_BUFFER_FULL
+from .metrics import (
+    CONTROL_RECEIVED,
+    CONTROL_SENT,
+    DATA_RECEIVED,
+    DATA_SENT,
+    OPEN_STREAMS,
+)
 
 __all__ = ["MAX_WRITE_BUFFER_BYTES", "READ_BYTES", "Connection", "LinkError"]
 
@@ -66,6 +73,7 @@
         self.is_closed = False
         stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
         stream.set_nodelay(True)
+        OPEN_STREAMS.inc()
 
     def send(self, message: Message) -> None:
         """Queue a message; all that one loop iteration queues go out together.
@@ -77,7 +85,10 @@
             return
         if not self.outgoing:
             asyncio.get_running_loop().call_soon(self.flush)
-        self.outgoing.append(encode(message))
+        frame = encode(message)
+        sent = CONTROL_SENT if type(message) in CONTROL_TYPES else DATA_SENT
+        sent.inc(len(frame))
+        self.outgoing.append(frame)
 
     def flush(self) -> None:
         """Hand the queued messages to the socket."""
@@ -107,7 +118,12 @@
             self.close(reason=str(error.real_error or "closed by peer"))
             return Err(LinkError(f"stream to {self.peer} closed"))
         self.last_received = self.clock()
-        match self.decoder.feed(data):
+        control_before = self.decoder.control_bytes
+        decoded = self.decoder.feed(data)
+        control_bytes = self.decoder.control_bytes - control_before
+        CONTROL_RECEIVED.inc(control_bytes)
+        DATA_RECEIVED.inc(max(0, len(data) - control_bytes))
+        match decoded:
             case Ok(messages):
                 return Ok(messages)
             case Err(error):
@@ -122,4 +138,5 @@
         self.flush()
         self.is_closed = True
         self.stream.close()
+        OPEN_STREAMS.dec()
         emit(STREAM_CLOSED, peer=self.peer, reason=reason)
--- /dev/null
+++ b/zinniaramp/load/plan.py
@@ -0,0 +1,197 @@
+"""Plans of load, read from INI: what is sent, how often, by which callers."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Literal
+
+from pydantic import ConfigDict
+from pydantic.dataclasses import dataclass as checked_dataclass
+from result import Err, Ok, Result
+
+from ..ini import (
+    Problem,
+    Seconds,
+    declare_key,
+    read_section,
+    read_text,
+    section_name,
+)
+
+__all__ = ["LoadPlan", "LoadStream", "PlanSettings", "read_plan"]
+
+_section = checked_dataclass(
+    slots=True,
+    kw_only=True,
+    frozen=True,
+    config=ConfigDict(extra="forbid", validate_default=True),
+)
+
+PLAN_SECTION = "plan"
+STREAM_KIND = "stream"
+
+
+@_section
+class PlanSettings:
+    """``[plan]``: what holds for the whole run."""
+
+    duration: Seconds = declare_key(
+        "Time during which requests are sent.", unit="s", gt=0, le=3600
+    )
+    declarations: str = declare_key(
+        "File of declarations whose targets the report judges by; relative to the "
+        "plan.",
+        default="declarations.ini",
+    )
+    grace: Seconds = declare_key(
+        "Longest wait for answers after the last request was sent.",
+        unit="s",
+        default=30,
+        ge=0,
+        le=600,
+    )
+
+
+@_section
+class LoadStream:
+    """``[stream NAME]``: one stream of like requests."""
+
+    name: str = section_name()
+    class_name: str = declare_key("Class of the requests.")
+    workspaces: str = declare_key("Workspaces that send, separated by spaces.")
+    rate: float = declare_key(
+        "Requests a second, over all its workspaces.", unit="1/s", gt=0, le=5000
+    )
+    model: str = declare_key("Model; empty for a plain service.", default="")
+    service: str = declare_key("Plain service; empty for a model.", default="")
+    path: str = declare_key("Path at the plain service.", default="records")
+    method: Literal["GET", "POST", "PUT", "DELETE"] = declare_key(
+        "Method at the plain service.", default="POST"
+    )
+    prompt_tokens: int = declare_key(
+        "Words of the prompt that differ from request to request.",
+        default=40,
+        ge=1,
+        le=20_000,
+    )
+    sessions: int = declare_key(
+        "Number of sessions whose requests begin alike; 0 for none.",
+        default=0,
+        ge=0,
+        le=10_000,
+    )
+    prefix_tokens: int = declare_key(
+        "Words that the prompts of one session share.", default=400, ge=0, le=20_000
+    )
+    output_tokens: int = declare_key(
+        "Median length of the answers.", default=40, ge=1, le=20_000
+    )
+    output_spread: float = declare_key(
+        "Standard deviation of the answers' log-normal length; 0 for equal lengths.",
+        default=0.6,
+        ge=0,
+        le=3,
+    )
+    output_limit: int = declare_key(
+        "Longest answer.", unit="tokens", default=2000, ge=1, le=20_000
+    )
+    is_streamed: bool = declare_key("Whether answers are streamed.", default=True)
+    burst_start: Seconds = declare_key(
+        "When a burst begins.", unit="s", default=0, ge=0
+    )
+    burst_length: Seconds = declare_key(
+        "How long the burst lasts; 0 for none.", unit="s", default=0, ge=0
+    )
+    burst_factor: float = declare_key(
+        "Rate in the burst, as a multiple of `rate`.", default=1, gt=0, le=1000
+    )
+    vanish: float = declare_key(
+        "Share of callers that go away before the answer's end.",
+        default=0,
+        ge=0,
+        le=1,
+    )
+    slow: float = declare_key(
+        "Share of callers that read slowly.", default=0, ge=0, le=1
+    )
+    returns: int = declare_key(
+        "Most times that a caller comes back after it was refused.",
+        default=0,
+        ge=0,
+        le=1000,
+    )
+    heeds_retry_after: bool = declare_key(
+        "Whether callers come back when told, or at once.", default=True
+    )
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LoadPlan:
+    """A checked plan."""
+
+    settings: PlanSettings
+    streams: list[LoadStream]
+    declarations_path: Path
+
+
+def read_plan(path: Path) -> Result[LoadPlan, list[Problem]]:
+    """Read and check a plan.
+
+    Parameters
+    ----------
+    path : Path
+        The INI file.
+
+    Returns
+    -------
+    Result
+        The plan; or every `Problem` found.
+    """
+    match read_text(path.read_text(), file=str(path)):
+        case Err(problem):
+            return Err([problem])
+        case Ok(parser):
+            return _read_sections(parser, path)
+
+
+def _read_sections(parser, path: Path) -> Result[LoadPlan, list[Problem]]:
+    problems: list[Problem] = []
+    settings, streams = None, []
+    for heading in parser.sections():
+        kind, _, name = heading.partition(" ")
+        section_class = PlanSettings if heading == PLAN_SECTION else LoadStream
+        given = {"name": name} if kind == STREAM_KIND else {}
+        match read_section(
+            section_class,
+            dict(parser[heading]),
+            file=str(path),
+            section=heading,
+            **given,
+        ):
+            case Err(found):
+                problems.extend(found)
+            case Ok(PlanSettings() as section):
+                settings = section
+            case Ok(section):
+                streams.append(section)
+    if settings is None and not problems:
+        problems.append(_missing_plan(path))
+    if problems:
+        return Err(problems)
+    return Ok(
+        LoadPlan(
+            settings=settings,
+            streams=streams,
+            declarations_path=path.parent / settings.declarations,
+        )
+    )
+
+
+def _missing_plan(path: Path) -> Problem:
+    return Problem(
+        file=str(path),
+        section=PLAN_SECTION,
+        key="duration",
+        value="",
+        message="the section is missing",
+        remedy="add [plan] with a duration",
+    )
