--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Code shared by steps."""
