--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -53,7 +53,7 @@
         for element in feature.get("elements", []):
             if element["type"] == "background":
                 continue
-            yield element["name"], element.get("status") == "passed"
+            yield element["name"].strip(), element.get("status") == "passed"
 
 
 def main():
--- a/zinniaramp/load/report.py
+++ b/zinniaramp/load/report.py
@@ -114,8 +114,8 @@
     histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
     for value in values:
         histogram.record_value(max(1, round(value / timedelta(microseconds=1))))
-    found = histogram.get_percentile_to_value_dict([50, 95, 99])
-    return Percentiles(p50=found[50] / 1e3, p95=found[95] / 1e3, p99=found[99] / 1e3)
+    p50, p95, p99 = (histogram.get_value_at_percentile(p) / 1e3 for p in (50, 95, 99))
+    return Percentiles(p50=p50, p95=p95, p99=p99)
 
 
 def _share(count: int, total: int) -> float:
