--- a/zinniaramp/standins/daemons.py
+++ b/zinniaramp/standins/daemons.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from .hosts import HostEntry
-from .processes import Fleet, FleetProcess
+from .processes import Fleet, FleetProcess, free_port
 
 __all__ = ["DaemonPlan", "plan_daemon", "start_daemon"]
 
@@ -71,15 +71,11 @@
         return settings
 
 
-def plan_daemon(
-    fleet: Fleet, *, name: str, role: str, number: int, **engine: str
-) -> DaemonPlan:
+def plan_daemon(*, name: str, role: str, number: int, **engine: str) -> DaemonPlan:
     """Reserve the addresses of a daemon process.
 
     Parameters
     ----------
-    fleet : Fleet
-        The fleet that it will belong to.
     name, role : str
         Name and role of the process.
     number : int
@@ -91,8 +87,8 @@
         name=name,
         role=role,
         data_centre=f"dc-{number % DATA_CENTRES + 1}",
-        address=f"{LOOPBACK}:{fleet.free_port()}",
-        operator=f"{LOOPBACK}:{fleet.free_port()}",
+        address=f"{LOOPBACK}:{free_port()}",
+        operator=f"{LOOPBACK}:{free_port()}",
         engine=engine,
     )
 
--- a/zinniaramp/standins/fleet.py
+++ b/zinniaramp/standins/fleet.py
@@ -12,6 +12,7 @@
     FleetError,
     FleetProcess,
     end_processes,
+    free_port,
     is_alive,
     start_standin,
 )
@@ -23,6 +24,7 @@
     "MODEL",
     "bring_down",
     "bring_up",
+    "free_port",
     "is_alive",
     "read_fleet",
 ]
@@ -55,7 +57,6 @@
         models=serves,
     )
     return plan_daemon(
-        fleet,
         name=f"endpoint-{number}",
         role="endpoint",
         number=number,
@@ -71,7 +72,6 @@
 ) -> DaemonPlan:
     service = start_standin(fleet, "service", f"service-{number}", width=ENGINE_WIDTH)
     return plan_daemon(
-        fleet,
         name=f"service-endpoint-{number}",
         role="endpoint",
         number=number,
@@ -116,8 +116,7 @@
         _plan_service_endpoint(fleet, deployment, i) for i in range(services)
     ]
     entry_plans = [
-        plan_daemon(fleet, name=f"entry-{i}", role="entry", number=i)
-        for i in range(entries)
+        plan_daemon(name=f"entry-{i}", role="entry", number=i) for i in range(entries)
     ]
     platform = _start_platform(fleet, deployment, [*endpoint_plans, *entry_plans])
     addresses = " ".join(plan.address for plan in endpoint_plans)
--- a/zinniaramp/standins/processes.py
+++ b/zinniaramp/standins/processes.py
@@ -22,6 +22,7 @@
     "FleetError",
     "FleetProcess",
     "end_processes",
+    "free_port",
     "is_alive",
     "start_standin",
 ]
@@ -104,6 +105,14 @@
     return True
 
 
+_PORTS = _candidate_ports()
+
+
+def free_port() -> int:
+    """Return a port of loopback that is free now and was not returned before."""
+    return next(port for port in _PORTS if _can_bind(port))
+
+
 @dataclass(slots=True, kw_only=True)
 class Fleet:
     """A fleet that is being started.
@@ -116,11 +125,6 @@
 
     directory: Path
     processes: list[FleetProcess] = field(default_factory=list)
-    ports: Iterator[int] = field(default_factory=_candidate_ports)
-
-    def free_port(self) -> int:
-        """Return a port of loopback that is free now."""
-        return next(port for port in self.ports if _can_bind(port))
 
     def add(
         self,
@@ -198,7 +202,7 @@
     **options
         Options of its command line.
     """
-    port = fleet.free_port()
+    port = free_port()
     url = f"http://127.0.0.1:{port}"
     flags = [f"--{key}={value}" for key, value in options.items()]
     return fleet.add(
