--- a/features/environment.py
+++ b/features/environment.py
@@ -5,11 +5,13 @@
 from pathlib import Path
 
 from hypothesis import settings
+from loguru import logger
 
 from zinniaramp.standins.fleet import bring_down
 
 settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
 settings.load_profile("fixed")
+logger.remove()
 
 
 def before_scenario(context, scenario):
