--- a/zinniaramp/scheduling/__init__.py
+++ b/zinniaramp/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Order, admission and preemption at one endpoint."""
 
 from .core import (
+    Action,
     Admission,
     ExpireJob,
     Job,
@@ -8,10 +9,12 @@
     PauseJob,
     ResumeJob,
     Scheduler,
+    ShedJob,
     StartJob,
 )
 
 __all__ = [
+    "Action",
     "Admission",
     "ExpireJob",
     "Job",
@@ -19,5 +22,6 @@
     "PauseJob",
     "ResumeJob",
     "Scheduler",
+    "ShedJob",
     "StartJob",
 ]
--- /dev/null
+++ b/zinniaramp/scheduling/order.py
@@ -0,0 +1,76 @@
+"""The state of each class and the order between classes."""
+
+from collections.abc import Iterable
+from operator import attrgetter
+
+from sortedcontainers import SortedKeyList
+
+from .entries import Entry
+from .fairness import FairQueue
+from .jobs import JobState
+
+__all__ = ["ClassState", "first_entry"]
+
+
+class ClassState:
+    """Queued and running jobs of one class.
+
+    Parameters
+    ----------
+    name : str
+        The class.
+    tier : int
+        Its service tier.
+    floor : float
+        Least share of slots that it gets while it has queued jobs.
+    """
+
+    __slots__ = (
+        "deficit_s",
+        "floor",
+        "granted_at",
+        "inflow_s",
+        "name",
+        "queue",
+        "running",
+        "tier",
+        "waiting",
+    )
+
+    def __init__(self, *, name: str, tier: int, floor: float):
+        self.name = name
+        self.tier = tier
+        self.floor = floor
+        self.queue = FairQueue()
+        self.waiting = SortedKeyList(key=attrgetter("key"))
+        self.running = 0
+        self.deficit_s = 0.0
+        self.granted_at = 0.0
+        self.inflow_s = 0.0
+
+    def add(self, entry: Entry) -> None:
+        """Queue a waiting or paused job."""
+        self.queue.add(entry)
+        if entry.job.state is JobState.WAITING:
+            self.waiting.add(entry)
+
+    def remove(self, entry: Entry) -> None:
+        """Take a waiting or paused job out of the queue."""
+        self.queue.remove(entry)
+        if entry.job.state is JobState.WAITING:
+            self.waiting.remove(entry)
+
+    def grant_quantum(self, now: float, quantum_s: float) -> None:
+        """Note that one of its jobs gets a slot for its floor's quantum."""
+        self.deficit_s -= quantum_s
+        self.granted_at = now
+
+    def is_idle(self) -> bool:
+        """Tell whether it has no jobs."""
+        return self.running == 0 and self.queue.count == 0
+
+
+def first_entry(states: Iterable[ClassState]) -> Entry | None:
+    """Return the queued job that is next by tier, then by slack."""
+    heads = [state.queue.head() for state in states if state.queue.count]
+    return min(heads, key=lambda entry: (entry.tier, entry.key), default=None)
