--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -53,7 +53,7 @@
 ]
 
 MAX_QUEUED = 5000
-"""Queued jobs that a scheduler holds at most, whatever their predicted wait."""
+"""Waiting jobs that a scheduler holds at most, whatever their predicted wait."""
 
 HIGHEST_TIER = 1
 """Tier that is served first."""
@@ -71,7 +71,8 @@
     clock : Clock
         The process's clock.
     max_queued : int
-        Queued jobs held at most.
+        Jobs that wait for their first slot at most.  Paused jobs are not
+        counted; there are never more than the tiers times the width.
     """
 
     def __init__(
@@ -245,8 +246,7 @@
             return refused(RefusalReason.DEADLINE, wait=wait, limit=limit)
         if wait > limit and not self._is_floor_in_the_way(entry, now):
             return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
-        queued = len(self.entries) - len(self.running)
-        if queued >= self.max_queued and not self._shed_for(entry):
+        if len(self.deadlines) >= self.max_queued and not self._shed_for(entry):
             return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
         return admitted(wait)
 
--- a/zinniaramp/tickets/usage.py
+++ b/zinniaramp/tickets/usage.py
@@ -35,9 +35,10 @@
             self.bits.append(0)
 
     def mark(self, number: int) -> None:
-        """Note that a ticket was used."""
+        """Note that a ticket was used; one before the window is unknown anyway."""
         offset = number - self.first
-        self.bits[offset // 8] |= 1 << offset % 8
+        if offset >= 0:
+            self.bits[offset // 8] |= 1 << offset % 8
 
     def is_known_unused(self, number: int) -> bool:
         """Tell whether a ticket is known not to have been used."""
