--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -24,7 +24,7 @@
 )
 from .entries import Entry, order_key
 from .estimates import LengthEstimates, SpeedEstimate
-from .floor import QUANTUM_S, accrue_floors, due_entry, floor_slots
+from .floor import MAX_QUANTUM_S, accrue_floors, due_entry, floor_slots
 from .jobs import (
     Action,
     Admission,
@@ -342,8 +342,8 @@
         if is_free and protected < floor_slots(self.width):
             due = due_entry(states)
             if due is not None:
-                due.protected_until = now + QUANTUM_S
-                self._state_of(due).grant_quantum(now, QUANTUM_S)
+                state = self._state_of(due)
+                due.protected_until = now + state.grant_quantum(now, MAX_QUANTUM_S)
                 return due
         return first_entry(states)
 
--- a/zinniaramp/scheduling/floor.py
+++ b/zinniaramp/scheduling/floor.py
@@ -3,7 +3,8 @@
 A class with queued jobs earns slot-seconds at its floor's rate and spends them
 as its jobs run.  When it has earned a quantum, the next slot that becomes free
 is its own, ahead of lower-numbered tiers, and its job cannot be paused until
-the quantum has passed.  Nothing is paused, refused or shed to that end.
+what it is owed, within bounds, has passed.  Nothing is paused, refused or shed
+to that end.
 """
 
 from collections.abc import Iterable
@@ -13,6 +14,7 @@
 from .order import ClassState
 
 __all__ = [
+    "MAX_QUANTUM_S",
     "QUANTUM_S",
     "accrue_floors",
     "due_entry",
@@ -22,26 +24,34 @@
 ]
 
 QUANTUM_S = 1.0
-"""Slot-seconds that a class gets at a time."""
+"""Slot-seconds that a class gets at a time at least."""
+
+MAX_QUANTUM_S = 6.0
+"""Slot-seconds that a class gets at a time at most, if it is owed more."""
 
 MIN_FLOOR = 0.01
 """Hard lower limit of a class's floor, as a share of the slots."""
 
-MAX_FLOOR_SUM = 0.5
-"""Share of the slots that all floors take together at most."""
+MAX_FLOOR_SUM = 0.375
+"""Share of the slots that all floors take together at most.
+
+Half of the slots may be under protection at once, for up to `MAX_QUANTUM_S`,
+and a slot is then awaited.  Where slots are released every 2 s or sooner, this
+leaves 6 / (6 + 2) of that half.
+"""
 
 MAX_DEFICIT_S = 30.0
 """Slot-seconds that a class can be owed at most."""
 
 
 def scaled_floor(floor: float, floor_sum: float) -> float:
-    """Return a class's floor where all floors take at most half of the slots."""
+    """Return a class's floor scaled so that all floors can be kept together."""
     return max(floor, MIN_FLOOR) * min(1.0, MAX_FLOOR_SUM / max(floor_sum, MIN_FLOOR))
 
 
 def floor_slots(width: int) -> int:
     """Return how many slots may be under protection at once."""
-    return max(1, width // 2)
+    return (width + 1) // 2
 
 
 def accrue_floors(
@@ -56,18 +66,26 @@
 
     Notes
     -----
-    Time under protection was spent when the quantum was granted.
+    Time under protection was spent when the quantum was granted.  A class
+    without queued jobs earns no more than its running jobs use.  The
+    lowest-numbered tier with jobs is served first and so earns nothing.
     """
-    queued = [state for state in states if state.queue.count]
-    floor_sum = sum(max(state.floor, MIN_FLOOR) for state in queued)
+    busy = [state for state in states if not state.is_idle()]
+    first_tier = min((state.tier for state in busy), default=0)
+    behind = [state for state in busy if state.tier > first_tier]
+    floor_sum = sum(max(state.floor, MIN_FLOOR) for state in behind)
     spent_s = _spent_s(running, now=now, elapsed=elapsed)
     for state in states:
-        if not state.queue.count:
+        if state.is_idle():
             state.deficit_s = 0.0
             continue
-        earned_s = scaled_floor(state.floor, floor_sum) * width * elapsed
+        slots = scaled_floor(state.floor, floor_sum) * width
+        if state.tier == first_tier:
+            slots = 0.0
+        elif not state.queue.count:
+            slots = min(slots, state.running)
         spent = spent_s.get((state.name, state.tier), 0.0)
-        owed_s = state.deficit_s + earned_s - spent
+        owed_s = state.deficit_s + slots * elapsed - spent
         state.deficit_s = min(MAX_DEFICIT_S, max(0.0, owed_s))
 
 
@@ -100,11 +118,12 @@
     floor : float
         The class's floor.
     floor_sum : float
-        Sum of the floors of all classes with queued jobs.
+        Sum of the floors of all classes with jobs, but for those of the
+        lowest-numbered tier.
     width : int
         Slots of the engine.
     classes : int
-        Number of classes with queued jobs.
+        Number of those classes.
     release_s : float
         Longest time in seconds between two releases of a slot.
 
@@ -115,4 +134,4 @@
     goes first.
     """
     rate = scaled_floor(floor, floor_sum) * width
-    return QUANTUM_S / rate + classes * (release_s + QUANTUM_S)
+    return QUANTUM_S / rate + classes * (release_s + MAX_QUANTUM_S)
--- a/zinniaramp/scheduling/order.py
+++ b/zinniaramp/scheduling/order.py
@@ -60,10 +60,12 @@
         if entry.job.state is JobState.WAITING:
             self.waiting.remove(entry)
 
-    def grant_quantum(self, now: float, quantum_s: float) -> None:
-        """Note that one of its jobs gets a slot for its floor's quantum."""
+    def grant_quantum(self, now: float, longest_s: float) -> float:
+        """Note that a job gets a slot by the floor; return for how many seconds."""
+        quantum_s = min(self.deficit_s, longest_s)
         self.deficit_s -= quantum_s
         self.granted_at = now
+        return quantum_s
 
     def is_idle(self) -> bool:
         """Tell whether it has no jobs."""
