--- a/features/scheduling/scheduling.feature
+++ b/features/scheduling/scheduling.feature
@@ -34,3 +34,23 @@
     Given any output lengths, one in a hundred of them a thousand times longer
     When they have been learnt
     Then the estimate is near the true quantile, before and after some tokens
+
+  Scenario: A full queue sheds waiting jobs of higher-numbered tiers and no paused one
+    Given an engine of one slot and a queue of two places, with a dossier paused
+    When two dossiers wait and three questions arrive
+    Then the newest dossiers are shed in turn and the third question is refused
+
+  Scenario: A question is admitted beyond the limit while a floor's quantum runs
+    Given an engine of one slot that a dossier holds for its floor's quantum
+    When questions arrive in the quantum and after it
+    Then only the one after it is refused
+
+  Scenario: Inside a tier the least slack goes first
+    Given an engine of one slot that is busy
+    When a frame query waits and a question with less slack arrives
+    Then the question starts first
+
+  Scenario: What is still to come depends on what was generated
+    Given half of the answers of 10 tokens and half of 1000
+    When an answer has 100 tokens
+    Then at least 500 are still to come at the median
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -521,3 +521,101 @@
         assert true / 2 <= found <= 2 * true + 1, (true, found)
 
     context.check = check
+
+
+@given("an engine of one slot and a queue of two places, with a dossier paused")
+def paused_dossier(context):
+    text = "[defaults]\nqueue_limit = 86400" + KINDS
+    context.bench = Bench(text, width=1, max_queued=2)
+    offer_and_act(context, "dossier")
+    started = offer_and_act(context, "question")
+    assert started == [("PauseJob", "1"), ("StartJob", "2")], started
+
+
+@when("two dossiers wait and three questions arrive")
+def fill_places(context):
+    offer_and_act(context, "dossier")
+    offer_and_act(context, "dossier")
+    context.found = [offer_and_act(context, "question") for _ in range(3)]
+
+
+@then("the newest dossiers are shed in turn and the third question is refused")
+def check_shed(context):
+    assert context.found == [[("ShedJob", "4")], [("ShedJob", "3")], []], context.found
+    assert context.admission.reason is RefusalReason.OVERLOADED
+    assert context.bench.queued["1"].state is JobState.PAUSED
+
+
+def offer_and_act(context, class_name):
+    bench = context.bench
+    context.admission = bench.offer(bench.make_job(class_name))
+    return named(bench.act())
+
+
+@given("an engine of one slot that a dossier holds for its floor's quantum")
+def dossier_in_quantum(context):
+    text = "[defaults]\nfloor = 0.2\nqueue_limit = 5" + KINDS
+    context.bench = Bench(text, width=1)
+    for class_name in ("dossier", "question"):
+        offer_and_act(context, class_name)
+    context.bench.now += timedelta(seconds=10)
+    context.bench.end("2")
+    context.bench.offer(context.bench.make_job("question"))
+    found = named(context.bench.act())
+    assert found == [("ResumeJob", "1")], found
+
+
+@when("questions arrive in the quantum and after it")
+def questions_in_quantum(context):
+    context.admissions = []
+    offer_and_act(context, "question")
+    context.admissions.append(context.admission)
+    context.bench.now = context.bench.scheduler.next_wake()
+    found = named(context.bench.act())
+    assert found == [("PauseJob", "1"), ("StartJob", "3")], found
+    offer_and_act(context, "question")
+    context.admissions.append(context.admission)
+
+
+@then("only the one after it is refused")
+def check_quantum(context):
+    first, second = context.admissions
+    assert first.is_admitted and first.wait > QUEUE_LIMIT, first
+    assert second.reason is RefusalReason.OVERLOADED, second
+
+
+@given("an engine of one slot that is busy")
+def busy_engine(context):
+    context.bench = Bench("[defaults]\nqueue_limit = 86400" + KINDS, width=1)
+    offer_and_act(context, "question")
+
+
+@when("a frame query waits and a question with less slack arrives")
+def two_wait(context):
+    offer_and_act(context, "frame")
+    context.bench.now += timedelta(seconds=0.1)
+    offer_and_act(context, "question")
+    context.bench.end("1")
+    context.found = named(context.bench.act())
+
+
+@then("the question starts first")
+def check_slack(context):
+    assert context.found == [("StartJob", "3")], context.found
+
+
+@given("half of the answers of 10 tokens and half of 1000")
+def two_lengths(context):
+    context.sketch = LengthSketch()
+    for length in [10, 1000] * 50:
+        context.sketch.add(length)
+
+
+@when("an answer has 100 tokens")
+def has_100(context):
+    context.remaining = context.sketch.remaining(100, 0.5)
+
+
+@then("at least 500 are still to come at the median")
+def check_remaining(context):
+    assert 500 <= context.remaining <= 2000, context.remaining
