--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -1,41 +1,56 @@
-"""The endpoint process's state and its dispatch of messages."""
+"""The endpoint process: its parts, its duties and its end."""
 
 import asyncio
-import zlib
+from dataclasses import replace
+from datetime import timedelta
 
-from result import Err, Ok
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httputil import split_host_and_port
 
+from ..answers.retention import AnswerStore
 from ..clock import Clock
 from ..configuration import RevisionStore
-from ..contracts import (
-    Accepted,
-    Chunk,
-    End,
-    Load,
-    Offer,
-    Outcome,
-    Ping,
-    Pong,
-    RevisionId,
-    Welcome,
-)
-from ..hosts import HostView
-from ..links import Connection, Identity, Listener
+from ..contracts import Load, Welcome
+from ..declarations import Declarations
+from ..hosts import Host, HostState, HostView
+from ..links import Identity, Listener
 from ..observability import emit
+from ..scheduling import JobState, Scheduler
 from ..settings import Settings
-from .engine import stream_chat
-from .events import ATTEMPT_ENDED, ATTEMPT_PLACED
+from ..tickets import TicketTable
+from .attempts import Attempt
+from .duties import PauseWatch, pause_bound
+from .engine import EngineClient
+from .events import DRAIN_ENDED, HOST_LEAVING, PAUSE_DETECTED
+from .executor import Executor
+from .pace import Pace
+from .placement import Placement
+from .status import EndpointStatus
+from .streams import Streams
+from .tombstones import Tombstones
 
 __all__ = ["EndpointProcess"]
 
-STREAM_END = "[DONE]"
-"""Data of the event that ends an engine's answer."""
+RESUME_SILENCES = 5
+"""Bound on the wait for a stream that takes an answer again, in silences."""
+
+TOKEN_SILENCES = 2
+"""Least time without a token that counts as silence, in silences of a stream."""
+
+STREAM_SILENCES = 2
+"""Time after which a silent stream is closed, in silences."""
+
+CHECKS_PER_SILENCE = 4
+"""Checks of streams and duties in the time that counts as silence."""
+
+DRAIN_CHECK_SECONDS = 0.05
+"""Time between two looks at what is still in flight, in seconds."""
+
+LEAST_TOMBSTONE = timedelta(minutes=1)
+"""Least time for which a cancelled attempt is remembered."""
 
 
 class EndpointProcess:
-    """Sole door to one engine.
+    """Sole door to one engine or plain service.
 
     Parameters
     ----------
@@ -61,122 +76,235 @@
         clock: Clock,
     ):
         self.settings = settings
+        self.identity = identity
         self.revisions = revisions
         self.hosts = hosts
-        self.identity = identity
         self.clock = clock
-        self.tasks: dict[str, asyncio.Task] = {}
-        self.client = CurlAsyncHTTPClient(max_clients=settings.engine.width + 8)
+        self.is_leaving = False
+        self.silence = timedelta(seconds=settings.fleet.silence)
+        self.watch = PauseWatch(clock=clock, bound=pause_bound(self.silence))
+        self.tasks: list[asyncio.Task] = []
+        self.make_parts(revisions.current())
+
+    def make_parts(self, declarations: Declarations) -> None:
+        """Make the parts of this process."""
+        engine, defaults = self.settings.engine, declarations.defaults
+        self.answers = AnswerStore(
+            memory=defaults.answer_memory,
+            retention=timedelta(seconds=defaults.answer_retention),
+            clock=self.clock,
+        )
+        self.tickets = TicketTable(
+            incarnation=self.identity.incarnation,
+            capacity=defaults.ticket_table,
+            lifetime=timedelta(seconds=defaults.ticket_lifetime),
+            clock=self.clock,
+        )
+        self.tombstones = Tombstones(clock=self.clock, lifetime=LEAST_TOMBSTONE)
+        self.forgotten = Tombstones(clock=self.clock, lifetime=LEAST_TOMBSTONE)
+        self.executor = Executor(
+            engine=EngineClient(url=engine.url, width=engine.width),
+            is_chat=engine.kind == "engine",
+            scheduler=Scheduler(
+                width=engine.width,
+                declarations=self.schedulable(declarations),
+                clock=self.clock,
+            ),
+            answers=self.answers,
+            pace=Pace(least=TOKEN_SILENCES * self.silence),
+            resume_wait=RESUME_SILENCES * self.silence,
+            check_pause=self.check_pause,
+            forgotten=self.forgotten,
+            clock=self.clock,
+        )
+        self.placement = Placement(
+            executor=self.executor,
+            tickets=self.tickets,
+            tombstones=self.tombstones,
+            serves=engine.serves.split(),
+            key=self.settings.fleet.key,
+            declarations=self.revisions.current,
+            is_leaving=lambda: self.is_leaving,
+            clock=self.clock,
+        )
+        self.streams = Streams(
+            executor=self.executor,
+            placement=self.placement,
+            revisions=self.revisions,
+            silence=STREAM_SILENCES * self.silence,
+            clock=self.clock,
+        )
         self.listener = Listener(
-            identity=identity, welcome=self.welcome, serve=self.serve, clock=clock
+            identity=self.identity,
+            welcome=self.welcome,
+            serve=self.streams.serve,
+            clock=self.clock,
         )
 
     def start(self) -> None:
-        """Listen for streams."""
+        """Listen for streams and take up the duties."""
+        self.revisions.subscribe(self.use_declarations)
+        self.hosts.subscribe(self.use_hosts)
+        self.tasks = [
+            asyncio.create_task(self.executor.run()),
+            asyncio.create_task(self.keep_duties()),
+        ]
         host, port = split_host_and_port(self.settings.listen.streams)
         self.listener.listen(port, host)
 
     def is_ready(self) -> bool:
         """Tell whether the process can take attempts."""
-        return True
+        return not self.is_leaving
 
     def load(self) -> Load:
         """Return the current load."""
-        return Load(
-            running=len(self.tasks),
-            width=self.settings.engine.width,
-            queued=0,
-            queue_s=0,
-            urgent_s=0,
-            tokens_per_s=0,
-        )
+        return self.executor.scheduler.load()
 
     def welcome(self) -> Welcome:
         """Return the greeting for a new stream."""
         return Welcome(
             incarnation=self.identity.incarnation,
             revision=self.identity.revision(),
-            leaving=False,
+            leaving=self.is_leaving,
             load=self.load(),
             serves=self.settings.engine.serves.split(),
         )
 
-    async def serve(self, connection: Connection) -> None:
-        """Serve one stream until it ends."""
+    def schedulable(self, declarations: Declarations) -> Declarations:
+        """Return the declarations as the scheduler may use them.
+
+        Notes
+        -----
+        A plain service cannot pause a call, so nothing there is preemptible.
+        """
+        if self.settings.engine.kind == "engine":
+            return declarations
+        classes = {
+            name: replace(one, preemptible=False)
+            for name, one in declarations.classes.items()
+        }
+        return replace(declarations, classes=classes)
+
+    def use_declarations(self, declarations: Declarations) -> None:
+        """Take a new revision into use."""
+        defaults = declarations.defaults
+        self.executor.scheduler.use_declarations(self.schedulable(declarations))
+        self.answers.memory = defaults.answer_memory
+        self.answers.retention = timedelta(seconds=defaults.answer_retention)
+        self.answers.bound_memory()
+        self.tickets.capacity = defaults.ticket_table
+        self.tickets.lifetime = timedelta(seconds=defaults.ticket_lifetime)
+        deadlines = [
+            one.deadline or one.finish for one in declarations.classes.values()
+        ]
+        longest = timedelta(seconds=max(deadlines, default=0))
+        for remembered in (self.tombstones, self.forgotten):
+            remembered.lifetime = max(remembered.lifetime, longest)
+        self.executor.changed.set()
+
+    def use_hosts(self, hosts: dict[str, Host]) -> None:
+        """Leave if the platform's list says that this host is leaving."""
+        own = hosts.get(self.settings.process.name)
+        if own is not None and own.state is HostState.LEAVING:
+            self.leave()
+
+    async def keep_duties(self) -> None:
+        """Look after streams, retention and pauses for as long as the task lives."""
+        interval_s = self.silence.total_seconds() / CHECKS_PER_SILENCE
         while True:
-            match await connection.receive():
-                case Ok(messages):
-                    for message in messages:
-                        self.handle(connection, message)
-                case Err(_):
-                    return
-
-    def handle(self, connection: Connection, message) -> None:
-        """Dispatch one message."""
-        match message:
-            case Offer():
-                self.take_offer(connection, message)
-            case Ping(number=number):
-                connection.send(
-                    Pong(
-                        number=number,
-                        revision=RevisionId(index=0, digest=""),
-                        load=self.load(),
-                    )
-                )
-
-    def take_offer(self, connection: Connection, offer: Offer) -> None:
-        """Accept an attempt and start it."""
-        load = self.load()
-        connection.send(Accepted(attempt_id=offer.attempt_id, wait_s=0, load=load))
-        emit(
-            ATTEMPT_PLACED,
-            attempt=offer.attempt_id,
-            decision="accepted",
-            **{"class": offer.class_name},
-            workspace=offer.workspace,
-            running=load.running,
-            width=load.width,
-            queued=load.queued,
-        )
-        task = asyncio.create_task(self.run(connection, offer))
-        self.tasks[offer.attempt_id] = task
-        task.add_done_callback(lambda _: self.tasks.pop(offer.attempt_id))
-
-    async def run(self, connection: Connection, offer: Offer) -> None:
-        """Run one attempt at the engine and send its answer."""
-        count, checksum, outcome, detail = 0, 0, Outcome.UNKNOWN, ""
-        async for item in stream_chat(self.client, self.settings.engine.url, offer):
-            match item:
-                case Ok(event) if event.data == STREAM_END:
-                    outcome = Outcome.DONE
-                case Ok(event):
-                    payload = event.data.encode()
-                    connection.send(
-                        Chunk(
-                            attempt_id=offer.attempt_id,
-                            sequence=count,
-                            payload=payload,
-                            tokens=1,
-                        )
-                    )
-                    count += 1
-                    checksum = zlib.crc32(payload, checksum)
-                case Err(error):
-                    detail = str(error)
+            await asyncio.sleep(min(interval_s, self.watch.bound.total_seconds() / 2))
+            self.check_pause()
+            self.streams.close_silent()
+            self.executor.forget_and_abandon()
+            self.tombstones.forget_expired()
+            self.forgotten.forget_expired()
+
+    def check_pause(self) -> bool:
+        """Drop the streams and hold waiting work if this process was paused.
+
+        Returns
+        -------
+        bool
+            Whether it was.
+        """
+        gap = self.watch.gap()
+        if gap is None:
+            return False
+        held = self.executor.hold_waiting()
         emit(
-            ATTEMPT_ENDED,
-            attempt=offer.attempt_id,
-            outcome=outcome,
-            tokens=count,
-            detail=detail,
+            PAUSE_DETECTED,
+            gap_s=gap.total_seconds(),
+            bound_s=self.watch.bound.total_seconds(),
+            held=held,
         )
-        connection.send(
-            End(
-                attempt_id=offer.attempt_id,
-                count=count,
-                checksum=checksum,
-                outcome=outcome,
-                detail=detail,
-            )
+        self.streams.close_all(reason="process was paused")
+        return True
+
+    def leave(self) -> None:
+        """Refuse offers from now on and say so on every stream."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
+        streams = len(self.streams.connections)
+        emit(HOST_LEAVING, in_flight=len(self.executor.live()), streams=streams)
+        self.streams.say_leaving(self.identity.incarnation)
+
+    async def drain(self) -> int:
+        """Leave, and wait until what is in flight has ended and was delivered.
+
+        Returns
+        -------
+        int
+            Attempts that were not finished within ``drain_limit``.
+        """
+        self.leave()
+        limit = timedelta(seconds=self.settings.fleet.drain_limit)
+        until = self.clock() + limit
+        while self.unfinished() and self.clock() < until:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        unfinished = len(self.unfinished())
+        emit(DRAIN_ENDED, unfinished=unfinished)
+        return unfinished
+
+    def unfinished(self) -> list[Attempt]:
+        """Return the attempts that have not ended or whose answer is still awaited."""
+        return [one for one in self.executor.attempts.values() if self.is_awaited(one)]
+
+    def is_awaited(self, attempt: Attempt) -> bool:
+        """Tell whether an attempt is to be waited for."""
+        if not attempt.is_over():
+            return True
+        pending = [d for d in attempt.deliveries.values() if not d.is_delivered()]
+        if attempt.lost_at is not None:
+            is_recent = self.clock() - attempt.lost_at < self.executor.resume_wait
+            return bool(pending) and is_recent
+        return any(not delivery.is_lost() for delivery in pending)
+
+    def status(self) -> EndpointStatus:
+        """Return what operators are told of this process."""
+        live = self.executor.live()
+        states = [one.job.state for one in live]
+        return EndpointStatus(
+            incarnation=self.identity.incarnation,
+            is_leaving=self.is_leaving,
+            running=states.count(JobState.RUNNING),
+            paused=states.count(JobState.PAUSED),
+            waiting=self.executor.waiting_by_class(),
+            held=len(self.executor.held),
+            answers=len(self.executor.attempts),
+            retained_bytes=self.answers.size,
+            tickets=len(self.tickets.expiries),
+            tombstones=len(self.tombstones.expiries),
+            revision_index=self.revisions.revision().index,
+            streams=len(self.streams.connections),
+            tokens_per_s=self.load().tokens_per_s,
+            token_interval_s=self.executor.pace.interval_s,
         )
+
+    def close(self) -> None:
+        """Stop at once, without waiting for anything."""
+        for task in [*self.tasks, *self.executor.tasks]:
+            task.cancel()
+        self.listener.stop()
+        self.streams.close_all(reason="process ends")
+        self.executor.engine.close()
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -1,17 +1,75 @@
-"""Client of the engine beside the endpoint process."""
+"""Client of the engine or plain service beside the endpoint process."""
 
-from collections.abc import AsyncIterator
+import asyncio
+import codecs
+from collections.abc import Callable
 from dataclasses import dataclass
+from datetime import timedelta
 
 import assel
+import pycurl
 from result import Err, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest
-from tornado.queues import Queue
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    parse_response_start_line,
+)
 
-from ..contracts import Offer
+__all__ = [
+    "EngineCall",
+    "EngineClient",
+    "EngineError",
+    "EngineOrder",
+    "EventReader",
+    "Received",
+    "ResponseHead",
+    "Transfer",
+    "TransferEnd",
+]
 
-__all__ = ["EngineError", "EngineEvent", "stream_chat"]
+ORDER_TIMEOUT = timedelta(seconds=2)
+"""Longest time that the engine may take to answer an order."""
+
+CONNECT_TIMEOUT = timedelta(seconds=2)
+"""Longest time for connecting to the engine, which stands on the same host."""
+
+ORDER_CONNECTIONS = 16
+"""Orders that may be on their way to the engine at a time."""
+
+MAX_PAUSED_TRANSFERS = 256
+"""Transfers that may be open beyond the engine's slots: paused requests."""
+
+MAX_EVENT_CHARS = 1024 * 1024
+"""Longest server-sent event that is read, in characters."""
+
+NEVER_SENT_ERRORS = {
+    pycurl.E_COULDNT_RESOLVE_HOST,
+    pycurl.E_COULDNT_CONNECT,
+    pycurl.E_URL_MALFORMAT,
+}
+"""Errors of libcurl after which no byte of the request can have left."""
+
+SINGLE_HOP_HEADERS = {
+    "Connection",
+    "Content-Length",
+    "Expect",
+    "Host",
+    "Keep-Alive",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "Te",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+}
+"""Headers that hold for one connection only.
+
+References
+----------
+RFC 9110, section 7.6.1.
+"""
 
 
 class EngineError(Exception):
@@ -19,52 +77,293 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class EngineEvent:
-    """One server-sent event of an answer."""
+class EngineCall:
+    """One HTTP request to the engine or service.
 
-    data: str
+    Parameters
+    ----------
+    method, path : str
+        HTTP method, and the path with its query.
+    headers : list of list of str
+        Name and value pairs.
+    body : bytes
+        Body; may be empty.
+    timeout : timedelta
+        Longest time for the whole call.
+    """
+
+    method: str
+    path: str
+    headers: list[list[str]]
+    body: bytes
+    timeout: timedelta
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class ResponseHead:
+    """Status and headers of the response."""
+
+    status: int
+    headers: list[list[str]]
 
 
-async def stream_chat(
-    client: CurlAsyncHTTPClient, base_url: str, offer: Offer
-) -> AsyncIterator[Result[EngineEvent, EngineError]]:
-    """Run one attempt at the engine and yield its events.
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Received:
+    """Bytes of the response's body."""
+
+    data: bytes
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class TransferEnd:
+    """Last item of a transfer.
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
-        Client with at least as many connections as the engine has slots.
-    base_url : str
-        URL of the engine.
-    offer : Offer
-        The attempt.
-
-    Yields
-    ------
-    Result
-        An `EngineEvent`; or, as the last item, `EngineError`.
+    error : EngineError or None
+        Why the response is not whole.
+    is_sent : bool
+        Whether any part of the request may have reached the engine.
+    """
+
+    error: EngineError | None
+    is_sent: bool
+
+
+TransferItem = ResponseHead | Received | TransferEnd
+
+
+class EngineOrder:
+    """Names of the orders that an engine takes about one request."""
+
+    PAUSE = "pause"
+    RESUME = "resume"
+    CANCEL = "cancel"
+
+
+class Transfer:
+    """One HTTP request on its way; it is never sent a second time.
+
+    Attributes
+    ----------
+    items : list of TransferItem
+        What has arrived and was not taken yet.
+    is_aborted : bool
+        Whether the transfer was told to end.
     """
-    parser = assel.Parser()
-    events: Queue = Queue()
-
-    def on_data(data: bytes) -> None:
-        for event in parser.receive_bytes(data):
-            events.put_nowait(Ok(EngineEvent(data=event.data)))
-
-    request = HTTPRequest(
-        base_url + offer.path,
-        method=offer.method,
-        body=offer.body,
-        headers={"Content-Type": "application/json"},
-        streaming_callback=on_data,
-        request_timeout=offer.deadline_s,
-        follow_redirects=False,
+
+    __slots__ = (
+        "items",
+        "arrived",
+        "is_aborted",
+        "is_ended",
+        "curl",
+        "head",
+        "status",
     )
-    future = client.fetch(request)
-    future.add_done_callback(lambda _: events.put_nowait(None))
-    while (item := await events.get()) is not None:
-        yield item
-    try:
-        future.result()
-    except (HTTPError, OSError) as error:
-        yield Err(EngineError(f"engine {base_url}: {error}"))
+
+    def __init__(self):
+        self.items: list[TransferItem] = []
+        self.arrived = asyncio.Event()
+        self.is_aborted = False
+        self.is_ended = False
+        self.curl: pycurl.Curl | None = None
+        self.head = HTTPHeaders()
+        self.status = 0
+
+    def prepare(self, curl: pycurl.Curl) -> None:
+        """Set the options that tornado's client has no argument for."""
+        self.curl = curl
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.NOPROXY, "*")
+        curl.setopt(pycurl.NOPROGRESS, 0)
+        curl.setopt(pycurl.XFERINFOFUNCTION, self.on_progress)
+        curl.setopt(pycurl.HEADERFUNCTION, self.on_header)
+
+    def on_progress(self, *_) -> int:
+        """Tell libcurl whether to end the transfer."""
+        return int(self.is_aborted)
+
+    def on_header(self, line: bytes) -> None:
+        """Take one line of the response's head."""
+        text = line.decode("latin-1").rstrip("\r\n")
+        if text.startswith("HTTP/"):
+            self.head.clear()
+            try:
+                self.status = parse_response_start_line(text).code
+            except HTTPInputError:
+                self.status = 0
+        elif text:
+            self.head.parse_line(text)
+        elif self.status >= 200:
+            self.put(ResponseHead(status=self.status, headers=end_to_end(self.head)))
+
+    def on_data(self, data: bytes) -> None:
+        """Take bytes of the body."""
+        self.put(Received(data=data))
+
+    def on_done(self, future) -> None:
+        """Take the end of the transfer; the handle belongs to another from now on."""
+        self.curl = None
+        try:
+            future.result()
+            self.end(TransferEnd(error=None, is_sent=True))
+        except (HTTPError, OSError, ValueError, KeyError) as error:
+            number = getattr(error, "errno", None)
+            is_sent = number not in NEVER_SENT_ERRORS
+            self.end(TransferEnd(error=EngineError(str(error)), is_sent=is_sent))
+
+    def put(self, item: TransferItem) -> None:
+        """Queue an item unless the transfer is over."""
+        if not self.is_ended:
+            self.items.append(item)
+            self.arrived.set()
+
+    def end(self, item: TransferEnd) -> None:
+        """Queue the last item, once."""
+        self.put(item)
+        self.is_ended = True
+
+    async def wait(self, seconds: float) -> None:
+        """Wait until an item is there, or for some seconds."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.arrived.wait()
+        except TimeoutError:
+            return
+
+    def take(self) -> list[TransferItem]:
+        """Return the items that have arrived since the last call."""
+        items, self.items = self.items, []
+        self.arrived.clear()
+        return items
+
+    def abort(self) -> None:
+        """End the transfer now; its connection is closed."""
+        self.is_aborted = True
+        self.end(TransferEnd(error=EngineError("aborted"), is_sent=True))
+        if self.curl is not None:
+            # Makes libcurl look at the transfer even if nothing arrives.
+            self.curl.pause(pycurl.PAUSE_CONT)
+
+
+def end_to_end(headers: HTTPHeaders) -> list[list[str]]:
+    """Return the headers that hold beyond one connection, as pairs."""
+    return [
+        [name, value]
+        for name, value in headers.get_all()
+        if name not in SINGLE_HOP_HEADERS
+    ]
+
+
+class EngineClient:
+    """HTTP client of one engine or plain service.
+
+    Parameters
+    ----------
+    url : str
+        Base URL.
+    width : int
+        Requests that the engine runs at a time.
+
+    Notes
+    -----
+    libcurl sends a request again when a connection that it reuses turns out to
+    be dead.  Each attempt therefore has a connection of its own, HTTP/2 with its
+    own repetition rules is off, and redirects are not followed.
+    """
+
+    def __init__(self, *, url: str, width: int):
+        self.url = url.rstrip("/")
+        self.attempts = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=width + MAX_PAUSED_TRANSFERS
+        )
+        self.orders = CurlAsyncHTTPClient(
+            force_instance=True, max_clients=ORDER_CONNECTIONS
+        )
+
+    def send(self, call: EngineCall) -> Transfer:
+        """Send one request, once, and return the transfer."""
+        transfer = Transfer()
+        headers = HTTPHeaders()
+        for name, value in call.headers:
+            headers.add(name, value)
+        outgoing = HTTPHeaders()
+        for name, value in end_to_end(headers):
+            outgoing.add(name, value)
+        request = HTTPRequest(
+            self.url + call.path,
+            method=call.method,
+            headers=outgoing,
+            body=call.body or _empty_body(call.method),
+            streaming_callback=transfer.on_data,
+            prepare_curl_callback=transfer.prepare,
+            connect_timeout=CONNECT_TIMEOUT.total_seconds(),
+            request_timeout=call.timeout.total_seconds(),
+            follow_redirects=False,
+            decompress_response=False,
+            allow_nonstandard_methods=True,
+        )
+        future = self.attempts.fetch(request, raise_error=False)
+        future.add_done_callback(transfer.on_done)
+        return transfer
+
+    async def order(self, request_id: str, order: str) -> Result[int, EngineError]:
+        """Give the engine an order about one request.
+
+        Parameters
+        ----------
+        request_id : str
+            The attempt, as the engine knows it.
+        order : str
+            One of `EngineOrder`.
+
+        Returns
+        -------
+        Result
+            The HTTP status; or `EngineError` if there was none in time.
+        """
+        request = HTTPRequest(
+            f"{self.url}/v1/requests/{request_id}/{order}",
+            method="POST",
+            body=b"",
+            connect_timeout=CONNECT_TIMEOUT.total_seconds(),
+            request_timeout=ORDER_TIMEOUT.total_seconds(),
+            follow_redirects=False,
+        )
+        try:
+            response = await self.orders.fetch(request, raise_error=False)
+        except (HTTPError, OSError) as error:
+            return Err(EngineError(f"engine {self.url}: {order}: {error}"))
+        return Ok(response.code)
+
+    def close(self) -> None:
+        """Close every connection."""
+        self.attempts.close()
+        self.orders.close()
+
+
+def _empty_body(method: str) -> bytes | None:
+    return b"" if method in ("POST", "PUT", "PATCH") else None
+
+
+class EventReader:
+    """Reads server-sent events from the bytes of one response."""
+
+    __slots__ = ("parser",)
+
+    def __init__(self, *, parser_class: Callable[[], assel.Parser] = assel.Parser):
+        self.parser = parser_class()
+        # assel 1.0 shares one UTF-8 decoder among all parsers: a character that
+        # is split between two reads of one response would spoil another's.
+        decoder = codecs.getincrementaldecoder("utf-8")("replace")
+        self.parser.line_decoder.utf8dec = decoder
+
+    def read(self, data: bytes) -> Result[list[str], EngineError]:
+        """Return the data of each event that the bytes complete, on one line each."""
+        events = self.parser.receive_bytes(data)
+        if len(self.parser.line_decoder.buffer) > MAX_EVENT_CHARS:
+            return Err(EngineError(f"event is longer than {MAX_EVENT_CHARS}"))
+        return Ok([event.data.replace("\n", " ") for event in events])
--- a/zinniaramp/endpoint/events.py
+++ b/zinniaramp/endpoint/events.py
@@ -2,19 +2,117 @@
 
 from ..observability import declare_event
 
-__all__ = ["ATTEMPT_ENDED", "ATTEMPT_PLACED"]
+__all__ = [
+    "ATTEMPT_ENDED",
+    "ATTEMPT_PLACED",
+    "ATTEMPT_RESUMED",
+    "ATTEMPT_SCHEDULED",
+    "DRAIN_ENDED",
+    "ENGINE_ORDER_FAILED",
+    "ENGINE_SILENT",
+    "HOST_LEAVING",
+    "PAUSE_DETECTED",
+    "STREAM_SILENT",
+    "TICKET_DECIDED",
+]
 
 ATTEMPT_PLACED = declare_event(
     number=1400,
     name="attempt-placed",
     level="INFO",
     meaning="An offered attempt was accepted or refused at the endpoint.",
-    fields=("attempt", "decision", "class", "workspace", "running", "width", "queued"),
+    fields=(
+        "attempt",
+        "decision",
+        "reason",
+        "class",
+        "workspace",
+        "wait_s",
+        "deadline_s",
+        "running",
+        "width",
+        "queued",
+        "queue_s",
+    ),
 )
 ATTEMPT_ENDED = declare_event(
     number=1401,
     name="attempt-ended",
     level="INFO",
     meaning="An attempt that was accepted ended.",
-    fields=("attempt", "outcome", "tokens", "detail"),
+    fields=("attempt", "outcome", "tokens", "wasted", "detail"),
+)
+ATTEMPT_SCHEDULED = declare_event(
+    number=1402,
+    name="attempt-scheduled",
+    level="INFO",
+    meaning="The scheduler started, paused, resumed, expired or shed an attempt.",
+    fields=(
+        "attempt",
+        "decision",
+        "class",
+        "workspace",
+        "tokens",
+        "waited_s",
+        "slack_s",
+        "running",
+        "width",
+        "queued",
+    ),
+)
+ENGINE_ORDER_FAILED = declare_event(
+    number=1403,
+    name="engine-order-failed",
+    level="WARNING",
+    meaning="The engine did not carry out an order about a request.",
+    fields=("attempt", "order", "error"),
+)
+ENGINE_SILENT = declare_event(
+    number=1404,
+    name="engine-silent",
+    level="WARNING",
+    meaning="The engine gave nothing for longer than its observed pace explains.",
+    fields=("attempt", "bound_s", "tokens"),
+)
+PAUSE_DETECTED = declare_event(
+    number=1405,
+    name="pause-detected",
+    level="WARNING",
+    meaning="This process was paused; it drops its streams and holds waiting work.",
+    fields=("gap_s", "bound_s", "held"),
+)
+HOST_LEAVING = declare_event(
+    number=1406,
+    name="host-leaving",
+    level="INFO",
+    meaning="This endpoint takes no offers from now on.",
+    fields=("in_flight", "streams"),
+)
+STREAM_SILENT = declare_event(
+    number=1407,
+    name="stream-silent",
+    level="WARNING",
+    meaning="Nothing was received on a stream for too long; it is closed.",
+    fields=("peer", "bound_s"),
+)
+ATTEMPT_RESUMED = declare_event(
+    number=1408,
+    name="attempt-resumed",
+    level="INFO",
+    meaning="An attempt's answer goes to a stream again, or to one more.",
+    fields=("attempt", "peer", "from_sequence"),
+)
+DRAIN_ENDED = declare_event(
+    number=1409,
+    name="drain-ended",
+    level="INFO",
+    meaning="The process has finished its work, or has waited as long as it may.",
+    fields=("unfinished",),
+)
+TICKET_DECIDED = declare_event(
+    number=1410,
+    name="ticket-decided",
+    level="INFO",
+    meaning="A request for a ticket was granted or refused.",
+    fields=("request", "decision", "reason", "class", "workspace"),
 )
