--- a/zinniaramp/endpoint/attempts.py
+++ b/zinniaramp/endpoint/attempts.py
@@ -62,8 +62,8 @@
         The attempt as the scheduler sees it.
     answer : RetainedAnswer
         Its answer.
-    is_repeatable : bool
-        Whether it may be stopped and attempted elsewhere.
+    serial : str or None
+        Serial of its ticket; None if it may be stopped and attempted elsewhere.
 
     Attributes
     ----------
@@ -84,7 +84,7 @@
     offer: Offer
     job: Job
     answer: RetainedAnswer
-    is_repeatable: bool
+    serial: str | None
     active_at: datetime
     deliveries: dict[str, Delivery] = field(default_factory=dict)
     is_handed_over: bool = False
@@ -97,6 +97,11 @@
         """Identity of the attempt."""
         return self.offer.attempt_id
 
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether the attempt may be stopped and attempted elsewhere."""
+        return self.serial is None
+
     def is_over(self) -> bool:
         """Tell whether the attempt has ended."""
         return self.answer.ending is not None
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -17,6 +17,7 @@
 from ..scheduling import JobState, Scheduler
 from ..settings import Settings
 from ..tickets import TicketTable
+from ..tickets.tombstones import Tombstones
 from .attempts import Attempt
 from .duties import PauseWatch, pause_bound
 from .engine import EngineClient
@@ -26,7 +27,6 @@
 from .placement import Placement
 from .status import EndpointStatus
 from .streams import Streams
-from .tombstones import Tombstones
 
 __all__ = ["EndpointProcess"]
 
@@ -45,8 +45,11 @@
 DRAIN_CHECK_SECONDS = 0.05
 """Time between two looks at what is still in flight, in seconds."""
 
-LEAST_TOMBSTONE = timedelta(minutes=1)
-"""Least time for which a cancelled attempt is remembered."""
+LEAST_MEMORY = timedelta(minutes=10)
+"""Least time for which it is remembered that an attempt ran."""
+
+MAX_FORGOTTEN = 50_000
+"""Attempts that ran and whose answers are forgotten, remembered at most."""
 
 
 class EndpointProcess:
@@ -81,7 +84,7 @@
         self.hosts = hosts
         self.clock = clock
         self.is_leaving = False
-        self.silence = timedelta(seconds=settings.fleet.silence)
+        self.silence = settings.fleet.silence
         self.watch = PauseWatch(clock=clock, bound=pause_bound(self.silence))
         self.tasks: list[asyncio.Task] = []
         self.make_parts(revisions.current())
@@ -91,17 +94,18 @@
         engine, defaults = self.settings.engine, declarations.defaults
         self.answers = AnswerStore(
             memory=defaults.answer_memory,
-            retention=timedelta(seconds=defaults.answer_retention),
+            retention=defaults.answer_retention,
             clock=self.clock,
         )
         self.tickets = TicketTable(
             incarnation=self.identity.incarnation,
             capacity=defaults.ticket_table,
-            lifetime=timedelta(seconds=defaults.ticket_lifetime),
+            lifetime=defaults.ticket_lifetime,
             clock=self.clock,
         )
-        self.tombstones = Tombstones(clock=self.clock, lifetime=LEAST_TOMBSTONE)
-        self.forgotten = Tombstones(clock=self.clock, lifetime=LEAST_TOMBSTONE)
+        self.forgotten = Tombstones(
+            capacity=MAX_FORGOTTEN, retention=LEAST_MEMORY, clock=self.clock
+        )
         self.executor = Executor(
             engine=EngineClient(url=engine.url, width=engine.width),
             is_chat=engine.kind == "engine",
@@ -115,12 +119,12 @@
             resume_wait=RESUME_SILENCES * self.silence,
             check_pause=self.check_pause,
             forgotten=self.forgotten,
+            withdraw=self.tickets.withdraw,
             clock=self.clock,
         )
         self.placement = Placement(
             executor=self.executor,
             tickets=self.tickets,
-            tombstones=self.tombstones,
             serves=engine.serves.split(),
             key=self.settings.fleet.key,
             declarations=self.revisions.current,
@@ -190,16 +194,17 @@
         defaults = declarations.defaults
         self.executor.scheduler.use_declarations(self.schedulable(declarations))
         self.answers.memory = defaults.answer_memory
-        self.answers.retention = timedelta(seconds=defaults.answer_retention)
+        self.answers.retention = defaults.answer_retention
         self.answers.bound_memory()
         self.tickets.capacity = defaults.ticket_table
-        self.tickets.lifetime = timedelta(seconds=defaults.ticket_lifetime)
+        self.tickets.retention = defaults.ticket_lifetime
+        self.tickets.lifetime = defaults.ticket_lifetime
         deadlines = [
             one.deadline or one.finish for one in declarations.classes.values()
         ]
-        longest = timedelta(seconds=max(deadlines, default=0))
-        for remembered in (self.tombstones, self.forgotten):
-            remembered.lifetime = max(remembered.lifetime, longest)
+        longest = max(deadlines, default=timedelta(0))
+        for remembered in (self.tickets.tombstones, self.forgotten):
+            remembered.retention = max(remembered.retention, longest)
         self.executor.changed.set()
 
     def use_hosts(self, hosts: dict[str, Host]) -> None:
@@ -216,8 +221,6 @@
             self.check_pause()
             self.streams.close_silent()
             self.executor.forget_and_abandon()
-            self.tombstones.forget_expired()
-            self.forgotten.forget_expired()
 
     def check_pause(self) -> bool:
         """Drop the streams and hold waiting work if this process was paused.
@@ -258,8 +261,7 @@
             Attempts that were not finished within ``drain_limit``.
         """
         self.leave()
-        limit = timedelta(seconds=self.settings.fleet.drain_limit)
-        until = self.clock() + limit
+        until = self.clock() + self.settings.fleet.drain_limit
         while self.unfinished() and self.clock() < until:
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         unfinished = len(self.unfinished())
@@ -293,8 +295,8 @@
             held=len(self.executor.held),
             answers=len(self.executor.attempts),
             retained_bytes=self.answers.size,
-            tickets=len(self.tickets.expiries),
-            tombstones=len(self.tombstones.expiries),
+            tickets=len(self.tickets.records),
+            tombstones=len(self.tickets.tombstones.expiries),
             revision_index=self.revisions.revision().index,
             streams=len(self.streams.connections),
             tokens_per_s=self.load().tokens_per_s,
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -20,8 +20,10 @@
     PauseJob,
     ResumeJob,
     Scheduler,
+    ShedJob,
     StartJob,
 )
+from ..tickets.tombstones import Tombstones
 from .attempts import Attempt
 from .engine import EngineClient, EngineOrder, Transfer
 from .events import (
@@ -33,7 +35,6 @@
 from .metrics import PLACEMENTS, QUEUE_LENGTH, TOKENS_GENERATED, TOKENS_WASTED
 from .pace import Pace
 from .responses import ResponseReader, chat_call, plain_call
-from .tombstones import Tombstones
 
 __all__ = ["Executor"]
 
@@ -72,6 +73,9 @@
         paused.
     forgotten : Tombstones
         Attempts that ran, whose answers are not retained any more.
+    withdraw : callable
+        Makes sure that a ticket, by its serial, never runs; tells whether that is
+        certain.
     clock : Clock
         The process's clock.
     """
@@ -87,6 +91,7 @@
         resume_wait: timedelta,
         check_pause: Callable[[], bool],
         forgotten: Tombstones,
+        withdraw: Callable[[str], bool],
         clock: Clock,
     ):
         self.engine = engine
@@ -97,6 +102,7 @@
         self.resume_wait = resume_wait
         self.check_pause = check_pause
         self.forgotten = forgotten
+        self.withdraw = withdraw
         self.clock = clock
         self.attempts: dict[str, Attempt] = {}
         self.aliases: dict[str, str] = {}
@@ -104,6 +110,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.changed = asyncio.Event()
         self.class_names: set[str] = set()
+        self.is_memory_full = False
         self.unavailable_until: datetime = clock()
 
     def spawn(self, coroutine) -> None:
@@ -155,7 +162,7 @@
             case ExpireJob():
                 self.note_decision(attempt, "expire")
                 self.end(attempt, Outcome.NOT_RUN, RefusalReason.DEADLINE)
-            case _:
+            case ShedJob():
                 self.note_decision(attempt, "shed")
                 self.end(attempt, Outcome.NOT_RUN, RefusalReason.OVERLOADED)
 
@@ -197,6 +204,10 @@
         names = self.answers.unfinished
         return [self.attempts[name] for name in names if name in self.attempts]
 
+    def may_have_run(self, attempt_id: str) -> bool:
+        """Tell whether an attempt that is not known any more may have run here."""
+        return self.is_memory_full or attempt_id in self.forgotten
+
     def is_available(self) -> bool:
         """Tell whether the engine could be connected to lately."""
         return self.clock() >= self.unavailable_until
@@ -209,13 +220,23 @@
         """Ask the scheduler to take a job."""
         return self.scheduler.offer(job)
 
-    def take(self, offer: Offer, job: Job, *, is_repeatable: bool) -> Attempt:
-        """Hold an attempt whose job the scheduler has taken."""
+    def take(self, offer: Offer, job: Job, *, serial: str | None) -> Attempt:
+        """Hold an attempt whose job the scheduler has taken.
+
+        Parameters
+        ----------
+        offer : Offer
+            The attempt.
+        job : Job
+            The attempt as the scheduler sees it.
+        serial : str or None
+            Serial of its ticket, if it may not be repeated.
+        """
         attempt = Attempt(
             offer=offer,
             job=job,
             answer=self.answers.open(offer.attempt_id),
-            is_repeatable=is_repeatable,
+            serial=serial,
             active_at=self.clock(),
         )
         self.attempts[offer.attempt_id] = attempt
@@ -241,7 +262,7 @@
             timeout += self.answers.retention
         if not self.is_chat:
             return plain_call(offer, timeout=timeout)
-        declared = self.scheduler.declarations.classes.get(offer.class_name)
+        declared = self.scheduler.declarations.classes.get(attempt.job.class_name)
         priority = declared.tier if declared else 0
         return chat_call(offer, priority=priority, timeout=timeout)
 
@@ -324,10 +345,13 @@
 
     def end(self, attempt: Attempt, outcome: Outcome, detail: str) -> None:
         """Note the end of an attempt and send it on."""
+        is_done = outcome is Outcome.DONE
         self.held.discard(attempt.attempt_id)
-        self.scheduler.remove(attempt.attempt_id)
+        self.scheduler.remove(attempt.attempt_id, is_finished=is_done)
+        if outcome is Outcome.NOT_RUN and attempt.serial:
+            outcome = outcome if self.withdraw(attempt.serial) else Outcome.UNKNOWN
         self.answers.finish(attempt.answer, outcome, str(detail))
-        wasted = 0 if outcome is Outcome.DONE else attempt.answer.tokens
+        wasted = 0 if is_done else attempt.answer.tokens
         TOKENS_WASTED.labels(attempt.job.class_name).inc(wasted)
         emit(
             ATTEMPT_ENDED,
@@ -416,7 +440,7 @@
                 self.end(attempt, Outcome.NOT_RUN, RefusalReason.DEADLINE)
         for attempt_id in self.answers.forget_expired():
             attempt = self.attempts.pop(attempt_id)
-            if attempt.is_handed_over:
-                self.forgotten.add(attempt_id)
+            if attempt.is_handed_over and not self.forgotten.add(attempt_id):
+                self.is_memory_full = True
             for alias in attempt.deliveries:
                 self.aliases.pop(alias, None)
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -13,7 +13,6 @@
 from ..tickets import Ticket, TicketClaim, TicketTable, read_ticket
 from .attempts import Attempt
 from .executor import Executor
-from .tombstones import Tombstones
 
 __all__ = ["Gone", "Placed", "Placement", "Refusal"]
 
@@ -61,9 +60,7 @@
     executor : Executor
         Holds the attempts.
     tickets : TicketTable
-        Tickets of this incarnation.
-    tombstones : Tombstones
-        Attempts that must never start here.
+        Tickets of this incarnation, and attempts that must never start here.
     serves : list of str
         Models or services behind this process.
     key : str
@@ -81,7 +78,6 @@
         *,
         executor: Executor,
         tickets: TicketTable,
-        tombstones: Tombstones,
         serves: list[str],
         key: str,
         declarations: Callable[[], Declarations],
@@ -90,7 +86,6 @@
     ):
         self.executor = executor
         self.tickets = tickets
-        self.tombstones = tombstones
         self.serves = serves
         self.key = key
         self.declarations = declarations
@@ -105,7 +100,7 @@
         An offer that repeats or joins a known attempt is new work for nobody, so
         it is served even while this process is leaving.
         """
-        if offer.attempt_id in self.tombstones:
+        if self.tickets.is_cancelled(offer.attempt_id):
             return Refusal(reason=RefusalReason.CANCELLED_BEFORE)
         if offer.attempt_id in self.executor.forgotten:
             return Gone()
@@ -121,7 +116,7 @@
     def ticket_of(self, offer: Offer) -> Result[Ticket | None, RefusalReason]:
         """Return the offer's ticket, if it needs and has one."""
         if not offer.ticket:
-            declared = self.declarations().classes.get(offer.class_name)
+            declared = self.declarations().classes.get(self.class_name_of(offer))
             if declared is not None and not declared.repeatable:
                 return Err(RefusalReason.TICKET_INVALID)
             return Ok(None)
@@ -137,12 +132,23 @@
         self, offer: Offer, ticket: Ticket | None
     ) -> Placed | Gone | Refusal:
         """Decide on an offer whose ticket, if any, is genuine."""
-        joined = self.tickets.attempt_of(ticket.serial) if ticket else None
-        if joined is not None:
-            return self.join(joined)
+        if ticket and self.tickets.attempt_of(ticket.serial):
+            return self.claim(offer, ticket)
         refusal = self.refusal_of(offer)
         return refusal if refusal else self.admit(offer, ticket)
 
+    def claim(self, offer: Offer, ticket: Ticket) -> Placed | Gone | Refusal | None:
+        """Claim a ticket; return what the offer joins, or nothing if it may run."""
+        match self.tickets.claim(ticket, offer.attempt_id):
+            case Ok(TicketClaim.RUN):
+                return None
+            case Ok(TicketClaim.JOIN):
+                return self.join(self.tickets.attempt_of(ticket.serial))
+            case Err(RefusalReason.ANSWER_DISCARDED):
+                return Gone()
+            case Err(reason):
+                return Refusal(reason=reason)
+
     def join(self, attempt_id: str) -> Placed | Gone:
         """Return the attempt that a ticket was used for."""
         attempt = self.executor.find(attempt_id)
@@ -152,14 +158,10 @@
 
     def refusal_of(self, offer: Offer) -> Refusal | None:
         """Return why an offer cannot be new work here, whatever the load."""
-        declarations = self.declarations()
-        is_newer = offer.revision_index > declarations.revision.index
         if self.is_leaving():
             return Refusal(reason=RefusalReason.LEAVING)
         if offer.target not in self.serves or not offer.path.startswith("/"):
             return Refusal(reason=RefusalReason.NOT_SERVED)
-        if is_newer and offer.class_name not in declarations.classes:
-            return Refusal(reason=RefusalReason.REVISION)
         if offer.deadline_s <= 0:
             return Refusal(reason=RefusalReason.DEADLINE)
         if not self.executor.is_available():
@@ -179,23 +181,24 @@
         admission = self.executor.admit(job)
         if not admission.is_admitted:
             return Refusal(reason=admission.reason, retry_after=admission.retry_after)
-        if ticket is not None:
-            match self.tickets.claim(ticket, offer.attempt_id):
-                case Err(reason):
-                    self.executor.scheduler.remove(offer.attempt_id)
-                    return Refusal(reason=reason)
-                case Ok(TicketClaim.JOIN):
-                    self.executor.scheduler.remove(offer.attempt_id)
-                    return self.join(self.tickets.attempt_of(ticket.serial))
-        attempt = self.executor.take(offer, job, is_repeatable=ticket is None)
+        decided = self.claim(offer, ticket) if ticket else None
+        if decided is not None:
+            self.executor.scheduler.remove(offer.attempt_id, is_finished=False)
+            return decided
+        serial = ticket.serial if ticket else None
+        attempt = self.executor.take(offer, job, serial=serial)
         return Placed(attempt=attempt, is_new=True, wait=admission.wait)
 
+    def class_name_of(self, offer: Offer) -> str:
+        """Return the class of an offer; the fleet's default if it names none."""
+        return offer.class_name or self.declarations().defaults.class_name
+
     def job_of(self, offer: Offer) -> Job:
         """Return an offer as the scheduler sees it."""
         now = self.clock()
         return Job(
             attempt_id=offer.attempt_id,
-            class_name=offer.class_name,
+            class_name=self.class_name_of(offer),
             workspace=offer.workspace,
             arrived=now,
             deadline=now + timedelta(seconds=offer.deadline_s),
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -228,12 +228,12 @@
         """Stop an attempt, or make sure that it never starts."""
         attempt = self.executor.find(attempt_id)
         if attempt is None:
-            ran = attempt_id in self.executor.forgotten
+            ran, serial = self.executor.may_have_run(attempt_id), None
         else:
-            ran = self.cancel_known(attempt, attempt_id)
-        if not ran:
-            self.placement.tombstones.add(attempt_id)
-        connection.send(Cancelled(attempt_id=attempt_id, ran=ran))
+            ran, serial = self.cancel_known(attempt, attempt_id), attempt.serial
+        tickets = self.placement.tickets
+        is_stopped = not ran and tickets.cancel_before_start(attempt_id, serial)
+        connection.send(Cancelled(attempt_id=attempt_id, ran=not is_stopped))
 
     def cancel_known(self, attempt: Attempt, attempt_id: str) -> bool:
         """Stop an attempt unless others take its answer; return whether it ran."""
