--- /dev/null
+++ b/features/endpoint/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of the endpoint process and their rig."""
--- /dev/null
+++ b/features/endpoint/rig.py
@@ -0,0 +1,299 @@
+"""An endpoint process and its engine in one event loop, for steps."""
+
+import asyncio
+import contextlib
+import json
+import socket
+from datetime import timedelta
+
+from loguru import logger
+
+from zinniaramp.clock import monotonic_clock
+from zinniaramp.configuration import RevisionStore
+from zinniaramp.contracts import Chunk, Offer, Ping, RevisionId
+from zinniaramp.declarations import read_declarations
+from zinniaramp.endpoint import EndpointProcess
+from zinniaramp.hosts import HostView
+from zinniaramp.links import Identity, dial
+from zinniaramp.settings import Settings
+from zinniaramp.settings.core import (
+    EngineSettings,
+    FleetSettings,
+    ListenSettings,
+    LogSettings,
+    PlatformSettings,
+    ProcessSettings,
+)
+from zinniaramp.standins.engine.core import Engine
+from zinniaramp.standins.engine.handlers import ROUTES
+from zinniaramp.standins.engine.prefix import PrefixCache
+from zinniaramp.standins.service import CallHandler, Service
+from zinniaramp.standins.serving import Controls, serve
+
+KEY = "key-of-the-test-fleet"
+MODEL = "small-model"
+BOUND_SECONDS = 8
+POLL_SECONDS = 0.005
+DECLARATIONS = """
+[defaults]
+answer_retention = {retention}
+[class question]
+tier = 1
+[class record]
+tier = 2
+repeatable = false
+[class summary]
+tier = 6
+"""
+
+
+def free_port():
+    """Return a port of loopback that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class RawEngine:
+    """Takes connections, counts requests, and either hangs up or says nothing."""
+
+    def __init__(self, *, hangs_up):
+        self.hangs_up = hangs_up
+        self.requests = 0
+        self.closed = 0
+
+    async def serve(self, reader, writer):
+        """Read one request and, if that is its way, wait for the other end."""
+        with contextlib.suppress(asyncio.CancelledError):
+            while line := await reader.readline():
+                self.requests += line.startswith(b"POST /v1/chat")
+                if line == b"\r\n" and self.hangs_up:
+                    break
+            self.closed += 1
+            writer.close()
+
+
+class Caller:
+    """One stream to the endpoint process and all that came over it."""
+
+    def __init__(self, connection, *, interval_s):
+        self.connection = connection
+        self.interval_s = interval_s
+        self.messages = []
+        loop = asyncio.get_running_loop()
+        self.receiving = loop.create_task(self.receive())
+        self.pinging = loop.create_task(self.ping())
+
+    async def ping(self):
+        """Send heartbeats."""
+        revision = RevisionId(index=1, digest="")
+        while not self.connection.is_closed:
+            self.connection.send(Ping(number=0, revision=revision))
+            await asyncio.sleep(self.interval_s)
+
+    async def receive(self):
+        """Collect messages until the stream ends."""
+        while (received := await self.connection.receive()).is_ok():
+            self.messages += received.ok_value
+
+
+class Rig:
+    """An endpoint process with its engine."""
+
+    def __init__(self, *, width=1, silence=3.0, retention=60, kind="engine"):
+        self.loop = asyncio.new_event_loop()
+        self.width, self.silence, self.kind = width, silence, kind
+        self.retention = retention
+        self.clock = monotonic_clock()
+        self.controls = Controls()
+        self.raw = None
+        self.engine_port = free_port()
+        self.streams = f"127.0.0.1:{free_port()}"
+        self.messages, self.callers, self.offers, self.tasks = [], [], {}, []
+        self.lines = []
+        self.sink = logger.add(self.take_line, level="INFO", format="{message}")
+
+    def take_line(self, line):
+        """Note one log event."""
+        extra = line.record["extra"]
+        self.lines.append((line.record["message"], extra.get("values", {})))
+
+    def run(self, coroutine):
+        """Run a coroutine to its end, for a bounded time."""
+        return self.loop.run_until_complete(asyncio.wait_for(coroutine, BOUND_SECONDS))
+
+    def wait_until(self, condition, what):
+        """Run the loop until a condition holds."""
+
+        async def poll():
+            while not condition():
+                await asyncio.sleep(POLL_SECONDS)
+
+        try:
+            self.run(poll())
+        except TimeoutError:
+            raise AssertionError(f"not within {BOUND_SECONDS} s: {what}") from None
+
+    def serve_engine(self):
+        """Serve the stand-in's engine or plain service."""
+        if self.kind == "service":
+            state = Service(slots=asyncio.Semaphore(8), clock=self.clock)
+            routes = [("/.*", CallHandler)]
+        else:
+            cache = PrefixCache(capacity=16)
+            state = Engine(
+                width=self.width,
+                models=[MODEL],
+                cache=cache,
+                controls=self.controls,
+                clock=self.clock,
+            )
+            routes = ROUTES
+            self.tasks.append(self.loop.create_task(state.run()))
+        serving = serve(
+            routes, port=self.engine_port, controls=self.controls, state=state
+        )
+        self.tasks.append(self.loop.create_task(serving))
+
+    def serve_raw(self, *, hangs_up):
+        """Serve an engine that gives no answer."""
+        self.raw = RawEngine(hangs_up=hangs_up)
+        self.run(asyncio.start_server(self.raw.serve, "127.0.0.1", self.engine_port))
+
+    def settings(self):
+        """Return the endpoint process's settings."""
+        return Settings(
+            process=ProcessSettings(role="endpoint", name="host-1", data_centre="dc"),
+            listen=ListenSettings(operator="127.0.0.1:1", streams=self.streams),
+            platform=PlatformSettings(),
+            fleet=FleetSettings(
+                key=KEY, silence=timedelta(seconds=self.silence), drain_limit=5
+            ),
+            log=LogSettings(),
+            engine=EngineSettings(
+                url=f"http://127.0.0.1:{self.engine_port}",
+                serves=MODEL,
+                kind=self.kind,
+                width=self.width,
+            ),
+        )
+
+    def start(self):
+        """Start the endpoint process and open a stream."""
+        text = DECLARATIONS.format(retention=self.retention)
+        revision = RevisionId(index=1, digest="")
+        declared = read_declarations(text, file="", revision=revision).unwrap()
+        revisions = RevisionStore(initial=declared)
+        self.hosts = HostView()
+        self.run(self.start_process(revisions))
+        self.open()
+
+    async def start_process(self, revisions):
+        """Start the endpoint process in the running loop."""
+        self.process = EndpointProcess(
+            settings=self.settings(),
+            identity=self.identity("host-1/start", revisions),
+            revisions=revisions,
+            hosts=self.hosts,
+            clock=self.clock,
+        )
+        self.revisions = revisions
+        self.process.start()
+
+    def identity(self, incarnation, revisions):
+        """Return the identity of a process."""
+        return Identity(
+            incarnation=incarnation, role="", key=KEY, revision=revisions.revision
+        )
+
+    def open(self):
+        """Open one more stream and use it from now on."""
+
+        async def connect():
+            host, port = self.streams.split(":")
+            identity = self.identity("entry-1/start", self.revisions)
+            opened = await dial(host, int(port), identity=identity, clock=self.clock)
+            connection = opened.unwrap().connection
+            return Caller(connection, interval_s=self.silence / 4)
+
+        self.callers.append(self.run(connect()))
+
+    def send(self, message):
+        """Send a message on the stream that was opened last."""
+
+        async def send():
+            self.callers[-1].connection.send(message)
+
+        self.run(send())
+
+    def received(self, kind, attempt_id):
+        """Return the messages of a kind about an attempt, over all streams."""
+        return [
+            message
+            for caller in self.callers
+            for message in caller.messages
+            if type(message) is kind and message.attempt_id == attempt_id
+        ]
+
+    def wait_for(self, kind, attempt_id):
+        """Wait for a message about an attempt and return the last one."""
+        what = f"{kind.__name__} of {attempt_id}"
+        self.wait_until(lambda: self.received(kind, attempt_id), what)
+        return self.received(kind, attempt_id)[-1]
+
+    def offer(self, name, class_name, tokens, *, ticket="", credit=1000):
+        """Offer a chat attempt."""
+        body = {
+            "model": MODEL,
+            "messages": [{"role": "user", "content": name}],
+            "max_tokens": tokens,
+            "metadata": {"mark": name},
+        }
+        self.offers[name] = body
+        self.send(
+            Offer(
+                attempt_id=name,
+                target=MODEL,
+                class_name=class_name,
+                workspace="",
+                revision_index=1,
+                deadline_s=30,
+                ticket=ticket,
+                method="POST",
+                path="/v1/chat/completions",
+                headers=[],
+                body=json.dumps(body).encode(),
+                credit=credit,
+            )
+        )
+
+    def payloads(self, attempt_id):
+        """Return the payloads of an attempt by sequence number."""
+        chunks = self.received(Chunk, attempt_id)
+        return {chunk.sequence: chunk.payload for chunk in chunks}
+
+    def marks(self):
+        """Return the marks of what the engine took, in order."""
+        return [execution.mark for execution in self.controls.log]
+
+    def execution(self, mark):
+        """Return what the engine notes of one request."""
+        return next(one for one in self.controls.log if one.mark == mark)
+
+    def close(self):
+        """End everything."""
+        logger.remove(self.sink)
+
+        async def end():
+            self.process.close()
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+        self.loop.run_until_complete(end())
+        self.loop.close()
+
+
+__all__ = ["BOUND_SECONDS", "KEY", "MODEL", "Rig"]
--- /dev/null
+++ b/features/steps/endpoint_steps.py
@@ -0,0 +1,465 @@
+"""Steps about the endpoint process."""
+
+import asyncio
+import json
+import time
+import zlib
+from datetime import UTC, datetime, timedelta
+
+from behave import given, step, then, when
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+
+from features.endpoint.rig import KEY, MODEL, Rig
+from zinniaramp.answers.retention import AnswerStore, Piece
+from zinniaramp.contracts import (
+    Cancel,
+    Cancelled,
+    Chunk,
+    Credit,
+    End,
+    Head,
+    Leaving,
+    Offer,
+    Outcome,
+    Pong,
+    Refused,
+    Resume,
+    TicketIssued,
+    TicketRequest,
+)
+from zinniaramp.endpoint.engine import EventReader
+from zinniaramp.hosts import Host, HostState
+from zinniaramp.standins import expected_text
+from zinniaramp.standins.service import expected_reply
+from zinniaramp.standins.serving import Faults
+from zinniaramp.tickets import Ticket, sign_ticket
+
+FREEZE_SECONDS = 1.2
+MEMORY = 1000
+
+
+def start_rig(context, **options):
+    """Start an endpoint process before the stand-in's engine."""
+    context.rig = Rig(**options)
+    context.add_cleanup(context.rig.close)
+    context.rig.serve_engine()
+    context.rig.start()
+
+
+def start_raw_rig(context, *, hangs_up):
+    """Start an endpoint process before an engine that gives no answer."""
+    context.rig = Rig()
+    context.add_cleanup(context.rig.close)
+    if hangs_up is not None:
+        context.rig.serve_raw(hangs_up=hangs_up)
+    context.rig.start()
+
+
+@given("an endpoint process with {width:d} slot")
+@given("an endpoint process with {width:d} slots")
+def start_endpoint(context, width):
+    start_rig(context, width=width)
+
+
+@given("an endpoint process with 1 slot that retains answers for {seconds:d} seconds")
+def start_forgetful(context, seconds):
+    start_rig(context, retention=seconds, silence=0.2)
+
+
+@given("an endpoint process with 1 slot and {seconds:g} seconds of silence")
+def start_impatient(context, seconds):
+    start_rig(context, silence=seconds)
+
+
+@given("an endpoint process before an engine that never answers")
+def start_before_silent(context):
+    start_raw_rig(context, hangs_up=False)
+
+
+@given("an endpoint process before an engine that hangs up")
+def start_before_dropping(context):
+    start_raw_rig(context, hangs_up=True)
+
+
+@given("an endpoint process before an engine that is down")
+def start_before_nothing(context):
+    start_raw_rig(context, hangs_up=None)
+
+
+@given("an endpoint process before a plain service")
+def start_before_service(context):
+    start_rig(context, kind="service")
+
+
+@when('attempt "{name}" of class "{class_name}" for {tokens:d} tokens is offered')
+def offer(context, name, class_name, tokens):
+    context.rig.offer(name, class_name, tokens)
+
+
+@when(
+    'attempt "{name}" of class "{class_name}" for {tokens:d} tokens is offered '
+    "with credit {credit:d}"
+)
+def offer_with_credit(context, name, class_name, tokens, credit):
+    context.rig.offer(name, class_name, tokens, credit=credit)
+
+
+@when(
+    'attempt "{name}" of class "{class_name}" for {tokens:d} tokens is offered '
+    "with the ticket"
+)
+def offer_with_ticket(context, name, class_name, tokens):
+    context.rig.offer(name, class_name, tokens, ticket=context.ticket)
+
+
+@when(
+    'attempt "{name}" of class "{class_name}" for {tokens:d} tokens is offered '
+    "with the ticket on another stream"
+)
+def offer_on_another_stream(context, name, class_name, tokens):
+    context.rig.open()
+    context.rig.offer(name, class_name, tokens, ticket=context.ticket)
+
+
+@when("a ticket is fetched")
+def fetch_ticket(context):
+    rig = context.rig
+    rig.send(TicketRequest(request_id="r", class_name="record", workspace=""))
+    messages = rig.callers[-1].messages
+
+    def issued():
+        return [one for one in messages if isinstance(one, TicketIssued)]
+
+    rig.wait_until(issued, "ticket")
+    context.ticket = issued()[0].ticket
+
+
+@when("a ticket of another incarnation is at hand")
+def make_foreign_ticket(context):
+    expires = datetime.now(UTC) + timedelta(minutes=5)
+    ticket = Ticket(
+        serial="0~x",
+        incarnation="host-1/before",
+        class_name="record",
+        workspace="",
+        expires=expires.isoformat(),
+    )
+    context.ticket = sign_ticket(ticket, key=KEY)
+
+
+@when('attempt "{name}" is cancelled')
+def cancel(context, name):
+    context.rig.send(Cancel(attempt_id=name))
+
+
+@when('{count:d} chunks of "{name}" have arrived')
+def wait_for_chunks(context, count, name):
+    rig = context.rig
+    rig.wait_until(lambda: len(rig.received(Chunk, name)) >= count, "chunks")
+
+
+@when("the stream is lost")
+def lose_stream(context):
+    rig = context.rig
+    connection = rig.callers[-1].connection
+    connection.stream.close()
+    rig.wait_until(lambda: not rig.process.streams.connections, "stream lost")
+
+
+@when("a stream is opened")
+def open_stream(context):
+    context.rig.open()
+
+
+@when("the stream is lost and another is opened")
+def replace_stream(context):
+    lose_stream(context)
+    open_stream(context)
+
+
+@when('"{name}" is resumed from the next chunk')
+def resume(context, name):
+    wanted = len(context.rig.payloads(name))
+    context.rig.send(Resume(attempt_id=name, from_sequence=wanted, credit=1000))
+
+
+@when('"{name}" is given credit')
+def give_credit(context, name):
+    context.rig.send(Credit(attempt_id=name, limit=1000))
+
+
+@when("the engine falls silent")
+def silence_engine(context):
+    context.rig.controls.apply(Faults(silent=True))
+
+
+@when("the endpoint process drains")
+def drain(context):
+    async def begin():
+        return asyncio.ensure_future(context.rig.process.drain())
+
+    context.drain = context.rig.run(begin())
+
+
+@when("the host list says that the host is leaving")
+def leave_by_list(context):
+    host = Host(
+        name="host-1",
+        data_centre="dc",
+        role="endpoint",
+        address="",
+        state=HostState.LEAVING,
+    )
+
+    async def replace():
+        context.rig.hosts.replace({"host-1": host})
+
+    context.rig.run(replace())
+
+
+@when("the endpoint process is frozen and woken")
+def freeze(context):
+    async def block():
+        time.sleep(FREEZE_SECONDS)
+
+    context.rig.run(block())
+
+
+@when("only a second stream sends heartbeats")
+def send_heartbeats(context):
+    context.rig.callers[0].pinging.cancel()
+    context.rig.open()
+
+
+@when('a plain call "{name}" is offered')
+def offer_plain(context, name):
+    context.rig.send(
+        Offer(
+            attempt_id=name,
+            target=MODEL,
+            class_name="question",
+            workspace="",
+            revision_index=1,
+            deadline_s=30,
+            ticket="",
+            method="PUT",
+            path="/ledger?reel=4",
+            headers=[["X-Mark", name]],
+            body=b"released",
+            credit=1000,
+        )
+    )
+
+
+@then('"{name}" is confirmed as not run')
+def check_not_run(context, name):
+    assert context.rig.wait_for(Cancelled, name).ran is False
+
+
+@then('"{name}" is confirmed as run')
+def check_run(context, name):
+    assert context.rig.wait_for(Cancelled, name).ran is True
+
+
+@then('"{name}" is refused as "{reason}"')
+def check_refused(context, name, reason):
+    assert context.rig.wait_for(Refused, name).reason == reason
+
+
+@then('"{name}" ends as "{outcome}"')
+def check_outcome(context, name, outcome):
+    ended = context.rig.wait_for(End, name)
+    assert ended.outcome == outcome, ended
+
+
+def check_whole(rig, name, body):
+    """Check an answer's count, checksum and text."""
+    ended = rig.wait_for(End, name)
+    payloads = rig.payloads(name)
+    assert ended.outcome == "done", ended
+    assert sorted(payloads) == list(range(ended.count)), sorted(payloads)
+    whole = [payloads[sequence] for sequence in sorted(payloads)]
+    assert zlib.crc32(b"".join(whole)) == ended.checksum
+    events = [json.loads(line) for line in b"\n".join(whole).split(b"\n")]
+    deltas = [event["choices"][0]["delta"] for event in events]
+    assert "".join(d.get("content", "") for d in deltas) == expected_text(body)
+
+
+@then('"{name}" brings its whole text')
+def check_text(context, name):
+    check_whole(context.rig, name, context.rig.offers[name])
+
+
+@then('"{name}" brings the whole text of "{other}"')
+def check_text_of(context, name, other):
+    check_whole(context.rig, name, context.rig.offers[other])
+
+
+@then('"{name}" brings the service\'s reply')
+def check_reply(context, name):
+    assert context.rig.wait_for(End, name).outcome == "done"
+    head = context.rig.wait_for(Head, name)
+    body = json.loads(b"".join(context.rig.payloads(name).values()))
+    expected = expected_reply("PUT", "/ledger?reel=4", b"released")
+    assert head.status == 200, head
+    assert ["Content-Type", "application/json"] in head.headers, head
+    assert body["body_sha256"] == expected.body_sha256, body
+    assert body["path"] == expected.path, body
+
+
+@step('the engine has run only "{names}"')
+def check_marks(context, names):
+    assert context.rig.marks() == names.split(), context.rig.marks()
+
+
+@then("the engine has run nothing")
+def check_no_marks(context):
+    assert context.rig.marks() == [], context.rig.marks()
+
+
+@then('the engine has cancelled "{name}"')
+def check_cancelled(context, name):
+    execution = context.rig.execution(name)
+    context.rig.wait_until(lambda: execution.cancelled, "cancelled at the engine")
+
+
+@then('the engine has finished "{name}"')
+def check_finished(context, name):
+    execution = context.rig.execution(name)
+    context.rig.wait_until(lambda: execution.finished, "finished at the engine")
+    assert not execution.cancelled
+
+
+@step("the engine has been sent {count:d} request")
+def check_requests(context, count):
+    raw = context.rig.raw
+    context.rig.wait_until(lambda: raw.requests >= count, "request")
+    assert raw.requests == count, raw.requests
+
+
+@then("the connection to the engine is closed")
+def check_connection_closed(context):
+    context.rig.wait_until(lambda: context.rig.raw.closed, "transfer closed")
+
+
+@then('{count:d} chunk of "{name}" has come in all')
+def check_chunk_count(context, count, name):
+    assert len(context.rig.received(Chunk, name)) == count
+
+
+@then('the endpoint process has forgotten "{name}"')
+def check_forgotten(context, name):
+    known = context.rig.process.executor.attempts
+    context.rig.wait_until(lambda: name not in known, "forgotten")
+
+
+@then('the endpoint process has ended "{name}" as "{outcome}"')
+def check_ended(context, name, outcome):
+    def is_ended():
+        attempt = context.rig.process.executor.attempts[name]
+        return attempt.is_over() and attempt.answer.ending.outcome == outcome
+
+    context.rig.wait_until(is_ended, outcome)
+
+
+@then('the log has the event "{name}"')
+def check_event(context, name):
+    names = [line[0].strip() for line in context.rig.lines]
+    assert name in names, names
+
+
+@then('the log has the decisions "{decisions}"')
+def check_decisions(context, decisions):
+    found = [
+        values["decision"]
+        for name, values in context.rig.lines
+        if name.strip() == "attempt-scheduled"
+    ]
+    assert found == decisions.split(), found
+
+
+@then("the stream says that it is leaving")
+def check_leaving(context):
+    messages = context.rig.callers[-1].messages
+
+    def is_told():
+        return any(isinstance(one, Leaving) for one in messages)
+
+    context.rig.wait_until(is_told, "leaving")
+
+
+@then("the drain ends with nothing cut off")
+def check_drain(context):
+    async def end():
+        return await context.drain
+
+    assert context.rig.run(end()) == 0
+
+
+@then("the stream is closed")
+def check_stream_closed(context):
+    connection = context.rig.callers[0].connection
+    context.rig.wait_until(lambda: connection.is_closed, "stream closed")
+
+
+@then("the second stream has been answered")
+def check_answered(context):
+    caller = context.rig.callers[-1]
+    assert any(isinstance(one, Pong) for one in caller.messages)
+    assert not caller.connection.is_closed
+
+
+@given("any answers of any size")
+def any_answers(context):
+    step_cases = st.tuples(st.integers(0, 5), st.integers(1, 400), st.booleans())
+    context.cases = st.lists(step_cases, max_size=40)
+
+
+@when("they are retained one after another")
+def retain(context):
+    @for_any(context.cases)
+    def check(steps):
+        now = datetime(2030, 1, 1, tzinfo=UTC)
+        retention = timedelta(seconds=10)
+        store = AnswerStore(memory=MEMORY, retention=retention, clock=lambda: now)
+        answers = {}
+        for number, (slot, size, is_last) in enumerate(steps):
+            if slot not in answers:
+                answers[slot] = store.open(str(number))
+            kept = {name for name, one in store.unfinished.items() if one.size}
+            store.append(answers[slot], Piece(payload=b"x" * size, tokens=1))
+            held = [*store.unfinished.values(), *store.finished.values()]
+            assert store.size == sum(one.size for one in held) <= MEMORY
+            is_lost = any(store.unfinished[name].is_discarded for name in kept)
+            assert not (is_lost and any(one.size for one in store.finished.values()))
+            if is_last:
+                store.finish(answers.pop(slot), Outcome.DONE, "")
+        now += retention
+        store.forget_expired()
+        assert not store.finished
+
+    context.check = check
+
+
+@then("their memory and time are bounded and unfinished ones go last")
+def run_retention_check(context):
+    context.check()
+
+
+@when("two answers are read in turn, one byte at a time")
+def read_in_turn(context):
+    texts = ["reparación €", "修復の記録 é"]
+    readers = [EventReader(), EventReader()]
+    context.expected = texts
+    context.read = ["", ""]
+    streams = [f"data: {text}\n\n".encode() for text in texts]
+    for position in range(max(map(len, streams))):
+        for index, stream in enumerate(streams):
+            data = stream[position : position + 1]
+            context.read[index] += "".join(readers[index].read(data).unwrap())
+
+
+@then("each event reads as it was sent")
+def check_read(context):
+    assert context.read == context.expected, context.read
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -309,4 +309,3 @@
             task.cancel()
         self.listener.stop()
         self.streams.close_all(reason="process ends")
-        self.executor.engine.close()
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -339,11 +339,6 @@
             return Err(EngineError(f"engine {self.url}: {order}: {error}"))
         return Ok(response.code)
 
-    def close(self) -> None:
-        """Close every connection."""
-        self.attempts.close()
-        self.orders.close()
-
 
 def _empty_body(method: str) -> bytes | None:
     return b"" if method in ("POST", "PUT", "PATCH") else None
