--- a/features/endpoint/rig.py
+++ b/features/endpoint/rig.py
@@ -247,7 +247,7 @@
             "model": MODEL,
             "messages": [{"role": "user", "content": name}],
             "max_tokens": tokens,
-            "metadata": {"mark": name},
+            "metadata": {"mark": name, "output_tokens": tokens},
         }
         self.offers[name] = body
         self.send(
