--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -24,7 +24,7 @@
 )
 from .entries import Entry, order_key
 from .estimates import LengthEstimates, SpeedEstimate
-from .floor import QUANTUM_S, accrue_floors, due_entry, floor_slots
+from .floor import MAX_QUANTUM_S, accrue_floors, due_entry, floor_slots
 from .jobs import (
     Action,
     Admission,
@@ -53,7 +53,7 @@
 ]
 
 MAX_QUEUED = 5000
-"""Queued jobs that a scheduler holds at most, whatever their predicted wait."""
+"""Waiting jobs that a scheduler holds at most, whatever their predicted wait."""
 
 HIGHEST_TIER = 1
 """Tier that is served first."""
@@ -71,7 +71,8 @@
     clock : Clock
         The process's clock.
     max_queued : int
-        Queued jobs held at most.
+        Jobs that wait for their first slot at most.  Paused jobs are not
+        counted; there are never more than the tiers times the width.
     """
 
     def __init__(
@@ -245,8 +246,7 @@
             return refused(RefusalReason.DEADLINE, wait=wait, limit=limit)
         if wait > limit and not self._is_floor_in_the_way(entry, now):
             return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
-        queued = len(self.entries) - len(self.running)
-        if queued >= self.max_queued and not self._shed_for(entry):
+        if len(self.deadlines) >= self.max_queued and not self._shed_for(entry):
             return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
         return admitted(wait)
 
@@ -342,8 +342,8 @@
         if is_free and protected < floor_slots(self.width):
             due = due_entry(states)
             if due is not None:
-                due.protected_until = now + QUANTUM_S
-                self._state_of(due).grant_quantum(now, QUANTUM_S)
+                state = self._state_of(due)
+                due.protected_until = now + state.grant_quantum(now, MAX_QUANTUM_S)
                 return due
         return first_entry(states)
 
--- a/zinniaramp/standins/processes.py
+++ b/zinniaramp/standins/processes.py
@@ -1,7 +1,9 @@
 """Processes of a fleet: starting them, waiting until they are ready, ending them."""
 
+import contextlib
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -14,7 +16,16 @@
 
 import psutil
 
-__all__ = ["Fleet", "FleetError", "FleetProcess", "end_processes", "is_alive"]
+__all__ = [
+    "FLEET_FILE",
+    "Fleet",
+    "FleetError",
+    "FleetProcess",
+    "end_processes",
+    "free_port",
+    "is_alive",
+    "start_standin",
+]
 
 READY_SECONDS = 20
 """Longest wait until every process is ready, in seconds."""
@@ -55,13 +66,14 @@
     created : float
         When it started, in Unix seconds, which tells a process id used again.
     url : str
-        Where it serves: a URL, or the stream address of an endpoint.
+        Where it serves HTTP: callers at an entry, operators at an endpoint.
     settings, log : str
         Its settings file, empty for stand-ins, and its log file.
     ready_url : str
         URL that answers when the process is ready.
-    operator : str
-        Base URL for operators; empty for stand-ins.
+    operator, address : str
+        Base URL for operators, and IP number and port of a daemon's own listener
+        for callers or streams; both empty for stand-ins.
     """
 
     name: str
@@ -73,6 +85,7 @@
     log: str
     ready_url: str
     operator: str = ""
+    address: str = ""
 
 
 def _candidate_ports() -> Iterator[int]:
@@ -92,6 +105,14 @@
     return True
 
 
+_PORTS = _candidate_ports()
+
+
+def free_port() -> int:
+    """Return a port of loopback that is free now and was not returned before."""
+    return next(port for port in _PORTS if _can_bind(port))
+
+
 @dataclass(slots=True, kw_only=True)
 class Fleet:
     """A fleet that is being started.
@@ -104,11 +125,6 @@
 
     directory: Path
     processes: list[FleetProcess] = field(default_factory=list)
-    ports: Iterator[int] = field(default_factory=_candidate_ports)
-
-    def free_port(self) -> int:
-        """Return a port of loopback that is free now."""
-        return next(port for port in self.ports if _can_bind(port))
 
     def add(
         self,
@@ -120,6 +136,7 @@
         arguments: list[str],
         settings: str = "",
         operator: str = "",
+        address: str = "",
     ) -> FleetProcess:
         """Start one Python module as a process and list it in ``fleet.json``."""
         log = self.directory / f"{name}.log"
@@ -141,6 +158,7 @@
             log=str(log),
             ready_url=ready_url,
             operator=operator,
+            address=address,
         )
         self.processes.append(process)
         self.write()
@@ -172,6 +190,30 @@
             time.sleep(POLL_SECONDS)
 
 
+def start_standin(fleet: Fleet, role: str, name: str, **options) -> FleetProcess:
+    """Start a stand-in.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The fleet that it will belong to.
+    role, name : str
+        Role, which is also the name of its module, and name of the process.
+    **options
+        Options of its command line.
+    """
+    port = free_port()
+    url = f"http://127.0.0.1:{port}"
+    flags = [f"--{key}={value}" for key, value in options.items()]
+    return fleet.add(
+        name=name,
+        role=role,
+        url=url,
+        ready_url=f"{url}/standin/log",
+        arguments=[f"zinniaramp.standins.{role}", f"--port={port}", *flags],
+    )
+
+
 def _describe(processes: list[FleetProcess]) -> str:
     return ", ".join(f"{one.name} (see {one.log})" for one in processes)
 
@@ -201,12 +243,23 @@
     return _find(process) is not None
 
 
+def _signal_all(processes: list[FleetProcess], number: signal.Signals) -> None:
+    for process in processes:
+        found = _find(process)
+        with contextlib.suppress(psutil.NoSuchProcess):
+            if found is not None:
+                found.send_signal(number)
+
+
+def _wait_ended(processes: list[FleetProcess]) -> None:
+    deadline = time.monotonic() + END_SECONDS
+    while any(map(is_alive, processes)) and time.monotonic() < deadline:
+        time.sleep(POLL_SECONDS)
+
+
 def end_processes(processes: list[FleetProcess]) -> None:
     """End processes: SIGTERM, then SIGKILL for those that stay."""
-    found = [one for one in map(_find, processes) if one is not None]
-    for process in found:
-        process.terminate()
-    _, staying = psutil.wait_procs(found, timeout=END_SECONDS)
-    for process in staying:
-        process.kill()
-    psutil.wait_procs(staying, timeout=END_SECONDS)
+    _signal_all(processes, signal.SIGTERM)
+    _wait_ended(processes)
+    _signal_all(processes, signal.SIGKILL)
+    _wait_ended(processes)
