Bound a service's calls, free sent bodies, and notice a dead loop

The endpoint process now keeps to a declared service's timeout, frees a request's body once it is sent or ended, is not ready when a loop of its own has died, clamps a resume's sequence number, waits at least 1 ms between looks at the scheduler, and forgets that its memory of forgotten runs overflowed after their retention. Found by reading, not by a failure.

--- a/zinniaramp/endpoint/attempts.py
+++ b/zinniaramp/endpoint/attempts.py
@@ -1,7 +1,7 @@
 """Attempts that this endpoint process has taken, and where their answers go."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import datetime
 
 from ..answers.retention import RetainedAnswer
@@ -102,6 +102,10 @@
         """Whether the attempt may be stopped and attempted elsewhere."""
         return self.serial is None
 
+    def drop_body(self) -> None:
+        """Free the request's body, which is sent at most once."""
+        self.offer = replace(self.offer, body=b"")
+
     def is_over(self) -> bool:
         """Tell whether the attempt has ended."""
         return self.answer.ending is not None
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -158,7 +158,8 @@
 
     def is_ready(self) -> bool:
         """Tell whether the process can take attempts."""
-        return not self.is_leaving
+        has_failed = any(task.done() for task in self.tasks)
+        return not self.is_leaving and not has_failed
 
     def load(self) -> Load:
         """Return the current load."""
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -41,6 +41,9 @@
 COALESCE_SECONDS = 0.005
 """Time for which tokens are collected into one chunk, in seconds."""
 
+LEAST_WAIT_SECONDS = 0.001
+"""Least time between two looks at the scheduler if nothing happens, in seconds."""
+
 NEVER_SENT_PAUSE = timedelta(seconds=1)
 """How long offers are refused after the engine could not be connected to."""
 
@@ -110,7 +113,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.changed = asyncio.Event()
         self.class_names: set[str] = set()
-        self.is_memory_full = False
+        self.forgot_until: datetime = clock()
         self.unavailable_until: datetime = clock()
 
     def spawn(self, coroutine) -> None:
@@ -132,8 +135,9 @@
         if due is None:
             await self.changed.wait()
             return
+        wait_s = max(LEAST_WAIT_SECONDS, (due - self.clock()).total_seconds())
         try:
-            async with asyncio.timeout((due - self.clock()).total_seconds()):
+            async with asyncio.timeout(wait_s):
                 await self.changed.wait()
         except TimeoutError:
             return
@@ -206,7 +210,7 @@
 
     def may_have_run(self, attempt_id: str) -> bool:
         """Tell whether an attempt that is not known any more may have run here."""
-        return self.is_memory_full or attempt_id in self.forgotten
+        return self.clock() < self.forgot_until or attempt_id in self.forgotten
 
     def is_available(self) -> bool:
         """Tell whether the engine could be connected to lately."""
@@ -252,6 +256,7 @@
                 attempt.is_handed_over = True
                 attempt.active_at = self.clock()
                 attempt.transfer = self.engine.send(call)
+                attempt.drop_body()
                 self.spawn(self.run_attempt(attempt, attempt.transfer))
 
     def call_of(self, attempt: Attempt):
@@ -261,7 +266,9 @@
         if not attempt.is_repeatable:
             timeout += self.answers.retention
         if not self.is_chat:
-            return plain_call(offer, timeout=timeout)
+            service = self.scheduler.declarations.services.get(offer.target)
+            limit = service.timeout if service else timeout
+            return plain_call(offer, timeout=min(timeout, limit))
         declared = self.scheduler.declarations.classes.get(attempt.job.class_name)
         priority = declared.tier if declared else 0
         return chat_call(offer, priority=priority, timeout=timeout)
@@ -351,6 +358,7 @@
         if outcome is Outcome.NOT_RUN and attempt.serial:
             outcome = outcome if self.withdraw(attempt.serial) else Outcome.UNKNOWN
         self.answers.finish(attempt.answer, outcome, str(detail))
+        attempt.drop_body()
         wasted = 0 if is_done else attempt.answer.tokens
         TOKENS_WASTED.labels(attempt.job.class_name).inc(wasted)
         emit(
@@ -441,6 +449,6 @@
         for attempt_id in self.answers.forget_expired():
             attempt = self.attempts.pop(attempt_id)
             if attempt.is_handed_over and not self.forgotten.add(attempt_id):
-                self.is_memory_full = True
+                self.forgot_until = now + self.forgotten.retention
             for alias in attempt.deliveries:
                 self.aliases.pop(alias, None)
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -220,7 +220,7 @@
             connection,
             message.attempt_id,
             attempt,
-            message.from_sequence,
+            max(0, message.from_sequence),
             message.credit,
         )
 
