Route requests with bounded attempts and honest outcomes at the entry

Cause: the thin entry process made one attempt, at the least loaded endpoint, read no declarations and said nothing of outcomes. Change: routing policies, retry budget, ejections and subsets as pure modules; answers checked by sequence, count and checksum; streams with heartbeats that are replaced before a peer is held dead; attempts with credit; checked callers' requests; tickets; plain services; continued answers; metrics; drain. Conclusion: the entry's interface stands; no measurement of it was made yet.

--- a/zinniaramp/answers/__init__.py
+++ b/zinniaramp/answers/__init__.py
@@ -1,5 +1,13 @@
-"""Answers as numbered chunks: identity, assembly, retention."""
+"""Identity and assembly of answers."""
 
-from .core import AttemptId, new_attempt_id, parse_attempt_id
+from .assembly import Addition, Assembly
+from .core import AnswerError, AttemptId, new_attempt_id, parse_attempt_id
 
-__all__ = ["AttemptId", "new_attempt_id", "parse_attempt_id"]
+__all__ = [
+    "Addition",
+    "AnswerError",
+    "Assembly",
+    "AttemptId",
+    "new_attempt_id",
+    "parse_attempt_id",
+]
--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -1,36 +1,42 @@
-"""The entry process's state and the routing of requests."""
+"""The entry process: its tasks, its readiness and its shutdown."""
 
 import asyncio
-from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
 
+from tornado.httpserver import HTTPServer
 from tornado.httputil import split_host_and_port
-from tornado.queues import Queue
 
-from ..answers import AttemptId, new_attempt_id
 from ..clock import Clock
 from ..configuration import RevisionStore
-from ..contracts import Offer
+from ..declarations import Declarations
 from ..hosts import HostView
 from ..links import Identity
 from ..observability import emit
+from ..routing import DEFAULT_POLICY
 from ..settings import Settings
 from .callers import make_application
-from .events import ATTEMPT_ROUTED, REQUEST_ENDED
-from .peers import Peer
+from .events import DRAIN_ENDED, DRAIN_STARTED
+from .peer_set import PeerSet
+from .router import Router
+from .status import EntryStatus, peer_status
 
-__all__ = ["EntryProcess", "Routed"]
+__all__ = ["EntryProcess"]
 
-INITIAL_CREDIT = 64
-"""Chunks that an endpoint may send before the caller has taken any."""
+MAX_BODY_BYTES = 2 * 1024 * 1024
+"""Largest request body that is read at all, in bytes."""
 
+MAX_HEADER_BYTES = 32 * 1024
+"""Largest head of a request, in bytes."""
 
-@dataclass(slots=True, kw_only=True)
-class Routed:
-    """An attempt that was offered to an endpoint."""
+BODY_TIMEOUT = timedelta(seconds=10)
+"""Longest time for a request body to arrive."""
 
-    attempt_id: AttemptId
-    peer: Peer
-    inbox: Queue
+IDLE_TIMEOUT = timedelta(seconds=60)
+"""Longest time for a request's head to arrive on an open connection."""
+
+DRAIN_NOTICE = timedelta(seconds=1)
+"""Time for which readiness is false before listening ends."""
 
 
 class EntryProcess:
@@ -48,6 +54,17 @@
         The platform's list of hosts.
     clock : Clock
         The process's clock.
+    random_source : random.Random, optional
+        Source of all randomness in routing.
+    policy : str
+        Name in `zinniaramp.routing.POLICIES`.
+
+    Attributes
+    ----------
+    peers : PeerSet
+        Endpoint processes; its ``on_revision`` hears their revisions.
+    works : set of asyncio.Task
+        One for each request whose answer is not finished.
     """
 
     def __init__(
@@ -58,69 +75,99 @@
         revisions: RevisionStore,
         hosts: HostView,
         clock: Clock,
+        random_source: Random | None = None,
+        policy: str = DEFAULT_POLICY,
     ):
         self.settings = settings
         self.revisions = revisions
         self.hosts = hosts
         self.clock = clock
-        self.peers = [
-            Peer(address=address, identity=identity, clock=clock)
-            for address in settings.platform.endpoints.split()
-        ]
-        self.tasks: list[asyncio.Task] = []
+        random_source = random_source or Random()
+        self.peers = PeerSet(
+            settings=settings,
+            identity=identity,
+            revisions=revisions,
+            hosts=hosts,
+            clock=clock,
+            random_source=random_source,
+        )
+        self.router = Router(
+            peers=self.peers,
+            key=settings.fleet.key,
+            clock=clock,
+            random_source=random_source,
+            policy=policy,
+        )
+        self.works: set[asyncio.Task] = set()
+        self.is_draining = False
+        self.server: HTTPServer | None = None
 
     def start(self) -> None:
         """Listen for callers and open streams."""
-        self.tasks = [asyncio.create_task(peer.run()) for peer in self.peers]
+        self.peers.start()
         host, port = split_host_and_port(self.settings.listen.callers)
-        make_application(self).listen(port, host)
+        self.server = HTTPServer(
+            make_application(self),
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            body_timeout=BODY_TIMEOUT.total_seconds(),
+            idle_connection_timeout=IDLE_TIMEOUT.total_seconds(),
+        )
+        self.server.listen(port, host)
 
     def is_ready(self) -> bool:
-        """Tell whether any endpoint can be reached."""
-        return any(peer.connection for peer in self.peers)
-
-    def route_chat(self, request: dict, http) -> Routed | None:
-        """Choose an endpoint for a chat request and offer it the attempt."""
-        model = request.get("model", "")
-        usable = [p for p in self.peers if p.connection and model in p.serves]
-        if not usable:
-            return None
-        peer = min(usable, key=lambda one: len(one.inboxes))
-        attempt_id = new_attempt_id(host=peer.host)
-        class_name = http.headers.get("Zinniaramp-Class", "")
-        workspace = http.headers.get("Zinniaramp-Workspace", "")
-        emit(
-            ATTEMPT_ROUTED,
-            attempt=str(attempt_id),
-            target=model,
-            **{"class": class_name},
-            workspace=workspace,
-            chosen=peer.host,
-            weighed=[{"host": p.host, "in_flight": len(p.inboxes)} for p in usable],
-        )
-        offer = Offer(
-            attempt_id=str(attempt_id),
-            target=model,
-            class_name=class_name,
-            workspace=workspace,
-            revision_index=0,
-            deadline_s=60,
-            ticket="",
-            method="POST",
-            path="/v1/chat/completions",
-            headers=[],
-            body=http.body,
-            credit=INITIAL_CREDIT,
-        )
-        return Routed(attempt_id=attempt_id, peer=peer, inbox=peer.offer(offer))
-
-    def finish(self, routed: Routed, outcome: str) -> None:
-        """Note the final outcome of a request."""
-        routed.peer.inboxes.pop(str(routed.attempt_id), None)
-        emit(
-            REQUEST_ENDED,
-            request=routed.attempt_id.request,
-            outcome=outcome,
-            status=200,
-            attempts=1,
+        """Tell whether requests can be routed."""
+        if self.is_draining:
+            return False
+        return any(peer.is_usable for peer in self.peers.peers.values())
+
+    def status(self) -> EntryStatus:
+        """Return the state of this process."""
+        return EntryStatus(
+            is_ready=self.is_ready(),
+            is_draining=self.is_draining,
+            in_flight=len(self.works),
+            retry_budget=self.router.budget.balance,
+            revision_index=self.revisions.revision().index,
+            policy=self.router.policy,
+            peers=[peer_status(peer) for peer in self.peers.peers.values()],
         )
+
+    async def drain(self) -> None:
+        """Stop taking requests and finish every answer, within the drain limit."""
+        if self.is_draining:
+            return
+        self.is_draining = True
+        emit(DRAIN_STARTED, in_flight=len(self.works))
+        await asyncio.sleep(DRAIN_NOTICE.total_seconds())
+        self.server.stop()
+        limit = self.settings.fleet.drain_limit.total_seconds()
+        deadline = asyncio.get_running_loop().time() + limit
+        while self.works:
+            left = deadline - asyncio.get_running_loop().time()
+            if left <= 0:
+                break
+            await asyncio.wait(self.works, timeout=left)
+            await asyncio.sleep(0)
+        emit(DRAIN_ENDED, left=len(self.works))
+        for work in self.works:
+            work.cancel()
+        await self.server.close_all_connections()
+        self.peers.stop()
+
+    def models(self, declarations: Declarations) -> set[str]:
+        """Return the models that callers may ask for."""
+        if declarations.models:
+            return set(declarations.models)
+        return self.peers.targets() - declarations.services.keys()
+
+    def knows_model(self, name: str, declarations: Declarations) -> bool:
+        """Tell whether a model exists, as far as this process can know."""
+        if declarations.models:
+            return name in declarations.models
+        known = self.models(declarations)
+        return name in known or not known
+
+    def serves_undeclared(self, name: str, declarations: Declarations) -> bool:
+        """Tell whether a service may be called although none is declared."""
+        return not declarations.services and name in self.peers.targets()
--- /dev/null
+++ b/zinniaramp/entry/errors.py
@@ -0,0 +1,85 @@
+"""Errors that callers are answered with; the codes are in the reference."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..contracts import Outcome
+
+__all__ = ["CallerError", "ErrorCode", "error_body"]
+
+
+class ErrorCode(StrEnum):
+    """Codes of errors; ``docs/reference/errors.md`` explains each."""
+
+    INVALID_JSON = "invalid_json"
+    INVALID_FIELD = "invalid_field"
+    TOO_MANY_HEADERS = "too_many_headers"
+    BODY_TOO_LARGE = "body_too_large"
+    UNKNOWN_CLASS = "unknown_class"
+    UNKNOWN_WORKSPACE = "unknown_workspace"
+    CLASS_NOT_ALLOWED = "class_not_allowed"
+    UNKNOWN_MODEL = "unknown_model"
+    UNKNOWN_SERVICE = "unknown_service"
+    UNKNOWN_REQUEST = "unknown_request"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    ANSWER_DISCARDED = "answer_discarded"
+    TICKET_REQUIRED = "ticket_required"
+    TICKET_MISMATCH = "ticket_mismatch"
+    TICKET_REFUSED = "ticket_refused"
+    TICKET_INCARNATION_GONE = "ticket_incarnation_gone"
+    OVERLOADED = "overloaded"
+    NO_ENDPOINT = "no_endpoint"
+    DEADLINE_EXCEEDED = "deadline_exceeded"
+    ANSWER_FAILED = "answer_failed"
+    ANSWER_TOO_LARGE = "answer_too_large"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    SHUTTING_DOWN = "shutting_down"
+    INTERNAL_ERROR = "internal_error"
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CallerError:
+    """An error as a caller sees it.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    code : ErrorCode
+        What went wrong.
+    message : str
+        What is wrong, with the value and the remedy.
+    param : str
+        Field or header at fault, if any.
+    outcome : Outcome or None
+        What became of the request; None if it was wrong and nothing was tried.
+    retry_after_s : float
+        Seconds after which to come back; 0 if that would not help.
+    ticket : str
+        Fresh ticket to send the request with, if any.
+    """
+
+    status: int
+    code: ErrorCode
+    message: str
+    param: str = ""
+    outcome: Outcome | None = None
+    retry_after_s: float = 0
+    ticket: str = ""
+
+
+def error_body(error: CallerError) -> dict:
+    """Return an error in the shape that OpenAI clients read."""
+    kind = "invalid_request_error" if error.status < 429 else "server_error"
+    body = {
+        "message": error.message,
+        "type": kind,
+        "param": error.param or None,
+        "code": str(error.code),
+    }
+    if error.outcome is not None:
+        body["outcome"] = str(error.outcome)
+    if error.ticket:
+        body["ticket"] = error.ticket
+    return {"error": body}
--- a/zinniaramp/routing/__init__.py
+++ b/zinniaramp/routing/__init__.py
@@ -1,3 +1,23 @@
 """Choice of an endpoint for each attempt, and its limits."""
 
-__all__: list[str] = []
+from .backoff import backoff_delay, retry_after
+from .budget import RetryBudget
+from .core import DEFAULT_POLICY, POLICIES, Candidate, Choice, Policy
+from .ejection import Ejections
+from .rendezvous import rank
+from .subset import SubsetMember, choose_subset
+
+__all__ = [
+    "DEFAULT_POLICY",
+    "POLICIES",
+    "Candidate",
+    "Choice",
+    "Ejections",
+    "Policy",
+    "RetryBudget",
+    "SubsetMember",
+    "backoff_delay",
+    "choose_subset",
+    "rank",
+    "retry_after",
+]
