--- /dev/null
+++ b/features/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Features of the entry process, and the fakes that they use."""
--- /dev/null
+++ b/features/entry/fake_endpoint.py
@@ -0,0 +1,283 @@
+"""An endpoint process for tests that answers as a scenario tells it to."""
+
+import asyncio
+import json
+import secrets
+import threading
+import time
+import zlib
+
+from result import Ok
+from tornado.netutil import bind_sockets
+
+from zinniaramp.clock import monotonic_clock
+from zinniaramp.contracts import (
+    Accepted,
+    Cancel,
+    Cancelled,
+    Chunk,
+    End,
+    Leaving,
+    Load,
+    Offer,
+    Outcome,
+    Ping,
+    Pong,
+    Refused,
+    Resume,
+    RevisionId,
+    TicketIssued,
+    TicketRequest,
+    Welcome,
+)
+from zinniaramp.links import Identity, Listener
+from zinniaramp.tickets import Ticket, sign_ticket
+
+KEY = "key-of-the-test-fleet"
+WAIT_SECONDS = 10
+LOAD = Load(running=0, width=8, queued=0, queue_s=0, urgent_s=0, tokens_per_s=0)
+NO_REVISION = RevisionId(index=0, digest="")
+
+
+def event_of(word):
+    """Return the data of one streamed event of an answer."""
+    choice = {"index": 0, "delta": {"content": word}, "finish_reason": None}
+    return json.dumps({"object": "chat.completion.chunk", "choices": [choice]})
+
+
+def payloads_of(words):
+    """Return one chunk payload for each word."""
+    return [event_of(word).encode() for word in words]
+
+
+class FakeEndpoint:
+    """Speaks the contract on a thread of its own and notes what it was sent."""
+
+    def __init__(self, *, name, behaviour, serves=("m",), words=("a", "b", "c")):
+        self.name = name
+        self.behaviour = behaviour
+        self.serves = list(serves)
+        self.payloads = payloads_of(words)
+        self.incarnation = f"{name}/{secrets.token_hex(3)}"
+        self.cancel_answer = None
+        self.retry_after_s = 2.0
+        self.is_mute = False
+        self.seen = []
+        self.connections = []
+        self.changed = threading.Condition()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+        self.address = self.call(self.listen)
+
+    def call(self, function, *arguments):
+        """Run a function on the fake's thread and return its result."""
+
+        async def run():
+            return function(*arguments)
+
+        return asyncio.run_coroutine_threadsafe(run(), self.loop).result(WAIT_SECONDS)
+
+    def listen(self):
+        """Listen on a free port and return the address."""
+        clock = monotonic_clock()
+        identity = Identity(
+            incarnation=self.incarnation,
+            role="endpoint",
+            key=KEY,
+            revision=lambda: NO_REVISION,
+        )
+        self.listener = Listener(
+            identity=identity, welcome=self.welcome, serve=self.serve, clock=clock
+        )
+        sockets = bind_sockets(0, "127.0.0.1")
+        self.listener.add_sockets(sockets)
+        return f"127.0.0.1:{sockets[0].getsockname()[1]}"
+
+    def welcome(self):
+        """Return the greeting for a new stream."""
+        return Welcome(
+            incarnation=self.incarnation,
+            revision=NO_REVISION,
+            leaving=False,
+            load=LOAD,
+            serves=self.serves,
+        )
+
+    async def serve(self, connection):
+        """Note and answer messages until the stream ends."""
+        self.connections.append(connection)
+        while isinstance(received := await connection.receive(), Ok):
+            for message in received.ok_value:
+                self.note(message)
+                if not self.is_mute or connection is not self.connections[0]:
+                    self.answer(connection, message)
+
+    def note(self, message):
+        """Keep a message that was received."""
+        with self.changed:
+            self.seen.append(message)
+            self.changed.notify_all()
+
+    def answer(self, connection, message):
+        """Answer one message."""
+        match message:
+            case Ping(number=number):
+                connection.send(Pong(number=number, revision=NO_REVISION, load=LOAD))
+            case Offer():
+                BEHAVIOURS[self.behaviour](self, connection, message)
+            case Resume():
+                start = message.from_sequence
+                self.send_chunks(connection, message.attempt_id, start)
+                self.send_end(connection, message.attempt_id)
+            case Cancel(attempt_id=attempt_id) if self.cancel_answer is not None:
+                ran = self.cancel_answer
+                connection.send(Cancelled(attempt_id=attempt_id, ran=ran))
+            case TicketRequest():
+                ticket = self.issue(message)
+                connection.send(
+                    TicketIssued(
+                        request_id=message.request_id, ticket=ticket, expires_s=60
+                    )
+                )
+
+    def issue(self, request):
+        """Return a ticket that names this incarnation."""
+        ticket = Ticket(
+            serial=secrets.token_hex(4),
+            incarnation=self.incarnation,
+            class_name=request.class_name,
+            workspace=request.workspace,
+            expires="2100-01-01T00:00:00+00:00",
+        )
+        return sign_ticket(ticket, key=KEY)
+
+    def accept(self, connection, offer):
+        """Accept an attempt."""
+        connection.send(Accepted(attempt_id=offer.attempt_id, wait_s=0, load=LOAD))
+
+    def send_chunks(self, connection, attempt_id, start=0, stop=None):
+        """Send some of the answer's chunks."""
+        for sequence, payload in list(enumerate(self.payloads))[start:stop]:
+            connection.send(
+                Chunk(
+                    attempt_id=attempt_id, sequence=sequence, payload=payload, tokens=1
+                )
+            )
+
+    def send_end(self, connection, attempt_id, *, error=0):
+        """End the answer, with a wrong checksum if asked to."""
+        checksum = zlib.crc32(b"".join(self.payloads)) ^ error
+        connection.send(
+            End(
+                attempt_id=attempt_id,
+                count=len(self.payloads),
+                checksum=checksum,
+                outcome=Outcome.DONE,
+                detail="",
+            )
+        )
+
+    def leave(self):
+        """Tell every entry that this endpoint is leaving."""
+        for connection in self.connections:
+            connection.send(Leaving(incarnation=self.incarnation))
+
+    def go(self):
+        """End at once, as a process that is killed does."""
+        self.listener.stop()
+        for connection in self.connections:
+            connection.close(reason="fake ends")
+
+    def messages(self, kind):
+        """Return the messages of one kind that were received."""
+        return [one for one in self.seen if isinstance(one, kind)]
+
+    def wait_for(self, kind, count=1):
+        """Wait until so many messages of one kind have been received."""
+        limit = time.monotonic() + WAIT_SECONDS
+        with self.changed:
+            while len(self.messages(kind)) < count:
+                assert self.changed.wait(limit - time.monotonic()), (
+                    f"{self.name} was not sent {count} of {kind.__name__}"
+                )
+
+    def stop(self):
+        """End the fake and its thread."""
+        self.call(self.go)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(WAIT_SECONDS)
+
+
+def answers(fake, connection, offer):
+    fake.accept(connection, offer)
+    fake.send_chunks(connection, offer.attempt_id)
+    fake.send_end(connection, offer.attempt_id)
+
+
+def refuses(fake, connection, offer):
+    connection.send(
+        Refused(
+            attempt_id=offer.attempt_id,
+            reason="overloaded",
+            retry_after_s=fake.retry_after_s,
+            load=LOAD,
+        )
+    )
+
+
+def accepts_and_goes(fake, connection, offer):
+    fake.accept(connection, offer)
+    connection.flush()
+    fake.go()
+
+
+def begins_and_goes(fake, connection, offer):
+    fake.accept(connection, offer)
+    fake.send_chunks(connection, offer.attempt_id, 0, 1)
+    connection.flush()
+    fake.go()
+
+
+def begins_and_waits(fake, connection, offer):
+    fake.accept(connection, offer)
+    fake.send_chunks(connection, offer.attempt_id, 0, 1)
+
+
+def skips_a_chunk(fake, connection, offer):
+    fake.accept(connection, offer)
+    fake.send_chunks(connection, offer.attempt_id, 0, 1)
+    fake.send_chunks(connection, offer.attempt_id, 2)
+    fake.send_end(connection, offer.attempt_id)
+
+
+def repeats_chunks(fake, connection, offer):
+    fake.accept(connection, offer)
+    fake.send_chunks(connection, offer.attempt_id, 0, 2)
+    fake.send_chunks(connection, offer.attempt_id)
+    fake.send_end(connection, offer.attempt_id)
+
+
+def goes_silent(fake, connection, offer):
+    begins_and_waits(fake, connection, offer)
+    fake.is_mute = True
+
+
+def ends_with_wrong_checksum(fake, connection, offer):
+    fake.accept(connection, offer)
+    fake.send_chunks(connection, offer.attempt_id)
+    fake.send_end(connection, offer.attempt_id, error=1)
+
+
+BEHAVIOURS = {
+    "answers": answers,
+    "refuses": refuses,
+    "accepts and waits": FakeEndpoint.accept,
+    "accepts and goes": accepts_and_goes,
+    "begins and goes": begins_and_goes,
+    "begins and waits": begins_and_waits,
+    "skips a chunk": skips_a_chunk,
+    "repeats chunks": repeats_chunks,
+    "goes silent": goes_silent,
+    "ends with a wrong checksum": ends_with_wrong_checksum,
+}
--- /dev/null
+++ b/features/entry/outcomes.feature
@@ -0,0 +1,82 @@
+Feature: Outcomes of requests
+
+  Scenario Outline: A repeatable request is tried elsewhere
+    Given an entry with endpoint "a" that <behaviour>
+    And endpoint "b" that answers
+    When 8 callers send whole chats with different prompts
+    Then every answer's text is "abc" and its outcome is "done"
+    And endpoint "a" was offered 1 attempt or more
+
+    Examples:
+      | behaviour                  |
+      | refuses                    |
+      | accepts and goes           |
+      | begins and goes            |
+      | ends with a wrong checksum |
+
+  Scenario: A request that every endpoint refuses did not run
+    Given an entry with endpoint "a" that refuses
+    And endpoint "b" that refuses
+    And endpoint "c" that refuses
+    And endpoint "d" that refuses
+    When a caller sends a whole chat
+    Then the answer has status 429 and code "overloaded"
+    And its outcome is "not-run" and its caller may return in 2 s to 3 s
+    And the endpoints were offered 3 attempts in all
+
+  Scenario Outline: A given-up request is said not to have run only on proof
+    Given an entry with endpoint "a" that accepts and waits
+    And endpoint "a" answers a cancel with <cancelled>
+    When a caller sends a whole chat of class "quick"
+    Then the answer has status 503 and code "deadline_exceeded"
+    And its outcome is "<outcome>"
+
+    Examples:
+      | cancelled | outcome |
+      | not run   | not-run |
+      | ran       | unknown |
+      | nothing   | unknown |
+
+  Scenario: An endpoint that is leaving is offered nothing more
+    Given an entry with endpoint "a" that answers
+    And endpoint "b" that answers
+    When endpoint "a" says that it is leaving
+    And 8 callers send whole chats with different prompts
+    Then every answer's text is "abc" and its outcome is "done"
+    And endpoint "a" was offered 0 attempts
+
+  Scenario Outline: A non-repeatable request without a ticket is not run
+    Given an entry with endpoint "a" that answers
+    When a caller sends class "ledger" a whole chat with key "<key>"
+    Then the answer has status 428 and code "ticket_required"
+    And its outcome is "not-run"
+    And endpoint "a" was offered 0 attempts
+    When the caller sends it again with the ticket that it was given
+    Then the answer's text is "abc" and its outcome is "done"
+
+    Examples:
+      | key     |
+      |         |
+      | foreign |
+
+  Scenario: A ticket of an incarnation that is gone is not used elsewhere
+    Given an entry with endpoint "a" that answers
+    And endpoint "b" that answers
+    And the caller has a ticket of an earlier incarnation of "a"
+    When the caller sends it again with the ticket that it was given
+    Then the answer has status 409 and code "ticket_incarnation_gone"
+    And its outcome is "unknown"
+    And the endpoints were offered 0 attempts in all
+
+  Scenario: A non-repeatable request is not tried again when its endpoint is lost
+    Given an entry with endpoint "a" that accepts and goes
+    And endpoint "b" that accepts and goes
+    When a caller sends a whole chat of class "intake"
+    Then the answer has status 502 and code "outcome_unknown"
+    And its outcome is "unknown" and it names a ticket
+    And the endpoints were offered 1 attempts in all
+
+  Scenario: Drain finishes the answers that have begun
+    Given an entry in this process with endpoint "a" that begins and waits
+    When it drains while a caller's answer is under way
+    Then it is not ready, and ends only after the answer is whole
--- /dev/null
+++ b/features/steps/answers_steps.py
@@ -0,0 +1,134 @@
+"""Steps about the assembly of answers."""
+
+import json
+import zlib
+
+from behave import given, then
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+
+from zinniaramp.answers import Addition, Assembly
+from zinniaramp.contracts import Chunk, End, Outcome
+from zinniaramp.entry.completion import whole_completion
+
+PAYLOADS = st.lists(st.binary(min_size=1, max_size=4), max_size=8)
+ARRIVALS = st.lists(st.integers(0, 9), max_size=30)
+WORDS = st.lists(st.tuples(st.integers(0, 1), st.text(max_size=5)), max_size=12)
+
+
+def chunk_of(payloads, sequence, attempt_id="own"):
+    return Chunk(
+        attempt_id=attempt_id,
+        sequence=sequence,
+        payload=payloads[sequence],
+        tokens=1,
+    )
+
+
+def end_of(payloads, *, count=None, checksum=None, attempt_id="own"):
+    whole = zlib.crc32(b"".join(payloads))
+    return End(
+        attempt_id=attempt_id,
+        count=len(payloads) if count is None else count,
+        checksum=whole if checksum is None else checksum,
+        outcome=Outcome.DONE,
+        detail="",
+    )
+
+
+@given("any answer and any crossed, doubled and lost arrivals of its chunks")
+@given("any words and finish reason of two choices")
+def any_cases(context):
+    """Cases are drawn in the closing step."""
+
+
+def naive_delivery(payloads, arrivals):
+    """Return what is delivered in order, and the places of the gaps met."""
+    delivered, gaps = [], set()
+    for sequence in arrivals:
+        if sequence == len(delivered):
+            delivered.append(payloads[sequence])
+        elif sequence > len(delivered):
+            gaps.add(len(delivered))
+    return delivered, gaps
+
+
+@then("assembly delivers what a naive version does and asks for each gap once")
+def check_delivery(context):
+    @for_any(PAYLOADS, ARRIVALS)
+    def check(payloads, arrivals):
+        arrivals = [one for one in arrivals if one < len(payloads)]
+        assembly = Assembly(attempt_id="own")
+        delivered, asked = [], []
+        for sequence in arrivals:
+            addition = assembly.add(chunk_of(payloads, sequence))
+            if addition is Addition.NEXT:
+                delivered.append(payloads[sequence])
+            elif addition is Addition.GAP:
+                asked.append(assembly.next_sequence)
+        naive, gaps = naive_delivery(payloads, arrivals)
+        assert delivered == naive
+        assert len(asked) == len(set(asked)) and set(asked) == gaps
+        is_whole = assembly.end(end_of(payloads)) is Addition.WHOLE
+        assert is_whole == (len(naive) == len(payloads))
+
+    check()
+
+
+@then("chunks of another attempt change nothing")
+def check_other_attempt(context):
+    @for_any(PAYLOADS)
+    def check(payloads):
+        assembly = Assembly(attempt_id="own")
+        for sequence in range(len(payloads)):
+            other = assembly.add(chunk_of(payloads, sequence, "other"))
+            assert other is Addition.OTHER_ATTEMPT
+            assert assembly.add(chunk_of(payloads, sequence)) is Addition.NEXT
+        other = assembly.end(end_of(payloads, attempt_id="other"))
+        assert other is Addition.OTHER_ATTEMPT
+        assert assembly.end(end_of(payloads)) is Addition.WHOLE
+
+    check()
+
+
+@then("an end that differs from the answer is never called whole")
+def check_end(context):
+    @for_any(PAYLOADS, st.integers(0, 9), st.integers(0, 2**32 - 1))
+    def check(payloads, count, checksum):
+        assembly = Assembly(attempt_id="own")
+        for sequence in range(len(payloads)):
+            assembly.add(chunk_of(payloads, sequence))
+        wrong = end_of(payloads, count=count, checksum=checksum)
+        is_whole = assembly.end(wrong) is Addition.WHOLE
+        assert is_whole == (wrong == end_of(payloads))
+        wrong_count = assembly.end(end_of(payloads, count=count))
+        assert (wrong_count is Addition.WHOLE) == (count == len(payloads))
+
+    check()
+
+
+@then("the whole completion has each choice's text and reason")
+def check_completion(context):
+    @for_any(WORDS, st.sampled_from(["stop", "length"]))
+    def check(words, reason):
+        events = [
+            {"choices": [{"index": index, "delta": {"content": word}}]}
+            for index, word in words
+        ]
+        indexes = sorted({index for index, _ in words})
+        events += [
+            {"choices": [{"index": one, "delta": {}, "finish_reason": reason}]}
+            for one in indexes
+        ]
+        events.append({"choices": [], "usage": {"total_tokens": 3}})
+        payload = "\n".join(json.dumps(event) for event in events).encode()
+        whole = whole_completion([payload], request_id="r")
+        for choice in whole["choices"]:
+            index = choice["index"]
+            text = "".join(word for own, word in words if own == index)
+            assert choice["message"]["content"] == text
+            assert choice["finish_reason"] == reason
+        assert [one["index"] for one in whole["choices"]] == indexes
+        assert whole["usage"] == {"total_tokens": 3}
+
+    check()
--- /dev/null
+++ b/features/steps/entry_steps.py
@@ -0,0 +1,460 @@
+"""Steps about the entry process."""
+
+import asyncio
+import http.client
+import io
+import json
+import subprocess
+import sys
+import time
+import urllib.request
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from features.entry.fake_endpoint import KEY, FakeEndpoint
+from zinniaramp.clock import monotonic_clock
+from zinniaramp.configuration import RevisionStore
+from zinniaramp.contracts import Cancel, Offer, RevisionId, TicketRequest
+from zinniaramp.declarations import read_declarations
+from zinniaramp.entry import EntryProcess
+from zinniaramp.hosts import HostView
+from zinniaramp.links import Identity
+from zinniaramp.observability import configure_logging
+from zinniaramp.settings import read_settings
+from zinniaramp.standins.fleet import free_port
+
+WAIT_SECONDS = 10
+POLL_SECONDS = 0.02
+DECLARATIONS = """
+[defaults]
+class_name = question
+workspace = large
+body_limit = 20000
+[class question]
+tier = 1
+[class quick]
+tier = 1
+finish = 0.3
+[class ledger]
+tier = 2
+repeatable = false
+[class intake]
+tier = 2
+repeatable = false
+ticket = optional
+[class summary]
+tier = 3
+[workspace large]
+[workspace small]
+classes = question
+[model m]
+"""
+
+
+@dataclass(slots=True, kw_only=True)
+class Reply:
+    """A caller's answer."""
+
+    status: int
+    headers: dict
+    text: str
+
+    def json(self):
+        """Return the parsed body."""
+        return json.loads(self.text)
+
+
+@dataclass(slots=True, kw_only=True)
+class Entry:
+    """A running entry process."""
+
+    callers: int
+    operator: int
+    process: subprocess.Popen
+
+
+def settings_text(context, name, callers, operator):
+    """Return the settings of an entry with the scenario's endpoints."""
+    addresses = " ".join(fake.address for fake in context.fakes.values())
+    declarations = context.directory / "declarations.ini"
+    declarations.write_text(DECLARATIONS)
+    return (
+        f"[process]\nrole = entry\nname = {name}\ndata_centre = dc-1\n"
+        f"[listen]\noperator = 127.0.0.1:{operator}\ncallers = 127.0.0.1:{callers}\n"
+        f"[fleet]\nkey = {KEY}\nheartbeat = 0.05\nsilence = 0.4\n"
+        f"[platform]\nendpoints = {addresses}\ndeclarations = {declarations}\n"
+    )
+
+
+def start_entry(context, name):
+    """Start an entry process and wait until it has every stream."""
+    callers, operator = free_port(), free_port()
+    path = context.directory / f"{name}.ini"
+    path.write_text(settings_text(context, name, callers, operator))
+    with (context.directory / f"{name}.log").open("w") as log:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "zinniaramp.daemon", str(path)], stderr=log
+        )
+    context.add_cleanup(end_entry, process)
+    wait_for_streams(context, name, len(context.fakes))
+    return Entry(callers=callers, operator=operator, process=process)
+
+
+def end_entry(process):
+    process.kill()
+    process.wait(WAIT_SECONDS)
+
+
+def wait_for_streams(context, name, count):
+    """Wait until an entry's log says that so many streams are open."""
+    log = context.directory / f"{name}.log"
+    limit = time.monotonic() + WAIT_SECONDS
+    while log.read_text().count('"stream-opened"') < count:
+        assert time.monotonic() < limit, log.read_text()[-2000:]
+        time.sleep(POLL_SECONDS)
+
+
+def entry_of(context):
+    """Return the scenario's entry, started with the endpoints given so far."""
+    if context.entries == []:
+        context.entries.append(start_entry(context, "entry-0"))
+    return context.entries[0]
+
+
+def add_fake(context, name, behaviour):
+    fake = FakeEndpoint(name=name, behaviour=behaviour)
+    context.add_cleanup(fake.stop)
+    context.fakes[name] = fake
+
+
+def chat(**fields):
+    body = {"model": "m", "messages": [{"role": "user", "content": "why?"}]}
+    return {**body, **fields}
+
+
+def send(context, body, headers=None, path="/v1/chat/completions"):
+    """Send a request and keep the answer."""
+    port = entry_of(context).callers
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_SECONDS)
+    data = body if isinstance(body, str) else json.dumps(body)
+    connection.request("POST", path, data, headers or {})
+    response = connection.getresponse()
+    text = response.read().decode()
+    connection.close()
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    return Reply(status=response.status, headers=headers, text=text)
+
+
+def data_of(text):
+    """Return the data of the server-sent events of an answer."""
+    lines = text.split("\n")
+    return [one.removeprefix("data: ") for one in lines if one.startswith("data: ")]
+
+
+def text_and_outcome(reply):
+    """Return the text and the outcome of a streamed or whole answer."""
+    assert reply.status == 200, reply
+    if "event-stream" not in reply.headers["content-type"]:
+        message = reply.json()["choices"][0]["message"]
+        return message["content"], reply.headers["zinniaramp-outcome"]
+    data = data_of(reply.text)
+    assert data[-1] == "[DONE]", data
+    events = [json.loads(one) for one in data[:-1]]
+    deltas = [one["choices"][0]["delta"] for one in events]
+    text = "".join(delta.get("content", "") for delta in deltas)
+    return text, events[-1]["zinniaramp"]["outcome"]
+
+
+@given('an entry with endpoint "{name}" that {behaviour}')
+def given_entry(context, name, behaviour):
+    context.fakes = {}
+    context.entries = []
+    configure_logging(sink=io.StringIO())
+    add_fake(context, name, behaviour)
+
+
+@given('endpoint "{name}" that {behaviour}')
+def given_endpoint(context, name, behaviour):
+    add_fake(context, name, behaviour)
+
+
+@given('endpoint "{name}" answers a cancel with {kind}')
+def given_cancel_answer(context, name, kind):
+    answers = {"not run": False, "ran": True, "nothing": None}
+    context.fakes[name].cancel_answer = answers[kind]
+
+
+@given("a second entry")
+def given_second_entry(context):
+    entry_of(context)
+    context.entries.append(start_entry(context, "entry-1"))
+
+
+@given('the caller has a ticket of an earlier incarnation of "{name}"')
+def given_old_ticket(context, name):
+    fake = context.fakes[name]
+    present, fake.incarnation = fake.incarnation, f"{name}/earlier"
+    request = TicketRequest(request_id="r", class_name="ledger", workspace="large")
+    context.ticket = fake.issue(request)
+    fake.incarnation = present
+    context.request = chat()
+
+
+WRONG = {
+    "a body that is not JSON": lambda context: send(context, "{"),
+    "a body without a model": lambda context: send(context, {"messages": [{}]}),
+    "a body with no messages": lambda context: send(context, chat(messages=[])),
+    "a body with max_tokens as text": lambda context: send(
+        context, chat(max_tokens="4")
+    ),
+    'a chat of class "nothing"': lambda context: send(
+        context, chat(), {"Zinniaramp-Class": "nothing"}
+    ),
+    'a chat of workspace "nobody"': lambda context: send(
+        context, chat(), {"Zinniaramp-Workspace": "nobody"}
+    ),
+    "a chat of a class not for it": lambda context: send(
+        context,
+        chat(),
+        {"Zinniaramp-Class": "summary", "Zinniaramp-Workspace": "small"},
+    ),
+    'a chat for model "other"': lambda context: send(context, chat(model="other")),
+    "a body that is too large": lambda context: send(context, chat(x="x" * 20000)),
+    "a chat with 70 headers": lambda context: send(
+        context, chat(), {f"X-Header-{number}": "x" for number in range(70)}
+    ),
+    "a call of a service that is not there": lambda context: send(
+        context, "", path="/services/other/path"
+    ),
+}
+
+
+def register_wrong_request(request):
+    @when(f"a caller sends {request}")
+    def send_wrong(context):
+        context.reply = WRONG[request](context)
+
+
+for wrong_request in WRONG:
+    register_wrong_request(wrong_request)
+
+
+@when("a caller sends a streamed chat")
+def send_streamed(context):
+    context.reply = send(context, chat(stream=True))
+
+
+@when("a caller sends a whole chat")
+def send_whole(context):
+    context.reply = send(context, chat())
+
+
+@when('a caller sends a whole chat of class "{name}"')
+def send_whole_of_class(context, name):
+    context.reply = send(context, chat(), {"Zinniaramp-Class": name})
+
+
+@when('a caller sends class "{name}" a whole chat with key "{key}"')
+def send_whole_with_key(context, name, key):
+    context.request = chat()
+    headers = {"Zinniaramp-Class": name, "Idempotency-Key": key}
+    context.reply = send(context, context.request, headers)
+    context.ticket = context.reply.headers["zinniaramp-ticket"]
+
+
+@when('a caller sends class "{name}" a whole chat with key ""')
+def send_whole_without_key(context, name):
+    context.request = chat()
+    context.reply = send(context, context.request, {"Zinniaramp-Class": name})
+    context.ticket = context.reply.headers["zinniaramp-ticket"]
+
+
+@when("the caller sends it again with the ticket that it was given")
+def send_with_ticket(context):
+    headers = {"Zinniaramp-Class": "ledger", "Idempotency-Key": context.ticket}
+    context.reply = send(context, context.request, headers)
+
+
+@when("{count:d} callers send whole chats with different prompts")
+def send_many(context, count):
+    context.replies = []
+    for number in range(count):
+        messages = [{"role": "user", "content": f"question {number}"}]
+        context.replies.append(send(context, chat(messages=messages)))
+
+
+@when('endpoint "{name}" says that it is leaving')
+def endpoint_leaves(context, name):
+    entry_of(context)
+    fake = context.fakes[name]
+    fake.call(fake.leave)
+    log = context.directory / "entry-0.log"
+    limit = time.monotonic() + WAIT_SECONDS
+    while '"peer-leaving"' not in log.read_text():
+        assert time.monotonic() < limit
+        time.sleep(POLL_SECONDS)
+
+
+def open_stream(context):
+    """Start a streamed chat and return its response after the first event."""
+    url = f"http://127.0.0.1:{entry_of(context).callers}/v1/chat/completions"
+    data = json.dumps(chat(stream=True)).encode()
+    response = urllib.request.urlopen(url, data, timeout=WAIT_SECONDS)
+    while not response.readline().startswith(b"data: "):
+        pass
+    return response
+
+
+@when("a caller starts a streamed chat and goes")
+def start_and_go(context):
+    open_stream(context).close()
+
+
+@when("a caller continues its streamed chat at the second entry from chunk {start:d}")
+def continue_elsewhere(context, start):
+    response = open_stream(context)
+    request_id = response.headers["Zinniaramp-Request-Id"]
+    context.entries[0].process.kill()
+    port = context.entries[1].callers
+    url = f"http://127.0.0.1:{port}/v1/requests/{request_id}?from={start}"
+    with urllib.request.urlopen(url, timeout=WAIT_SECONDS) as rest:
+        context.reply = Reply(
+            status=rest.status,
+            headers={"content-type": rest.headers["Content-Type"]},
+            text=rest.read().decode(),
+        )
+    response.close()
+
+
+@then('the answer has status {status:d} and code "{code}"')
+def check_error(context, status, code):
+    assert context.reply.status == status, context.reply
+    error = context.reply.json()["error"]
+    assert error["code"] == code, error
+    assert error["message"] and error["type"], error
+
+
+@then('endpoint "{name}" was offered {count:d} attempts')
+def check_offers(context, name, count):
+    assert len(context.fakes[name].messages(Offer)) == count
+
+
+@then('endpoint "{name}" was offered {count:d} attempt or more')
+def check_offers_at_least(context, name, count):
+    assert len(context.fakes[name].messages(Offer)) >= count
+
+
+@then("the endpoints were offered {count:d} attempts in all")
+def check_all_offers(context, count):
+    offers = [len(fake.messages(Offer)) for fake in context.fakes.values()]
+    assert sum(offers) == count, offers
+
+
+@then('the answer\'s text is "{text}" and its outcome is "{outcome}"')
+def check_answer(context, text, outcome):
+    assert text_and_outcome(context.reply) == (text, outcome), context.reply
+
+
+@then('every answer\'s text is "{text}" and its outcome is "{outcome}"')
+def check_answers(context, text, outcome):
+    for reply in context.replies:
+        assert text_and_outcome(reply) == (text, outcome), reply
+
+
+@then('the stream ends with an error of outcome "{outcome}" and without "[DONE]"')
+def check_broken(context, outcome):
+    data = data_of(context.reply.text)
+    assert "[DONE]" not in data, data
+    assert json.loads(data[-1])["error"]["outcome"] == outcome, data[-1]
+
+
+@then('endpoint "{name}" is sent a cancel')
+def check_cancel(context, name):
+    context.fakes[name].wait_for(Cancel)
+
+
+@then('its outcome is "{outcome}"')
+def check_outcome(context, outcome):
+    assert context.reply.headers["zinniaramp-outcome"] == outcome, context.reply
+
+
+@then('its outcome is "{outcome}" and its caller may return in {low:d} s to {high:d} s')
+def check_come_back(context, outcome, low, high):
+    check_outcome(context, outcome)
+    assert low <= int(context.reply.headers["retry-after"]) <= high, context.reply
+
+
+@then('its outcome is "{outcome}" and it names a ticket')
+def check_ticket_named(context, outcome):
+    check_outcome(context, outcome)
+    assert context.reply.headers["zinniaramp-ticket"], context.reply
+
+
+async def run_entry_here(context):
+    """Start an entry process on this loop and return it when it is ready."""
+    callers = free_port()
+    path = context.directory / "here.ini"
+    path.write_text(settings_text(context, "here", callers, callers))
+    settings = read_settings(path).unwrap()
+    revision = RevisionId(index=0, digest="")
+    declared = read_declarations(DECLARATIONS, file="", revision=revision).unwrap()
+    revisions = RevisionStore(initial=declared)
+    identity = Identity(
+        incarnation="here/1", role="entry", key=KEY, revision=revisions.revision
+    )
+    process = EntryProcess(
+        settings=settings,
+        identity=identity,
+        revisions=revisions,
+        hosts=HostView(),
+        clock=monotonic_clock(),
+    )
+    process.start()
+    while not process.is_ready():
+        await asyncio.sleep(POLL_SECONDS)
+    context.entries = [Entry(callers=callers, operator=0, process=None)]
+    return process
+
+
+async def is_listening(port):
+    try:
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+    except ConnectionRefusedError:
+        return False
+    writer.close()
+    return True
+
+
+async def drain_under_way(context):
+    """Drain an entry while an answer is under way; keep what was seen."""
+    process = await run_entry_here(context)
+    fake = context.fakes["a"]
+    response = await asyncio.to_thread(open_stream, context)
+    drain = asyncio.create_task(process.drain())
+    while await is_listening(context.entries[0].callers):
+        await asyncio.sleep(POLL_SECONDS)
+    context.is_ready = process.is_ready()
+    context.was_over_early = drain.done()
+    attempt_id = fake.messages(Offer)[0].attempt_id
+    fake.call(fake.send_chunks, fake.connections[0], attempt_id, 1)
+    fake.call(fake.send_end, fake.connections[0], attempt_id)
+    context.rest = (await asyncio.to_thread(response.read)).decode()
+    await asyncio.wait_for(drain, WAIT_SECONDS)
+
+
+@given('an entry in this process with endpoint "{name}" that {behaviour}')
+def given_entry_here(context, name, behaviour):
+    given_entry(context, name, behaviour)
+
+
+@when("it drains while a caller's answer is under way")
+def drain_entry(context):
+    asyncio.run(drain_under_way(context))
+
+
+@then("it is not ready, and ends only after the answer is whole")
+def check_drained(context):
+    assert not context.is_ready
+    assert not context.was_over_early
+    assert data_of(context.rest)[-1] == "[DONE]", context.rest
