Pass an engine's own error on, and count tokens, not events

Cause: the endpoint process sends the head and body of an engine's 4xx as an answer that is done; the entry would have begun an event stream with it. Events without tokens counted as first tokens.

--- a/zinniaramp/entry/attempt.py
+++ b/zinniaramp/entry/attempt.py
@@ -208,7 +208,8 @@
         if self.timeline.first_s is None:
             self.peer.take_latency((now - self.offered).total_seconds())
         tokens = sum(chunk.tokens for chunk in chunks)
-        self.timeline.add((now - self.arrived).total_seconds(), tokens)
+        if tokens:
+            self.timeline.add((now - self.arrived).total_seconds(), tokens)
         self.allow(self.progress_limit)
         await self.sink.write(chunks)
         wanted = self.assembly.next_sequence
@@ -249,8 +250,8 @@
 
     def refused(self, message: Refused) -> AttemptResult:
         """Return how a refusal ends the attempt."""
-        self.is_ended = True
         is_proof = message.reason not in NO_PROOF
+        self.is_ended = is_proof
         return AttemptResult(
             kind=AttemptKind.REFUSED if is_proof else AttemptKind.LOST,
             reason=message.reason,
--- a/zinniaramp/entry/errors.py
+++ b/zinniaramp/entry/errors.py
@@ -5,7 +5,7 @@
 
 from ..contracts import Outcome
 
-__all__ = ["CallerError", "ErrorCode", "error_body"]
+__all__ = ["CallerError", "ErrorCode", "error_body", "unknown_model"]
 
 
 class ErrorCode(StrEnum):
@@ -83,3 +83,13 @@
     if error.ticket:
         body["ticket"] = error.ticket
     return {"error": body}
+
+
+def unknown_model(name: str) -> CallerError:
+    """Return the error for a model that does not exist."""
+    return CallerError(
+        status=404,
+        code=ErrorCode.UNKNOWN_MODEL,
+        message=f"model is {name!r:.80}; send one that GET /v1/models lists",
+        param="model",
+    )
--- a/zinniaramp/entry/metrics.py
+++ b/zinniaramp/entry/metrics.py
@@ -44,6 +44,11 @@
     ----------
     class_declaration : ClassDeclaration
         Targets.
+
+    Notes
+    -----
+    An answer without tokens, as plain services give, has its first token when
+    it is whole.
     """
 
     __slots__ = (
@@ -72,7 +77,7 @@
             self.first_s = at_s
         else:
             self.gaps += 1
-            self.late_gaps += at_s - self.last_s > self.between * max(tokens, 1)
+            self.late_gaps += at_s - self.last_s > self.between * tokens
         self.last_s = at_s
 
     def record(self, *, outcome: str, reason: str, took: timedelta) -> None:
@@ -80,6 +85,8 @@
         name = self.declared.name
         REQUESTS.labels(name, outcome, reason).inc()
         is_done = outcome == "done"
+        if self.first_s is None and is_done:
+            self.first_s = took.total_seconds()
         if self.first_s is not None:
             FIRST_TOKEN.labels(name).observe(self.first_s)
         target_s = self.declared.first_token.total_seconds()
--- a/zinniaramp/entry/sinks.py
+++ b/zinniaramp/entry/sinks.py
@@ -7,7 +7,10 @@
 from ..contracts import Chunk, Head, Outcome
 from .errors import CallerError, error_body
 
-__all__ = ["AnswerTooLargeError", "CollectingSink", "EventSink"]
+__all__ = ["AnswerTooLargeError", "CollectingSink", "EventSink", "is_error_head"]
+
+FIRST_ERROR_STATUS = 400
+"""Least HTTP status that is an error."""
 
 MAX_WHOLE_BYTES = 8 * 1024 * 1024
 """Largest answer that is not streamed, in bytes."""
@@ -17,6 +20,11 @@
     """An answer that is not streamed is larger than `MAX_WHOLE_BYTES`."""
 
 
+def is_error_head(head: Head | None) -> bool:
+    """Tell whether an engine answered with an error status."""
+    return head is not None and head.status >= FIRST_ERROR_STATUS
+
+
 class CollectingSink:
     """Holds an answer until it is whole.
 
@@ -85,6 +93,7 @@
         self.starts_on_accept = starts_on_accept
         self.is_started = False
         self.answer_head: Head | None = None
+        self.error_payloads: list[bytes] = []
 
     def head(self, head: Head) -> None:
         """Keep the status and headers."""
@@ -103,7 +112,13 @@
             self.set_answer_headers()
 
     async def write(self, chunks: list[Chunk]) -> None:
-        """Send chunks and wait until the socket has taken them."""
+        """Send chunks and wait until the socket has taken them.
+
+        The body of an engine's error is held, as it is not an answer.
+        """
+        if is_error_head(self.answer_head):
+            self.error_payloads.extend(chunk.payload for chunk in chunks)
+            return
         self.start()
         parts: list[bytes] = []
         for chunk in chunks:
@@ -120,6 +135,8 @@
 
     def reset(self) -> bool:
         """Return whether the answer can be started again."""
+        self.answer_head = None
+        self.error_payloads.clear()
         return not self.is_started
 
     def finish_whole(self, request_id: str) -> None:
