--- a/zinniaramp/ini/core.py
+++ b/zinniaramp/ini/core.py
@@ -27,8 +27,14 @@
 def _to_timedelta(value: Any) -> Any:
     if isinstance(value, timedelta):
         return value
-    return timedelta(seconds=float(value))
+    try:
+        return timedelta(seconds=float(value))
+    except (OverflowError, ValueError) as error:
+        raise ValueError(f"not a number of seconds: {error}") from error
+
 
+SECONDS_UNIT = "s"
+"""Unit of the keys whose values are durations."""
 
 Seconds = Annotated[timedelta, BeforeValidator(_to_timedelta)]
 """A duration that INI text gives as a number of seconds."""
@@ -66,7 +72,7 @@
 def declare_key(
     description: str, *, unit: str = "", default: Any = ..., **bounds
 ) -> Any:
-    """Declare one key of a section.
+    """Declare one key of a section; bounds of seconds become durations.
 
     Parameters
     ----------
@@ -79,6 +85,8 @@
     **bounds
         Bounds as pydantic's ``Field`` takes them, such as ``ge`` and ``le``.
     """
+    if unit == SECONDS_UNIT:
+        bounds = {name: timedelta(seconds=bound) for name, bound in bounds.items()}
     return Field(
         default=default,
         description=description,
@@ -103,7 +111,7 @@
             bound = getattr(item, sign, None)
             if bound is not None:
                 if isinstance(bound, timedelta):
-                    bound = bound.total_seconds()
+                    bound = f"{bound.total_seconds():g}"
                 parts.append(f"{sign} {bound}")
     return ", ".join(parts)
 
