Check declarations across sections and apply exceptions

Cause: content with classes that do not exist, contradictory values or exceptions that fit no key was accepted, and every process would have found that out for itself, at different times. cross_check is a pure function of the content, so all processes refuse the same revision, and it reports the mistakes of all sections in one run. Keys that merely stand at their default never contradict: a tier 1 class that leaves preemptible out is fine, one that writes preemptible = true is not. class_for keeps results with the revision, bounded by declared workspaces; ruled out: a cache keyed by revision index, which would have outlived the revision.

--- /dev/null
+++ b/features/declarations/checks.feature
@@ -0,0 +1,82 @@
+Feature: Checks of declarations
+  Mistakes are found when content is read, all in one run, each with its remedy.
+
+  Scenario Outline: The declarations of a deployment are accepted
+    Given the example declarations of <deployment>
+    When they are read
+    Then there are no mistakes
+
+    Examples:
+      | deployment    |
+      | kilometerwerk |
+      | tsurugaya     |
+
+  Scenario Outline: A mistake is named with its section, key and remedy
+    Given the example declarations of tsurugaya
+    And "<old>" is replaced by "<new>"
+    When they are read
+    Then the only mistake is at [<section>] <key> and its remedy mentions "<remedy>"
+
+    Examples:
+      | old                      | new                       | section                         | key         | remedy         |
+      | attempts = 2             | attemps = 2               | defaults                        | attemps     | attempts       |
+      | attempts = 2             | attempts = 11             | defaults                        | attempts    | le 10          |
+      | class_name = subtitle-draft\nworkspace = bench | class_name = x\nworkspace = bench | defaults | class_name | add [class x] |
+      | workspace = bench        | workspace = y             | defaults                        | workspace   | [workspace y]  |
+      | classes = catalogue-lookup ledger-entry dossier | classes = z | workspace client-archivists | classes | [class z] |
+      | class_name = catalogue-lookup | class_name = z       | service catalogue               | class_name  | [class z]      |
+      | deadline = 25            | deadline = 0.5            | class frame-query               | deadline    | first_token    |
+      | deadline = 25            | deadline = 14             | class frame-query               | deadline    | finish         |
+      | deadline = 25            | deadline = inf            | class frame-query               | deadline    | le 86400       |
+      | finish = 15              | finish = 0.5              | class frame-query               | finish      | first_token    |
+      | preemptible = false\nqueue_limit = 2 | preemptible = true | class frame-query          | preemptible | false          |
+      | repeatable = false       | repeatable = true         | class ledger-entry              | ticket      | repeatable     |
+      | [workspace bench]        | [workspace bank]           | defaults                        | workspace   | [workspace bench] |
+      | reason = Reels of the town archive are on loan and go back on a fixed morning. | reason = short | exception dossiers-run-through | reason | min_length |
+      | until = 2027-03-31       | until = 2027-02-31        | exception dossiers-run-through  | until       | YYYY-MM-DD     |
+      | until = 2027-03-31       | until = next week         | exception dossiers-run-through  | until       | pattern        |
+      | set_key = finish         | set_key = reason          | exception autumn-broadcast      | set_key     | first_token    |
+      | set_value = 120          | set_value = soon          | exception autumn-broadcast      | set_value   | gt 0           |
+      | set_value = 120          | set_value = 5             | exception autumn-broadcast      | set_value   | first_token    |
+      | class_name = subtitle-draft\nworkspace = broadcaster-west | workspace = broadcaster-west | exception autumn-broadcast | class_name | add |
+
+  Scenario: A reserved name is refused
+    Given the example declarations of tsurugaya
+    And a section "[workspace other]" is added
+    When they are read
+    Then the only mistake is at [workspace other]  and its remedy mentions "another name"
+
+  Scenario: Two exceptions for the same key are refused
+    Given the example declarations of tsurugaya
+    And the exception "autumn-broadcast" is repeated as "again"
+    When they are read
+    Then the only mistake is at [exception again] set_key and its remedy mentions "remove one"
+
+  Scenario: Floors that leave nothing to share are refused
+    Given the example declarations of tsurugaya
+    And 8 classes with a floor of 0.2 are added
+    When they are read
+    Then the only mistake is at [defaults] floor and its remedy mentions "less than 1"
+
+  Scenario: Every mistake is found in one run
+    Given the example declarations of tsurugaya
+    And "attempts = 2" is replaced by "attempts = 11"
+    And "until = 2027-03-31" is replaced by "until = 2027-02-31"
+    And a section "[nonsense]" is added
+    When they are read
+    Then there are 3 mistakes
+
+  Scenario: Any text is read or refused
+    Given any INI text of known and unknown sections
+    When each is read twice
+    Then the two results are equal and each mistake has a message and a remedy
+
+  Scenario: Exceptions apply to their class and workspace alone
+    Given the example declarations of tsurugaya
+    And an exception sets finish = 200 for every workspace of "subtitle-draft"
+    When they are read
+    Then "subtitle-draft" finishes in 120 s for "broadcaster-west"
+    And "subtitle-draft" finishes in 200 s for "bench"
+    And "subtitle-draft" finishes in 200 s for "undeclared"
+    And "dossier" finishes in 7200 s for "broadcaster-west"
+    And at most 3 results are held for "subtitle-draft"
--- /dev/null
+++ b/features/steps/declarations_steps.py
@@ -0,0 +1,144 @@
+"""Steps about declarations."""
+
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import given as for_any
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from zinniaramp.contracts import RevisionId
+from zinniaramp.declarations import class_for, read_declarations
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+REVISION = RevisionId(index=1, digest="d")
+
+HEADINGS = st.sampled_from(
+    ["defaults", "class a", "class b", "workspace a", "service a", "exception a", "x"]
+)
+KEYS = st.sampled_from(
+    ["tier", "finish", "deadline", "floor", "class_name", "set_key", "set_value", "?"]
+)
+VALUES = st.sampled_from(["1", "0.1", "-1", "nan", "inf", "a", "tier", "", "[", "%s"])
+TEXTS = st.lists(
+    st.one_of(
+        HEADINGS.map("[{}]".format),
+        st.tuples(KEYS, VALUES).map(" = ".join),
+        st.text(max_size=8),
+    ),
+    max_size=12,
+).map("\n".join)
+
+
+def read(text):
+    """Read declarations as the revision that all scenarios use."""
+    return read_declarations(text, file="test.ini", revision=REVISION)
+
+
+@given("the example declarations of {deployment}")
+def example(context, deployment):
+    path = ROOT / "examples" / deployment / "declarations.ini"
+    context.source = path.read_text()
+
+
+@given('"{old}" is replaced by "{new}"')
+def replace(context, old, new):
+    old, new = old.replace("\\n", "\n"), new.replace("\\n", "\n")
+    assert old in context.source, old
+    context.source = context.source.replace(old, new, 1)
+
+
+@given('a section "{heading}" is added')
+def add_section(context, heading):
+    context.source += f"\n{heading}\n"
+
+
+@given('the exception "{name}" is repeated as "{copy}"')
+def repeat_exception(context, name, copy):
+    section = context.source.partition(f"[exception {name}]")[2].partition("[")[0]
+    context.source += f"\n[exception {copy}]{section}"
+
+
+@given("{count:d} classes with a floor of {floor:g} are added")
+def add_classes(context, count, floor):
+    for i in range(count):
+        context.source += f"\n[class added-{i}]\ntier = 5\nfloor = {floor}\n"
+
+
+@given('an exception sets finish = {value:d} for every workspace of "{name}"')
+def add_exception(context, value, name):
+    context.source += (
+        f"\n[exception general]\nreason = holds for every workspace\n"
+        f"class_name = {name}\nset_key = finish\nset_value = {value}\n"
+    )
+
+
+@when("they are read")
+def read_text(context):
+    context.result = read(context.source)
+
+
+@then("there are no mistakes")
+def check_ok(context):
+    assert isinstance(context.result, Ok), context.result
+
+
+@then('the only mistake is at [{section}] {key} and its remedy mentions "{words}"')
+def check_problem(context, section, key, words):
+    check_only_problem(context, section, key, words)
+
+
+@then('the only mistake is at [{section}]  and its remedy mentions "{words}"')
+def check_section_problem(context, section, words):
+    check_only_problem(context, section, "", words)
+
+
+def check_only_problem(context, section, key, words):
+    """Assert that there is one problem, at a place, with words in its remedy."""
+    problems = context.result.err_value
+    assert len(problems) == 1, [str(one) for one in problems]
+    assert (problems[0].section, problems[0].key) == (section, key), str(problems[0])
+    assert words in problems[0].remedy, str(problems[0])
+
+
+@then("there are {count:d} mistakes")
+def check_count(context, count):
+    problems = [str(one) for one in context.result.err_value]
+    assert len(problems) == count, problems
+
+
+@given("any INI text of known and unknown sections")
+def any_text(context):
+    context.cases = TEXTS
+
+
+@when("each is read twice")
+def read_twice(context):
+    @for_any(context.cases)
+    def check(text):
+        first, second = read(text), read(text)
+        assert first == second
+        match first:
+            case Err(problems):
+                assert problems
+                assert all(one.message and one.remedy for one in problems)
+
+    context.check = check
+
+
+@then("the two results are equal and each mistake has a message and a remedy")
+def run_text_check(context):
+    context.check()
+
+
+@then('"{name}" finishes in {seconds:d} s for "{workspace}"')
+def check_finish(context, name, seconds, workspace):
+    declarations = context.result.unwrap()
+    found = class_for(declarations, name, workspace)
+    assert found.finish.total_seconds() == seconds, found
+    assert class_for(declarations, name, workspace) is found
+
+
+@then('at most {count:d} results are held for "{name}"')
+def check_held(context, count, name):
+    assert len(context.result.unwrap().resolved[name]) <= count
--- a/zinniaramp/declarations/__init__.py
+++ b/zinniaramp/declarations/__init__.py
@@ -2,6 +2,7 @@
 
 from .core import *  # noqa: F403
 from .core import __all__ as _core_names
-from .reader import read_declarations
+from .lookup import class_for
+from .reader import SECTION_CLASSES, read_declarations
 
-__all__ = [*_core_names, "read_declarations"]
+__all__ = [*_core_names, "SECTION_CLASSES", "class_for", "read_declarations"]
--- a/zinniaramp/declarations/core.py
+++ b/zinniaramp/declarations/core.py
@@ -1,5 +1,6 @@
 """The declarations of one revision and their keys."""
 
+from dataclasses import field
 from typing import Literal
 
 from pydantic import ConfigDict
@@ -195,12 +196,14 @@
 
     name: str = section_name()
     reason: str = declare_key("Why it is there; required.", min_length=10)
-    class_name: str = declare_key("Class to which it applies.", default="")
+    class_name: str = declare_key("Class to which it applies.", min_length=1)
     workspace: str = declare_key(
         "Workspace to which it applies; all if left out.", default=""
     )
     until: str = declare_key(
-        "Date after which `zinniaramp check` reports it, as YYYY-MM-DD.", default=""
+        "Date after which `zinniaramp check` reports it, as YYYY-MM-DD.",
+        default="",
+        pattern=r"^(\d{4}-\d{2}-\d{2})?$",
     )
     set_key: str = declare_key("Key of the class that it replaces.")
     set_value: str = declare_key("Value in place of the class's.")
@@ -218,6 +221,9 @@
         What holds for the whole fleet.
     classes, workspaces, models, services, exceptions : dict
         The other sections, by name.
+    resolved : dict
+        Classes with their exceptions applied, by class and workspace; filled
+        by `class_for` as it is asked.
     """
 
     revision: RevisionId
@@ -227,3 +233,6 @@
     models: dict[str, ModelDeclaration]
     services: dict[str, ServiceDeclaration]
     exceptions: dict[str, ExceptionDeclaration]
+    resolved: dict[str, dict[str, ClassDeclaration]] = field(
+        default_factory=dict, repr=False, compare=False
+    )
--- a/zinniaramp/declarations/reader.py
+++ b/zinniaramp/declarations/reader.py
@@ -4,6 +4,7 @@
 
 from ..contracts import RevisionId
 from ..ini import Problem, read_section, read_text
+from .checks import Content, cross_check
 from .core import (
     ClassDeclaration,
     Declarations,
@@ -58,40 +59,55 @@
     parser, file: str, revision: RevisionId
 ) -> Result[Declarations, list[Problem]]:
     problems: list[Problem] = []
-    defaults = Defaults()
-    named = {kind: {} for kind in SECTION_CLASSES}
+    content = Content(
+        file=file,
+        written={},
+        defaults=Defaults(),
+        named={kind: {} for kind in SECTION_CLASSES},
+    )
     for heading in parser.sections():
         kind, _, name = heading.partition(" ")
-        if heading == DEFAULTS_SECTION:
-            section_class, given = Defaults, {}
-        elif kind in SECTION_CLASSES and name:
-            section_class, given = SECTION_CLASSES[kind], {"name": name}
+        if heading == DEFAULTS_SECTION or (kind in SECTION_CLASSES and name):
+            content.written[heading] = dict(parser[heading])
+            problems.extend(_add_section(content, heading, kind, name))
         else:
             problems.append(_unknown_heading(file, heading))
-            continue
-        values = dict(parser[heading])
-        match read_section(section_class, values, file=file, section=heading, **given):
-            case Err(found):
-                problems.extend(found)
-            case Ok(section) if section_class is Defaults:
-                defaults = section
-            case Ok(section):
-                named[kind][name] = section
+    problems.extend(cross_check(content))
     if problems:
         return Err(problems)
     return Ok(
         Declarations(
             revision=revision,
-            defaults=defaults,
-            classes=named["class"],
-            workspaces=named["workspace"],
-            models=named["model"],
-            services=named["service"],
-            exceptions=named["exception"],
+            defaults=content.defaults,
+            classes=content.named["class"],
+            workspaces=content.named["workspace"],
+            models=content.named["model"],
+            services=content.named["service"],
+            exceptions=content.named["exception"],
         )
     )
 
 
+def _add_section(content: Content, heading: str, kind: str, name: str) -> list[Problem]:
+    """Read one section into the content and return its mistakes."""
+    section_class = SECTION_CLASSES.get(kind, Defaults)
+    given = {"name": name} if name else {}
+    match read_section(
+        section_class,
+        content.written[heading],
+        file=content.file,
+        section=heading,
+        **given,
+    ):
+        case Err(found):
+            return found
+        case Ok(section) if section_class is Defaults:
+            content.defaults = section
+        case Ok(section):
+            content.named[kind][name] = section
+    return []
+
+
 def _unknown_heading(file: str, heading: str) -> Problem:
     kinds = ", ".join(f"{kind} NAME" for kind in SECTION_CLASSES)
     return Problem(
--- a/zinniaramp/ini/core.py
+++ b/zinniaramp/ini/core.py
@@ -70,7 +70,12 @@
 
 
 def declare_key(
-    description: str, *, unit: str = "", default: Any = ..., **bounds
+    description: str,
+    *,
+    unit: str = "",
+    default: Any = ...,
+    is_secret: bool = False,
+    **bounds,
 ) -> Any:
     """Declare one key of a section; bounds of seconds become durations.
 
@@ -82,6 +87,8 @@
         Unit of the value as written in the file.
     default : object, optional
         Value when the key is left out; without it the key is required.
+    is_secret : bool
+        Whether messages must not show the value.
     **bounds
         Bounds as pydantic's ``Field`` takes them, such as ``ge`` and ``le``.
     """
@@ -90,7 +97,7 @@
     return Field(
         default=default,
         description=description,
-        json_schema_extra={"unit": unit},
+        json_schema_extra={"unit": unit, "is_secret": is_secret},
         **bounds,
     )
 
@@ -172,13 +179,50 @@
     return Ok(parser)
 
 
-def _remedy(error, section_class: type) -> str:
+def _field_of(section_class: type, name: str):
+    return section_class.__pydantic_fields__.get(name)
+
+
+def _message(error) -> str:
+    if error["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
+        return "not a key of this section"
+    if error["type"] in ("missing", "missing_argument"):
+        return "the key is required"
+    if "timedelta" in error["msg"]:
+        return "the duration is out of bounds"
+    return error["msg"]
+
+
+def _remedy(error, section_class: type, key: str) -> str:
     if error["type"] in ("unexpected_keyword_argument", "extra_forbidden"):
         known = ", ".join(one.name for one in keys_of(section_class))
         return f"remove it or use one of: {known}"
     if error["type"] in ("missing", "missing_argument"):
         return "add the key"
-    return "give a value that fits"
+    field = _field_of(section_class, key)
+    bounds = _bounds_text(field) if field else ""
+    return f"give a value with: {bounds}" if bounds else "give a value that fits"
+
+
+def _shown_value(section_class: type, key: str, values: dict[str, str]) -> str:
+    field = _field_of(section_class, key)
+    if field and (field.json_schema_extra or {}).get("is_secret"):
+        return "(not shown)"
+    return str(values.get(key, ""))
+
+
+def _problem_of(
+    error, section_class: type, values: dict[str, str], *, file: str, section: str
+) -> Problem:
+    key = ".".join(str(part) for part in error["loc"][:1])
+    return Problem(
+        file=file,
+        section=section,
+        key=key,
+        value=_shown_value(section_class, key, values),
+        message=_message(error),
+        remedy=_remedy(error, section_class, key),
+    )
 
 
 def read_section(
@@ -224,16 +268,7 @@
     except ValidationError as failure:
         return Err(
             [
-                Problem(
-                    file=file,
-                    section=section,
-                    key=".".join(str(part) for part in error["loc"]),
-                    value=str(values.get(str(error["loc"][0]), ""))
-                    if error["loc"]
-                    else "",
-                    message=error["msg"],
-                    remedy=_remedy(error, section_class),
-                )
+                _problem_of(error, section_class, values, file=file, section=section)
                 for error in failure.errors()
             ]
         )
--- a/zinniaramp/settings/core.py
+++ b/zinniaramp/settings/core.py
@@ -90,6 +90,7 @@
 
     key: str = declare_key(
         "Secret with which processes prove that they belong to the fleet.",
+        is_secret=True,
         min_length=16,
     )
     heartbeat: Seconds = declare_key(
