--- a/zinniaramp/configuration/follower.py
+++ b/zinniaramp/configuration/follower.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
@@ -104,7 +103,7 @@
     url = f"{base.rstrip('/')}/v1/sections"
     if not wait:
         return url
-    return f"{url}?index={index}&wait_s={math.ceil(wait.total_seconds())}"
+    return f"{url}?index={index}&wait_s={wait.total_seconds():.3f}"
 
 
 class ConfigurationFollower:
