Show that a caller that does not read stalls only itself

Cause: credit was not covered by a feature. Change: a fake endpoint sends 500 chunks of 64 KiB as credit allows; the entry's heartbeats tell when no more credit comes.

--- a/features/entry/fake_endpoint.py
+++ b/features/entry/fake_endpoint.py
@@ -16,6 +16,7 @@
     Cancel,
     Cancelled,
     Chunk,
+    Credit,
     End,
     Head,
     Leaving,
@@ -36,6 +37,9 @@
 
 KEY = "key-of-the-test-fleet"
 WAIT_SECONDS = 10
+LONG_COUNT = 500
+LONG_CHUNK_BYTES = 64 * 1024
+QUIET_PINGS = 4
 LOAD = Load(running=0, width=8, queued=0, queue_s=0, urgent_s=0, tokens_per_s=0)
 NO_REVISION = RevisionId(index=0, digest="")
 
@@ -65,6 +69,7 @@
         self.cancel_answer = None
         self.retry_after_s = 4.0
         self.is_mute = False
+        self.long_answer = None
         self.seen = []
         self.connections = []
         self.changed = threading.Condition()
@@ -133,6 +138,8 @@
                 start = message.from_sequence
                 self.send_chunks(connection, message.attempt_id, start)
                 self.send_end(connection, message.attempt_id)
+            case Credit(limit=limit) if self.long_answer is not None:
+                self.long_answer.send_up_to(limit)
             case Cancel(attempt_id=attempt_id) if self.cancel_answer is not None:
                 ran = self.cancel_answer
                 connection.send(Cancelled(attempt_id=attempt_id, ran=ran))
@@ -205,6 +212,13 @@
                     f"{self.name} was not sent {count} of {kind.__name__}"
                 )
 
+    def wait_for_quiet(self):
+        """Wait until several heartbeats have come with nothing between them."""
+        limit = time.monotonic() + WAIT_SECONDS
+        with self.changed:
+            while not all(isinstance(one, Ping) for one in self.seen[-QUIET_PINGS:]):
+                assert self.changed.wait(limit - time.monotonic())
+
     def stop(self):
         """End the fake and its thread."""
         self.call(self.go)
@@ -284,7 +298,52 @@
     fake.send_end(connection, offer.attempt_id)
 
 
+def answers_at_length_first(fake, connection, offer):
+    if len(fake.messages(Offer)) > 1:
+        answers(fake, connection, offer)
+        return
+    fake.accept(connection, offer)
+    fake.long_answer = LongAnswer(connection=connection, offer=offer)
+    fake.long_answer.send_up_to(offer.credit)
+
+
+class LongAnswer:
+    """An answer of many large chunks that are sent as credit allows."""
+
+    def __init__(self, *, connection, offer):
+        self.connection = connection
+        self.attempt_id = offer.attempt_id
+        self.payload = event_of("x" * LONG_CHUNK_BYTES).encode()
+        self.sent = 0
+        self.checksum = 0
+
+    def send_up_to(self, limit):
+        """Send the chunks below a limit, and the end after the last."""
+        for sequence in range(self.sent, min(limit, LONG_COUNT)):
+            self.connection.send(
+                Chunk(
+                    attempt_id=self.attempt_id,
+                    sequence=sequence,
+                    payload=self.payload,
+                    tokens=1,
+                )
+            )
+            self.sent += 1
+            self.checksum = zlib.crc32(self.payload, self.checksum)
+        if self.sent == LONG_COUNT:
+            self.connection.send(
+                End(
+                    attempt_id=self.attempt_id,
+                    count=LONG_COUNT,
+                    checksum=self.checksum,
+                    outcome=Outcome.DONE,
+                    detail="",
+                )
+            )
+
+
 BEHAVIOURS = {
+    "answers at length first": answers_at_length_first,
     "answers with an error": answers_with_an_error,
     "answers": answers,
     "refuses": refuses,
--- a/features/entry/requests.feature
+++ b/features/entry/requests.feature
@@ -82,3 +82,11 @@
       | zinniaramp_first_token_seconds_count{class="question"}                       | 1.0   |
       | zinniaramp_tokens_delivered_total{class="question"}                          | 3.0   |
       | zinniaramp_target_total{attained="true",class="question",target="finish"}    | 1.0   |
+
+  Scenario: A caller that does not read stalls only itself
+    Given an entry with endpoint "a" that answers at length first
+    When a caller starts a streamed chat and does not read on
+    And another caller sends a streamed chat
+    Then the answer's text is "abc" and its outcome is "done"
+    And endpoint "a" is allowed no more of the long answer
+    And the long answer is whole once its caller reads it
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -13,7 +13,12 @@
 
 from behave import given, then, when
 
-from features.entry.fake_endpoint import KEY, FakeEndpoint
+from features.entry.fake_endpoint import (
+    KEY,
+    LONG_CHUNK_BYTES,
+    LONG_COUNT,
+    FakeEndpoint,
+)
 from zinniaramp.clock import monotonic_clock
 from zinniaramp.configuration import RevisionStore
 from zinniaramp.contracts import Cancel, Offer, RevisionId, TicketRequest
@@ -341,6 +346,31 @@
     return response
 
 
+@when("a caller starts a streamed chat and does not read on")
+def start_and_stall(context):
+    context.stalled = open_stream(context)
+    context.fakes["a"].wait_for_quiet()
+
+
+@when("another caller sends a streamed chat")
+def send_another(context):
+    send_streamed(context)
+
+
+@then('endpoint "{name}" is allowed no more of the long answer')
+def check_stalled(context, name):
+    fake = context.fakes[name]
+    fake.wait_for_quiet()
+    assert fake.long_answer.sent < LONG_COUNT, fake.long_answer.sent
+
+
+@then("the long answer is whole once its caller reads it")
+def check_long_answer(context):
+    rest = context.stalled.read()
+    assert rest.endswith(b"data: [DONE]\n\n"), rest[-200:]
+    assert rest.count(b"x" * LONG_CHUNK_BYTES) == LONG_COUNT - 1
+
+
 @when("a caller starts a streamed chat and goes")
 def start_and_go(context):
     open_stream(context).close()
