--- a/zinniaramp/entry/runs.py
+++ b/zinniaramp/entry/runs.py
@@ -7,16 +7,24 @@
 from result import Err, Ok
 
 from ..answers import new_attempt_id
-from ..contracts import Offer, Outcome, RefusalReason
+from ..contracts import Offer, Outcome
 from ..observability import emit
 from ..routing import retry_after
 from ..tickets import Ticket, read_ticket
 from .attempt import CREDIT, Attempt, AttemptKind, AttemptResult, Sink
-from .errors import CallerError, ErrorCode
+from .errors import CallerError
 from .events import ATTEMPT_ENDED
+from .failures import (
+    host_unreachable,
+    may_have_run,
+    reason_for,
+    ticket_gone,
+    ticket_mismatch,
+    ticket_required,
+)
 from .metrics import Timeline
 from .peers import Peer
-from .requests import TICKET_HEADER, Call
+from .requests import Call
 from .ticketing import issue_ticket
 
 __all__ = ["Final", "RequestRun"]
@@ -24,12 +32,6 @@
 CONFIRM_TIMEOUT = timedelta(seconds=0.25)
 """Longest wait, before giving up, for endpoints to say that nothing ran."""
 
-BUSY_REASONS = {RefusalReason.OVERLOADED, RefusalReason.DEADLINE}
-"""Refusals that mean too much work for the endpoints there are."""
-
-TICKET_REASONS = {RefusalReason.TICKET_INVALID, RefusalReason.TICKET_EXPIRED}
-"""Refusals that another try with the same ticket would meet again."""
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Final:
@@ -130,13 +132,13 @@
         """Bring the request to the incarnation that its caller's ticket names."""
         declared = (self.call.class_declaration.name, self.call.workspace)
         if declared != (ticket.class_name, ticket.workspace):
-            return Final(outcome=None, error=_mismatch(ticket))
+            return Final(outcome=None, error=ticket_mismatch(ticket))
         host = ticket.incarnation.partition("/")[0]
         peer = await self.router.peers.reach(host)
         if peer is None:
-            return Final(outcome=Outcome.UNKNOWN, error=_unreachable(host))
+            return Final(outcome=Outcome.UNKNOWN, error=host_unreachable(host))
         if peer.incarnation != ticket.incarnation:
-            return Final(outcome=Outcome.UNKNOWN, error=_gone(ticket))
+            return Final(outcome=Outcome.UNKNOWN, error=ticket_gone(ticket))
         self.router.log_choice(self.call, self.next_id(peer.host), peer, [peer])
         result = await self.attempt(peer, ticket=self.call.ticket)
         if result.kind is AttemptKind.DONE:
@@ -150,7 +152,7 @@
             return await self.give_up()
         is_optional = self.call.class_declaration.ticket == "optional"
         if self.call.ticket or not is_optional:
-            return Final(outcome=Outcome.NOT_RUN, error=_required(issued.ticket))
+            return Final(outcome=Outcome.NOT_RUN, error=ticket_required(issued.ticket))
         self.ticket = issued.ticket
         result = await self.attempt(issued.peer, ticket=issued.ticket)
         if result.kind is AttemptKind.DONE:
@@ -248,15 +250,10 @@
     def error(self, outcome: Outcome, come_back_s: float) -> CallerError:
         """Return what the caller of an unsuccessful request is told."""
         if outcome is Outcome.UNKNOWN and not self.call.class_declaration.repeatable:
-            return CallerError(
-                status=502,
-                code=ErrorCode.OUTCOME_UNKNOWN,
-                message="the request may have run or not; ask the service, or send "
-                "it again with the same ticket to learn its outcome",
-                outcome=outcome,
-                ticket=self.ticket,
-            )
-        reason = self.reason()
+            return may_have_run(self.ticket)
+        reason = reason_for(
+            self.last_result, self.refusals, is_late=self.remaining_s() == 0
+        )
         return CallerError(
             status=reason.status,
             code=reason.code,
@@ -264,96 +261,3 @@
             outcome=outcome,
             retry_after_s=come_back_s,
         )
-
-    def reason(self) -> "Reason":
-        """Return why no attempt succeeded."""
-        last = self.last_result
-        if last is None:
-            return _TOO_LATE if self.remaining_s() == 0 else _NO_ENDPOINT
-        if last.kind is AttemptKind.TIMED_OUT:
-            return _TOO_LATE
-        if not last.is_confirmed_not_run:
-            return Reason(
-                status=503,
-                code=ErrorCode.ANSWER_FAILED,
-                message=f"the answer failed: {last.reason}",
-            )
-        if any(one.reason in BUSY_REASONS for one in self.refusals):
-            return _BUSY
-        if last.reason in TICKET_REASONS:
-            return Reason(
-                status=409,
-                code=ErrorCode.TICKET_REFUSED,
-                message=f"refused: {last.reason}; fetch a new ticket",
-            )
-        return _NO_ENDPOINT
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Reason:
-    """Why no attempt succeeded, as a caller is told."""
-
-    status: int
-    code: ErrorCode
-    message: str
-
-
-_TOO_LATE = Reason(
-    status=503,
-    code=ErrorCode.DEADLINE_EXCEEDED,
-    message="no answer came before the deadline",
-)
-_NO_ENDPOINT = Reason(
-    status=503,
-    code=ErrorCode.NO_ENDPOINT,
-    message="no endpoint can take the request now",
-)
-_BUSY = Reason(
-    status=429,
-    code=ErrorCode.OVERLOADED,
-    message="every endpoint that was asked is too busy",
-)
-
-
-def _mismatch(ticket: Ticket) -> CallerError:
-    return CallerError(
-        status=400,
-        code=ErrorCode.TICKET_MISMATCH,
-        message=f"the ticket is for class {ticket.class_name!r} and workspace "
-        f"{ticket.workspace!r}; send the request with these",
-        param=TICKET_HEADER,
-    )
-
-
-def _unreachable(host: str) -> CallerError:
-    return CallerError(
-        status=502,
-        code=ErrorCode.OUTCOME_UNKNOWN,
-        message=f"host {host!r}, which the ticket names, cannot be reached; send it "
-        "again with the same ticket to learn its outcome",
-        param=TICKET_HEADER,
-        outcome=Outcome.UNKNOWN,
-    )
-
-
-def _gone(ticket: Ticket) -> CallerError:
-    return CallerError(
-        status=409,
-        code=ErrorCode.TICKET_INCARNATION_GONE,
-        message=f"{ticket.incarnation!r}, which the ticket names, is gone and the "
-        "request may have run there; ask the service before a new ticket is used",
-        param=TICKET_HEADER,
-        outcome=Outcome.UNKNOWN,
-    )
-
-
-def _required(ticket: str) -> CallerError:
-    return CallerError(
-        status=428,
-        code=ErrorCode.TICKET_REQUIRED,
-        message=f"this class may not be repeated; send the request again with "
-        f"{TICKET_HEADER}: {ticket}",
-        param=TICKET_HEADER,
-        outcome=Outcome.NOT_RUN,
-        ticket=ticket,
-    )
