--- a/zinniaramp/entry/callers.py
+++ b/zinniaramp/entry/callers.py
@@ -3,59 +3,165 @@
 import json
 
 import tornado.web
+from result import Err, Ok, Result
 
-from ..contracts import Chunk, End, Refused
+from ..contracts import Head, Outcome
+from ..declarations import Declarations
+from .completion import whole_completion
+from .errors import CallerError, unknown_model
+from .handling import OUTCOME_HEADER, CallerHandler, UnknownPathHandler
+from .requests import (
+    TICKET_HEADER,
+    Call,
+    ChatRequest,
+    check_body,
+    class_of,
+    deadline_after,
+    workspace_of,
+)
+from .resuming import RequestHandler
+from .runs import RequestRun
+from .service_calls import ServiceHandler
+from .sinks import CollectingSink, EventSink, is_error_head
+from .ticket_calls import TicketHandler
 
-__all__ = ["ChatHandler", "make_application"]
+__all__ = ["ChatHandler", "ModelsHandler", "make_application"]
 
+CHAT_PATH = "/v1/chat/completions"
 
-class ChatHandler(tornado.web.RequestHandler):
-    """``POST /v1/chat/completions``."""
 
-    def initialize(self, process):
-        """Take the entry process that serves the request."""
-        self.process = process
+class ChatHandler(CallerHandler):
+    """``POST /v1/chat/completions``."""
 
     async def post(self):
         """Route the request and pass its answer on."""
-        try:
-            request = json.loads(self.request.body)
-        except ValueError:
-            self.answer_error(400, "invalid_json", "body is not JSON; send an object")
+        arrived = self.process.clock()
+        chat = self.checked(check_body(ChatRequest, self.request.body))
+        if chat is None:
             return
-        routed = self.process.route_chat(request, self.request)
-        if routed is None:
-            self.answer_error(503, "no_endpoint", "no endpoint serves this model")
+        declarations = self.process.revisions.current()
+        call = self.checked(self.call(chat, declarations, arrived))
+        if call is None:
             return
-        self.set_header("Zinniaramp-Request-Id", str(routed.attempt_id))
+        if chat.stream:
+            await self.work_on(self.answer_streamed(call))
+        else:
+            await self.work_on(self.answer_whole(call))
+
+    def call(
+        self, chat: ChatRequest, declarations: Declarations, arrived
+    ) -> Result[Call, CallerError]:
+        """Check a request against the declarations."""
+        headers = self.request.headers
+        match workspace_of(declarations, headers):
+            case Ok(workspace):
+                pass
+            case error:
+                return error
+        match class_of(declarations, headers, workspace):
+            case Ok(declared):
+                pass
+            case error:
+                return error
+        if not self.process.knows_model(chat.model, declarations):
+            return Err(unknown_model(chat.model))
+        body = self.request.body
+        if not chat.stream:
+            body = json.dumps({**json.loads(body), "stream": True}).encode()
+        return Ok(
+            Call(
+                target=chat.model,
+                class_declaration=declared,
+                workspace=workspace,
+                declarations=declarations,
+                ticket=headers.get(TICKET_HEADER, ""),
+                method="POST",
+                path=CHAT_PATH,
+                headers=[["Content-Type", "application/json"]],
+                body=body,
+                affinity_key=f"{workspace}\n{chat.prompt_prefix()}".encode(),
+                arrived=arrived,
+                deadline=deadline_after(arrived, declared),
+            )
+        )
+
+    async def answer_streamed(self, call: Call) -> None:
+        """Pass the answer on as it comes."""
+        sink = EventSink(
+            handler=self,
+            set_answer_headers=lambda: self.set_stream_headers(self.request_run),
+            starts_on_accept=lambda: bool(self.request_run.ticket),
+        )
+        run = await self.run(call, sink)
+        error = run.final.error
+        if error is None and is_error_head(sink.answer_head):
+            self.answer_engine_error(run, sink.answer_head, sink.error_payloads)
+        elif error is None:
+            sink.start()
+            sink.finish_whole(run.request_id)
+        elif sink.is_started:
+            sink.finish_broken(error, run.request_id)
+        else:
+            self.set_run_headers(run)
+            self.answer_error(error)
+
+    def set_stream_headers(self, run: RequestRun) -> None:
+        """Set the headers of a streamed answer."""
+        self.set_run_headers(run)
         self.set_header("Content-Type", "text/event-stream")
-        await self.pass_on(routed)
-
-    async def pass_on(self, routed):
-        """Write chunks as server-sent events until the attempt ends."""
-        while True:
-            match await routed.inbox.get():
-                case Chunk(payload=payload):
-                    for line in payload.split(b"\n"):
-                        self.write(b"data: " + line + b"\n\n")
-                    await self.flush()
-                case End(outcome=outcome):
-                    self.process.finish(routed, outcome)
-                    self.write("data: [DONE]\n\n")
-                    return
-                case Refused(reason=reason):
-                    self.process.finish(routed, "not-run")
-                    self.answer_error(503, reason, "refused; try again later")
-                    return
-
-    def answer_error(self, status, code, message):
-        """Answer with an error in the shape that OpenAI clients read."""
-        self.set_status(status)
-        self.finish({"error": {"message": message, "type": "error", "code": code}})
+        self.set_header("Cache-Control", "no-cache")
+
+    def answer_engine_error(
+        self, run: RequestRun, head: Head, payloads: list[bytes]
+    ) -> None:
+        """Answer with the engine's own error."""
+        self.set_run_headers(run)
+        self.set_header(OUTCOME_HEADER, str(run.final.outcome))
+        self.set_header("Content-Type", "application/json")
+        self.set_status(head.status)
+        self.finish(b"".join(payloads))
+
+    async def answer_whole(self, call: Call) -> None:
+        """Answer when the whole answer has come."""
+        sink = CollectingSink()
+        run = await self.run(call, sink)
+        if run.final.error is not None:
+            self.set_run_headers(run)
+            self.answer_error(run.final.error)
+            return
+        if is_error_head(sink.answer_head):
+            self.answer_engine_error(run, sink.answer_head, sink.payloads)
+            return
+        self.set_run_headers(run)
+        self.set_header(OUTCOME_HEADER, str(Outcome.DONE))
+        self.finish(whole_completion(sink.payloads, request_id=run.request_id))
+
+
+class ModelsHandler(CallerHandler):
+    """``GET /v1/models``."""
+
+    def get(self):
+        """List the models."""
+        models = self.process.models(self.process.revisions.current())
+        data = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "zinniaramp"}
+            for name in sorted(models)
+        ]
+        self.finish({"object": "list", "data": data})
 
 
 def make_application(process) -> tornado.web.Application:
     """Return the HTTP application for callers."""
+    given = {"process": process}
     return tornado.web.Application(
-        [("/v1/chat/completions", ChatHandler, {"process": process})]
+        [
+            (CHAT_PATH, ChatHandler, given),
+            ("/v1/models", ModelsHandler, given),
+            ("/v1/tickets", TicketHandler, given),
+            ("/v1/requests/([^/]+)", RequestHandler, given),
+            ("/services/([^/]+)(/.*)?", ServiceHandler, given),
+        ],
+        default_handler_class=UnknownPathHandler,
+        default_handler_args=given,
+        log_function=lambda handler: None,
     )
