--- /dev/null
+++ b/zinniaramp/commands/callers.py
@@ -0,0 +1,189 @@
+"""Verbs that speak to an entry as callers do: ``ticket`` and ``send``."""
+
+import json as json_library
+import sys
+from dataclasses import dataclass
+
+import assel
+
+from .operators import Answer, base_url, exchange
+from .output import EXIT_NOT_RUN, EXIT_UNKNOWN, EXIT_USAGE, fail, print_json, verb
+
+__all__ = ["send", "ticket"]
+
+TIMEOUT_SECONDS = 3600
+"""Longest wait for a whole answer unless the caller says otherwise, in seconds."""
+
+OUTCOME_HEADER = "Zinniaramp-Outcome"
+
+OUTCOME_EXITS = {"done": 0, "not-run": EXIT_NOT_RUN}
+"""Exit code of each outcome; any other is `EXIT_UNKNOWN`."""
+
+
+def _headers(class_name: str, workspace: str, ticket_text: str = "") -> dict[str, str]:
+    given = {
+        "Zinniaramp-Class": class_name,
+        "Zinniaramp-Workspace": workspace,
+        "Idempotency-Key": ticket_text,
+    }
+    return {name: value for name, value in given.items() if value}
+
+
+def _exit_with(answer: Answer) -> None:
+    """Exit unless the answer is a success, with its outcome's code."""
+    if answer.status < 400:
+        return
+    outcome = answer.headers.get(OUTCOME_HEADER, "")
+    retry_after = answer.headers.get("Retry-After")
+    text = answer.body.decode(errors="replace").strip()
+    again = f"; try again after {retry_after} s" if retry_after else ""
+    is_refused = answer.status < 500 and not outcome
+    code = EXIT_NOT_RUN if is_refused else OUTCOME_EXITS.get(outcome, EXIT_UNKNOWN)
+    fail(f"{answer.status} {outcome or 'refused'}: {text}{again}", code or EXIT_UNKNOWN)
+
+
+@verb(flags=("json",))
+def ticket(
+    url: str,
+    target: str,
+    *,
+    class_name: str = "",
+    workspace: str = "",
+    json: bool = False,
+) -> None:
+    """Fetch a ticket for one non-repeatable request and print it.
+
+    Parameters
+    ----------
+    url : str
+        Address of an entry for callers.
+    target : str
+        Model or plain service that the request will be for.
+    class_name, workspace : str
+        What it will be sent as; the declarations' defaults if left out.
+    json : bool
+        Print JSON.
+    """
+    answer = exchange(
+        f"{base_url(url)}/v1/tickets",
+        method="POST",
+        headers=_headers(class_name, workspace),
+        body=json_library.dumps({"target": target}).encode(),
+    )
+    _exit_with(answer)
+    found = answer.json()
+    if json:
+        print_json(found)
+    else:
+        print(found["ticket"])
+
+
+@dataclass(slots=True)
+class StreamPrinter:
+    """Prints the text of a streamed answer as it arrives."""
+
+    parser: assel.Parser
+    raw: bytearray
+    outcome: str = ""
+    finish_reason: str = ""
+
+    def receive(self, data: bytes) -> None:
+        """Print what a piece of the body completes."""
+        self.raw += data[: max(0, MAX_KEPT_BYTES - len(self.raw))]
+        for event in self.parser.receive_bytes(data):
+            self.show(event.data)
+
+    def show(self, data: str) -> None:
+        """Print the text of one event."""
+        try:
+            event = json_library.loads(data)
+        except ValueError:
+            return
+        if not isinstance(event, dict):
+            return
+        self.outcome = (event.get("zinniaramp") or {}).get("outcome") or self.outcome
+        for choice in event.get("choices") or []:
+            print((choice.get("delta") or {}).get("content") or "", end="", flush=True)
+            self.finish_reason = choice.get("finish_reason") or self.finish_reason
+
+
+MAX_KEPT_BYTES = 64 * 1024
+"""Bytes of an answer that are kept to show an error."""
+
+
+@verb(numbers=("max_tokens", "timeout"))
+def send(
+    url: str,
+    text: str = "",
+    *,
+    model: str = "",
+    service: str = "",
+    path: str = "",
+    method: str = "POST",
+    class_name: str = "",
+    workspace: str = "",
+    ticket: str = "",
+    max_tokens: float = 0,
+    timeout: float = TIMEOUT_SECONDS,
+) -> None:
+    """Send one chat or plain request and print its answer as it arrives.
+
+    Parameters
+    ----------
+    url : str
+        Address of an entry for callers.
+    text : str
+        Text of the chat message, or body of the plain request.
+    model : str
+        Model, for a chat request.
+    service, path, method : str
+        Plain service, and path and method there, for a plain request.
+    class_name, workspace : str
+        What to send it as; the declarations' defaults if left out.
+    ticket : str
+        Ticket of a non-repeatable request.
+    max_tokens : int
+        Most tokens of a chat answer; 0 leaves it to the engine.
+    timeout : float
+        Longest wait for the whole answer, in seconds.
+    """
+    if bool(model) == bool(service):
+        fail("give either --model or --service", EXIT_USAGE)
+    headers = _headers(class_name, workspace, ticket)
+    if service:
+        answer = exchange(
+            f"{base_url(url)}/services/{service}/{path.lstrip('/')}",
+            method=method,
+            headers=headers,
+            body=text.encode() if text or method in ("POST", "PUT", "PATCH") else None,
+            timeout_s=timeout,
+            lost_code=EXIT_UNKNOWN,
+        )
+        _exit_with(answer)
+        sys.stdout.write(answer.body.decode(errors="replace"))
+        return
+    body = {
+        "model": model,
+        "messages": [{"role": "user", "content": text}],
+        "stream": True,
+    }
+    if max_tokens:
+        body["max_tokens"] = int(max_tokens)
+    printer = StreamPrinter(parser=assel.Parser(), raw=bytearray())
+    answer = exchange(
+        f"{base_url(url)}/v1/chat/completions",
+        method="POST",
+        headers={**headers, "Content-Type": "application/json"},
+        body=json_library.dumps(body).encode(),
+        timeout_s=timeout,
+        on_data=printer.receive,
+        lost_code=EXIT_UNKNOWN,
+    )
+    print()
+    _exit_with(
+        Answer(status=answer.status, headers=answer.headers, body=bytes(printer.raw))
+    )
+    outcome = printer.outcome or ("done" if printer.finish_reason else "unknown")
+    request_id = answer.headers.get("Zinniaramp-Request-Id", "")
+    print(f"outcome {outcome}, request {request_id}", file=sys.stderr)
+    sys.exit(OUTCOME_EXITS.get(outcome, EXIT_UNKNOWN))
--- a/zinniaramp/commands/core.py
+++ b/zinniaramp/commands/core.py
@@ -1,37 +1,24 @@
 """Entry point of the command; `fire` turns the verbs into a command line."""
 
-import sys
-from pathlib import Path
-
 import fire
-from result import Err, Ok
-
-from ..settings import read_settings
-
-__all__ = ["main"]
-
-EXIT_WRONG = 1
-"""Exit code when what was checked is wrong."""
-
-
-def check(file: str) -> None:
-    """Check a settings file and print every mistake.
-
-    Parameters
-    ----------
-    file : str
-        The file.
-    """
-    match read_settings(Path(file)):
-        case Ok(_):
-            print(f"{file}: ok")
-        case Err(problems):
-            for problem in problems:
-                print(problem)
-            sys.exit(EXIT_WRONG)
-
 
-VERBS = {"check": check}
+from .callers import send, ticket
+from .explain import explain
+from .files import check, publish_preview
+from .operators import drain, status
+
+__all__ = ["VERBS", "main"]
+
+VERBS = {
+    "check": check,
+    "publish-preview": publish_preview,
+    "status": status,
+    "explain": explain,
+    "drain": drain,
+    "ticket": ticket,
+    "send": send,
+}
+"""Function of each verb."""
 
 
 def main() -> None:
--- /dev/null
+++ b/zinniaramp/commands/files.py
@@ -0,0 +1,188 @@
+"""Verbs that look at files: ``check`` and ``publish-preview``."""
+
+import configparser
+import dataclasses
+import sys
+from dataclasses import dataclass
+from datetime import UTC, date, datetime
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from ..contracts import RevisionId
+from ..declarations import Declarations, read_declarations
+from ..ini import Problem, read_text
+from ..settings import SECTIONS, read_settings
+from .output import EXIT_USAGE, EXIT_WRONG, fail, print_json, verb
+
+__all__ = [
+    "Change",
+    "changes_between",
+    "check",
+    "expired_exceptions",
+    "publish_preview",
+]
+
+PREVIEW_REVISION = RevisionId(index=0, digest="")
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Change:
+    """One key that differs between two files; None where it does not stand."""
+
+    section: str
+    key: str
+    old: str | None
+    new: str | None
+
+    def __str__(self) -> str:
+        if self.old is None:
+            return f"+ [{self.section}] {self.key} = {self.new}"
+        if self.new is None:
+            return f"- [{self.section}] {self.key} = {self.old}"
+        return f"~ [{self.section}] {self.key} = {self.old} -> {self.new}"
+
+
+def _read(file: str) -> str:
+    try:
+        return Path(file).read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        fail(f"{file}: cannot be read: {error}; give the path of a file", EXIT_USAGE)
+
+
+def _is_settings(text: str) -> bool:
+    match read_text(text, file=""):
+        case Ok(parser):
+            return any(name in SECTIONS for name in parser.sections())
+        case Err(_):
+            return any(f"[{name}]" in text for name in SECTIONS)
+
+
+def expired_exceptions(declarations: Declarations, today: date) -> list[str]:
+    """Return a sentence for each exception whose date has passed."""
+    return [
+        f"[exception {name}] was to end on {one.until}; remove it or move its date"
+        for name, one in declarations.exceptions.items()
+        if one.until and date.fromisoformat(one.until) < today
+    ]
+
+
+def _read_declarations(text: str, file: str) -> Result[Declarations, list[Problem]]:
+    return read_declarations(text, file=file, revision=PREVIEW_REVISION)
+
+
+def _print_result(
+    file: str, problems: list[Problem], notices: list[str], json: bool
+) -> None:
+    if json:
+        print_json(
+            {
+                "file": file,
+                "ok": not problems,
+                "mistakes": [dataclasses.asdict(one) for one in problems],
+                "notices": notices,
+            }
+        )
+        return
+    for problem in problems:
+        print(problem)
+    for notice in notices:
+        print(f"{file}: notice: {notice}")
+    if not problems:
+        print(f"{file}: ok")
+
+
+@verb(flags=("json",))
+def check(file: str, *, json: bool = False) -> None:
+    """Check a settings file or a file of declarations and print every mistake.
+
+    Parameters
+    ----------
+    file : str
+        The file; its sections tell which of the two it is.
+    json : bool
+        Print JSON.
+    """
+    text = _read(file)
+    notices: list[str] = []
+    if _is_settings(text):
+        found = read_settings(Path(file))
+    else:
+        found = _read_declarations(text, file)
+        if isinstance(found, Ok):
+            today = datetime.now(UTC).date()
+            notices = expired_exceptions(found.ok_value, today)
+    problems = found.err_value if isinstance(found, Err) else []
+    _print_result(file, problems, notices, json)
+    if problems:
+        sys.exit(EXIT_WRONG)
+
+
+def changes_between(
+    old: configparser.ConfigParser, new: configparser.ConfigParser
+) -> list[Change]:
+    """Return what differs, in the order of the old file and then of the new one."""
+    headings = dict.fromkeys([*old.sections(), *new.sections()])
+    changes = []
+    for section in headings:
+        before = dict(old[section]) if section in old else {}
+        after = dict(new[section]) if section in new else {}
+        if not before and not after and (section in old) != (section in new):
+            mark = ("", None) if section in old else (None, "")
+            changes.append(Change(section=section, key="", old=mark[0], new=mark[1]))
+        for key in dict.fromkeys([*before, *after]):
+            if before.get(key) != after.get(key):
+                changes.append(
+                    Change(
+                        section=section,
+                        key=key,
+                        old=before.get(key),
+                        new=after.get(key),
+                    )
+                )
+    return changes
+
+
+def _parse(text: str, file: str) -> configparser.ConfigParser:
+    match read_text(text, file=file):
+        case Ok(parser):
+            return parser
+        case Err(problem):
+            print(problem)
+            sys.exit(EXIT_WRONG)
+
+
+@verb(flags=("json",))
+def publish_preview(old: str, new: str, *, json: bool = False) -> None:
+    """Print what publishing NEW after OLD changes, and whether it is refused.
+
+    Parameters
+    ----------
+    old : str
+        File of the declarations in force.
+    new : str
+        File of the declarations to publish.
+    json : bool
+        Print JSON.
+    """
+    old_text, new_text = _read(old), _read(new)
+    changes = changes_between(_parse(old_text, old), _parse(new_text, new))
+    found = _read_declarations(new_text, new)
+    problems = found.err_value if isinstance(found, Err) else []
+    if json:
+        print_json(
+            {
+                "changes": [dataclasses.asdict(one) for one in changes],
+                "refused": bool(problems),
+                "mistakes": [dataclasses.asdict(one) for one in problems],
+            }
+        )
+    else:
+        for change in changes:
+            print(change)
+        for problem in problems:
+            print(problem)
+        verdict = "would be refused" if problems else "would be accepted"
+        print(f"{len(changes)} changes; {new} {verdict}")
+    if problems:
+        sys.exit(EXIT_WRONG)
--- a/zinniaramp/ini/core.py
+++ b/zinniaramp/ini/core.py
@@ -7,7 +7,7 @@
 import configparser
 import dataclasses
 from datetime import timedelta
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal, get_args, get_origin
 
 from pydantic import BeforeValidator, Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
@@ -112,6 +112,10 @@
 
 
 def _bounds_text(field) -> str:
+    if get_origin(field.annotation) is Literal:
+        return f"one of {', '.join(get_args(field.annotation))}"
+    if field.annotation is bool:
+        return "true or false"
     parts = []
     for item in field.metadata:
         for sign in ("ge", "gt", "le", "lt", "pattern", "min_length", "max_length"):
@@ -129,7 +133,7 @@
     default = field.get_default(call_default_factory=True)
     if isinstance(default, timedelta):
         return f"{default.total_seconds():g}"
-    return str(default)
+    return str(default) or "empty"
 
 
 def keys_of(section_class: type) -> list[Key]:
--- a/zinniaramp/settings/core.py
+++ b/zinniaramp/settings/core.py
@@ -16,6 +16,7 @@
     "LogSettings",
     "PlatformSettings",
     "ProcessSettings",
+    "SECTIONS",
     "Settings",
     "read_settings",
 ]
@@ -146,7 +147,7 @@
     file: str = declare_key("File to write; empty for standard error.", default="")
 
 
-_SECTIONS = {
+SECTIONS = {
     "process": ProcessSettings,
     "listen": ListenSettings,
     "platform": PlatformSettings,
@@ -175,7 +176,7 @@
         key="",
         value="",
         message="unknown section",
-        remedy=f"remove it or use one of: {', '.join(_SECTIONS)}",
+        remedy=f"remove it or use one of: {', '.join(SECTIONS)}",
     )
 
 
@@ -259,10 +260,10 @@
     problems = [
         _unknown_section(file, name)
         for name in parser.sections()
-        if name not in _SECTIONS
+        if name not in SECTIONS
     ]
     sections = {}
-    for name, section_class in _SECTIONS.items():
+    for name, section_class in SECTIONS.items():
         if name == "engine" and name not in parser:
             continue
         values = dict(parser[name]) if name in parser else {}
