Give entry and endpoint one call for what peers say of the configuration

exchange_revisions takes any message that tells a revision or carries sections and returns what to send back, so that neither process knows the order of the exchange. Ruled out: a task of its own per peer, for the answers need no wait.

--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from features.platform_bench import LIMIT_SECONDS, TEXT, ConfigurationBench
-from zinniaramp.configuration import apply_sections, is_reader, sections_reply
+from zinniaramp.configuration import exchange_revisions, is_reader
+from zinniaramp.contracts import Ping
 from zinniaramp.hosts import Host, HostView
 
 ATTEMPTS = "attempts = 3"
@@ -57,12 +58,14 @@
     context.sent = []
 
     async def exchange():
+        process = context.bench.store
         while True:
-            request = context.peer.note_revision(context.bench.store.revision())
+            ping = Ping(number=1, revision=process.revision())
+            request = exchange_revisions(context.peer, ping, source="host-1")
             if request is not None:
-                reply = sections_reply(context.bench.store, request)
+                reply = exchange_revisions(process, request, source="peer")
                 context.sent.append(reply)
-                apply_sections(context.peer, reply)
+                exchange_revisions(context.peer, reply, source="host-1")
             await asyncio.sleep(0.01)
 
     context.bench.start(exchange)
--- a/zinniaramp/configuration/__init__.py
+++ b/zinniaramp/configuration/__init__.py
@@ -1,7 +1,12 @@
 """Following the published configuration."""
 
 from .core import ConfigurationError, RevisionStore
-from .exchange import apply_sections, sections_reply, take_revision
+from .exchange import (
+    apply_sections,
+    exchange_revisions,
+    sections_reply,
+    take_revision,
+)
 from .follower import ConfigurationFollower, FollowerLimits, is_reader
 from .sections import Published, Section, SectionsError, make_section, read_published
 
@@ -14,6 +19,7 @@
     "Section",
     "SectionsError",
     "apply_sections",
+    "exchange_revisions",
     "is_reader",
     "make_section",
     "read_published",
--- a/zinniaramp/configuration/exchange.py
+++ b/zinniaramp/configuration/exchange.py
@@ -2,7 +2,15 @@
 
 from result import Err, Ok, Result
 
-from ..contracts import SectionsReply, SectionsRequest
+from ..contracts import (
+    Hello,
+    Message,
+    Ping,
+    Pong,
+    SectionsReply,
+    SectionsRequest,
+    Welcome,
+)
 from ..declarations import read_declarations
 from ..observability import emit
 from .core import ConfigurationError, RevisionStore
@@ -15,7 +23,12 @@
 )
 from .sections import Published, joined_reply, reply_for
 
-__all__ = ["apply_sections", "sections_reply", "take_revision"]
+__all__ = [
+    "apply_sections",
+    "exchange_revisions",
+    "sections_reply",
+    "take_revision",
+]
 
 
 def take_revision(
@@ -131,3 +144,35 @@
                 error=str(error),
             )
             return Err(ConfigurationError(str(error)))
+
+
+def exchange_revisions(
+    store: RevisionStore, message: Message, *, source: str
+) -> SectionsRequest | SectionsReply | None:
+    """Do what a message from a peer means for the configuration.
+
+    Call it with each message that tells a revision or carries sections, besides
+    whatever else that message means.
+
+    Parameters
+    ----------
+    store : RevisionStore
+        The revision in force here.
+    message : Message
+        What the peer sent.
+    source : str
+        Name of the peer, for the log.
+
+    Returns
+    -------
+    SectionsRequest or SectionsReply or None
+        What to send back on the same stream.
+    """
+    match message:
+        case Hello() | Welcome() | Ping() | Pong():
+            return store.note_revision(message.revision)
+        case SectionsRequest():
+            return sections_reply(store, message)
+        case SectionsReply():
+            apply_sections(store, message, source=source)
+    return None
