--- a/features/commands/daemon.feature
+++ b/features/commands/daemon.feature
@@ -35,3 +35,8 @@
     Given a task that raises once
     When it is supervised
     Then it runs twice, and an event names the exception
+
+  Scenario: A published revision is in force in every process of a fleet
+    Given a fleet with 1 entry and 1 endpoint
+    When the operators publish other declarations
+    Then every process says that the new revision is in force
--- a/features/steps/daemon_steps.py
+++ b/features/steps/daemon_steps.py
@@ -6,12 +6,13 @@
 import subprocess
 import sys
 import time
+import urllib.request
 from datetime import timedelta
 from pathlib import Path
 
 from behave import given, then, when
 
-from features.platform_bench import LIMIT_SECONDS, Bench
+from features.platform_bench import LIMIT_SECONDS, TEXT, Bench
 from zinniaramp.daemon.shutdown import Shutdown
 from zinniaramp.daemon.tasks import supervise
 from zinniaramp.daemon.view import ProcessView
@@ -172,3 +173,27 @@
         time.sleep(0.02)
     events = [json.loads(line).get("name") for line in lines.splitlines()]
     assert name in events
+
+
+def http_json(url, data=None):
+    """Return the JSON that a URL answers."""
+    with urllib.request.urlopen(url, data=data, timeout=LIMIT_SECONDS) as response:
+        return json.load(response)
+
+
+@when("the operators publish other declarations")
+def publish_others(context):
+    service = next(one for one in context.fleet if one.role == "configuration")
+    text = TEXT.replace("attempts = 3", "attempts = 4")
+    context.revision = http_json(f"{service.url}/standin/publish", text.encode())
+
+
+@then("every process says that the new revision is in force")
+def check_in_force(context):
+    daemons = [one for one in context.fleet if one.role in ("entry", "endpoint")]
+    deadline = time.monotonic() + LIMIT_SECONDS
+    for daemon in daemons:
+        url = daemon.ready_url.replace("/readyz", "/status")
+        while (held := http_json(url)["revision"]) != context.revision:
+            assert time.monotonic() < deadline, (daemon.name, held)
+            time.sleep(0.02)
