--- a/zinniaramp/commands/core.py
+++ b/zinniaramp/commands/core.py
@@ -5,6 +5,7 @@
 from .callers import send, ticket
 from .explain import explain
 from .files import check, publish_preview
+from .load import load, report
 from .operators import drain, status
 
 __all__ = ["VERBS", "main"]
@@ -17,6 +18,8 @@
     "drain": drain,
     "ticket": ticket,
     "send": send,
+    "load": load,
+    "report": report,
 }
 """Function of each verb."""
 
