--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -164,7 +164,7 @@
 def send_chat(context):
     entry = process_of(context, "entry")
     line = ["send", entry.url, "Why is this route private?", "--model", "small-model"]
-    run(context, [*line, "--max-tokens", "5", "--class-name", "question"])
+    run(context, [*line, "--max-tokens", "5", "--class-name", "standard"])
     context.request_id = context.finished.stderr.split()[-1]
 
 
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -245,7 +245,7 @@
 
 @when("a scheduler with few places is driven through it")
 def drive_with_few_places(context):
-    text = "[defaults]\nfloor = 0.2\nqueue_limit = 5" + KINDS
+    text = "[defaults]\nfloor = 0.15\nqueue_limit = 5" + KINDS
 
     @settings(max_examples=200)
     @for_any(context.cases, st.integers(1, 4))
@@ -554,7 +554,7 @@
 
 @given("an engine of one slot that a dossier holds for its floor's quantum")
 def dossier_in_quantum(context):
-    text = "[defaults]\nfloor = 0.2\nqueue_limit = 5" + KINDS
+    text = "[defaults]\nfloor = 0.15\nqueue_limit = 5" + KINDS
     context.bench = Bench(text, width=1)
     for class_name in ("dossier", "question"):
         offer_and_act(context, class_name)
