Let callers of the load tool vanish when planned

Cause: the quickstart ended with a traceback: the client raises when a transfer is aborted, whatever raise_error says. A scenario for vanishing callers then took 9 s: libcurl asks its progress function only when it works on a transfer. Change: an aborted transfer gives a response with code 599; a pause and its end make libcurl ask at once.

--- a/features/load/load.feature
+++ b/features/load/load.feature
@@ -24,6 +24,13 @@
       | answers with another text   | wrong   | no    |
       | ends its streams early      | cut     | no    |
       | refuses                     | refused | yes   |
+      | closes the connection       | unanswered | no |
+
+  Scenario: A caller that vanishes is told apart from one that is cut
+    Given a plan of 10 requests a second for 0.5 seconds whose callers vanish
+    And a server that answers one request at a time in 3 s
+    When the plan is run against it
+    Then the report counts fates as "vanished" and says whole is "yes"
 
   Scenario: A request that ran twice or ran untold is named
     Given a record of a non-repeatable request that was told not-run
--- a/features/steps/load_steps.py
+++ b/features/steps/load_steps.py
@@ -19,6 +19,11 @@
 from zinniaramp.load.records import CallerRecord, Fate
 from zinniaramp.standins import expected_tokens
 
+SERVICE_SECONDS = {
+    "answers one request at a time in 0.1 s": 0.1,
+    "answers one request at a time in 3 s": 3,
+}
+
 DECLARATIONS = "[class question]\ntier = 1\n[class entry]\ntier = 2\nrepeatable = no\n"
 
 STREAM = (
@@ -73,6 +78,12 @@
     write_plan(context, text)
 
 
+@given("a plan of {rate:d} requests a second for {duration:g} seconds whose {callers}")
+def plan_of_vanishing_callers(context, rate, duration, callers):
+    text = f"[plan]\nduration = {duration}\n{STREAM}rate = {rate}\nvanish = 1\n"
+    write_plan(context, text)
+
+
 class FaultyHandler(tornado.web.RequestHandler):
     """Answers chat requests with a planted fault."""
 
@@ -84,9 +95,13 @@
 
     async def post(self):
         """Answer as the fault says."""
-        if self.fault == "answers one request at a time in 0.1 s":
+        delay_s = SERVICE_SECONDS.get(self.fault, 0)
+        if delay_s:
             async with FaultyHandler.turn:
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(delay_s)
+        if self.fault == "closes the connection":
+            self.request.connection.stream.close()
+            return
         if self.fault == "refuses":
             self.set_status(503)
             self.set_header("Zinniaramp-Outcome", "not-run")
--- a/zinniaramp/load/callers.py
+++ b/zinniaramp/load/callers.py
@@ -1,12 +1,11 @@
 """Callers: each sends one planned request and records what it saw."""
 
 import asyncio
-from collections.abc import Callable
 from datetime import datetime, timedelta
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPClientError, HTTPRequest, HTTPResponse
 
 from ..clock import Clock
 from .answers import ReceivedAnswer, is_whole
@@ -54,6 +53,7 @@
         "clock",
         "record",
         "ticket",
+        "curl",
         "has_vanished",
     )
 
@@ -74,6 +74,7 @@
         self.limit = limit
         self.clock = clock
         self.ticket = ""
+        self.curl: pycurl.Curl | None = None
         self.has_vanished = False
         self.record = CallerRecord(
             mark=planned.mark,
@@ -84,6 +85,9 @@
 
     async def run(self) -> CallerRecord:
         """Send until there is a final answer; return the record."""
+        if self.planned.vanish_after is not None:
+            delay_s = self.planned.vanish_after.total_seconds()
+            asyncio.get_running_loop().call_later(delay_s, self.vanish)
         returns_left = self.planned.stream.returns
         while True:
             answer = ReceivedAnswer(is_events=self.planned.stream.is_streamed)
@@ -112,9 +116,18 @@
         return float(response.headers.get("Retry-After", 1))
 
     async def send(self, answer: ReceivedAnswer) -> HTTPResponse:
-        """Send the request once and wait for the answer's end."""
+        """Send the request once and wait for the answer's end.
+
+        A connection that fails or is given up gives a response with code 599.
+        """
         self.record.sends += 1
-        return await self.client.fetch(self.http_request(answer), raise_error=False)
+        request = self.http_request(answer)
+        try:
+            return await self.client.fetch(request, raise_error=False)
+        except HTTPClientError as error:
+            return HTTPResponse(request, error.code)
+        finally:
+            self.curl = None
 
     def http_request(self, answer: ReceivedAnswer) -> HTTPRequest:
         """Return the HTTP request."""
@@ -153,18 +166,18 @@
         if self.planned.is_slow:
             curl.setopt(pycurl.MAX_RECV_SPEED_LARGE, SLOW_BYTES_PER_SECOND)
         if self.planned.vanish_after is not None:
+            self.curl = curl
             curl.setopt(pycurl.NOPROGRESS, 0)
-            curl.setopt(pycurl.XFERINFOFUNCTION, self.vanish_function())
-
-    def vanish_function(self) -> Callable[..., int]:
-        """Return a progress function that ends the transfer when it is time."""
-        vanish_time = self.planned_time + self.planned.vanish_after
-
-        def is_over(*_totals) -> int:
-            self.has_vanished = self.has_vanished or self.clock() >= vanish_time
-            return int(self.has_vanished)
-
-        return is_over
+            curl.setopt(pycurl.XFERINFOFUNCTION, lambda *_: int(self.has_vanished))
+
+    def vanish(self) -> None:
+        """End the transfer that is running, if one is."""
+        self.has_vanished = True
+        if self.curl is not None:
+            # libcurl asks the progress function only when it works on the
+            # transfer, which it does when a pause is over.
+            self.curl.pause(pycurl.PAUSE_ALL)
+            self.curl.pause(pycurl.PAUSE_CONT)
 
     def note(self, response: HTTPResponse, answer: ReceivedAnswer) -> None:
         """Note what one answer showed."""
