--- a/features/standins/engine.feature
+++ b/features/standins/engine.feature
@@ -17,7 +17,7 @@
   Scenario: A paused request gives way, resumes and ends whole
     Given an engine stand-in of width 1
     When request "long" for 60 tokens streams
-    And request "long" is paused after its first token
+    And the engine is told to pause "long" after its first token
     And request "short" for 5 tokens streams
     Then request "short" ends whole while "long" has not ended
     When request "long" is resumed
@@ -27,7 +27,7 @@
   Scenario: A cancelled request ends without the closing event
     Given an engine stand-in of width 1
     When request "long" for 5000 tokens streams
-    And request "long" is cancelled after its first token
+    And the engine is told to cancel "long" after its first token
     Then request "long" ends without the closing event
     And the log shows "long" cancelled
     And an order for request "long" is answered 404
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -6,7 +6,7 @@
 from hypothesis import given as forall
 from hypothesis import strategies as st
 
-from features.standins.support import START, fixed_clock
+from features.standins.support import START
 from zinniaramp.standins import expected_text, expected_tokens
 from zinniaramp.standins.engine import prefill_seconds, step_seconds
 from zinniaramp.standins.engine.core import Ending, Engine
@@ -22,7 +22,7 @@
         models=[MODEL],
         cache=PrefixCache(capacity=64),
         controls=Controls(),
-        clock=fixed_clock([START]),
+        clock=lambda: START,
     )
 
 
