Resume a class's paused jobs first; write down the decisions

Cause: by fair order alone a class could start a job of another workspace while one of its own was paused, and so pile up one paused job for each workspace, each holding engine memory. Paused jobs of a class are now at most the width.

--- a/features/scheduling/scheduling.feature
+++ b/features/scheduling/scheduling.feature
@@ -54,3 +54,8 @@
     Given half of the answers of 10 tokens and half of 1000
     When an answer has 100 tokens
     Then at least 500 are still to come at the median
+
+  Scenario: A class resumes its paused job before it starts another
+    Given an engine of one slot, and a paused dossier of a workspace ahead of its share
+    When a dossier of another workspace waits and the slot becomes free
+    Then the paused dossier is resumed
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -283,6 +283,10 @@
     if not bench.queued:
         return
     assert len(bench.running) == bench.scheduler.width, "a slot is idle"
+    paused = [j for j in bench.queued.values() if j.state is JobState.PAUSED]
+    for name in CLASSES:
+        of_class = sum(job.class_name == name for job in paused)
+        assert of_class <= bench.scheduler.width, "too many paused"
     first = min(bench.tier_of(job) for job in bench.queued.values())
     longest = timedelta(seconds=MAX_QUANTUM_S)
     for name, job in bench.running.items():
@@ -619,3 +623,23 @@
 @then("at least 500 are still to come at the median")
 def check_remaining(context):
     assert 500 <= context.remaining <= 2000, context.remaining
+
+
+@given("an engine of one slot, and a paused dossier of a workspace ahead of its share")
+def paused_ahead(context):
+    context.bench = Bench("[defaults]\nqueue_limit = 86400" + KINDS, width=1)
+    offer_and_act(context, "dossier")
+    context.bench.scheduler.note_tokens("1", 20 * FAIR_QUANTUM_TOKENS)
+    offer_and_act(context, "question")
+
+
+@when("a dossier of another workspace waits and the slot becomes free")
+def other_waits(context):
+    context.bench.offer(context.bench.make_job("dossier", "other"))
+    context.bench.end("2")
+    context.found = named(context.bench.act())
+
+
+@then("the paused dossier is resumed")
+def check_resumed(context):
+    assert context.found == [("ResumeJob", "1")], context.found
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -72,7 +72,7 @@
         The process's clock.
     max_queued : int
         Jobs that wait for their first slot at most.  Paused jobs are not
-        counted; there are never more than the tiers times the width.
+        counted; a class never has more of them than the width.
     """
 
     def __init__(
--- a/zinniaramp/scheduling/floor.py
+++ b/zinniaramp/scheduling/floor.py
@@ -105,13 +105,13 @@
     due = [s for s in states if s.queue.count and s.deficit_s >= QUANTUM_S]
     if not due:
         return None
-    return min(due, key=attrgetter("granted_at")).queue.head()
+    return min(due, key=attrgetter("granted_at")).head()
 
 
 def floor_wait_bound(
     *, floor: float, floor_sum: float, width: int, classes: int, release_s: float
 ) -> float:
-    """Return the longest time in seconds that a class waits between two starts.
+    """Return the longest time in seconds that a class with jobs goes without a slot.
 
     Parameters
     ----------
--- a/zinniaramp/scheduling/order.py
+++ b/zinniaramp/scheduling/order.py
@@ -31,6 +31,7 @@
         "granted_at",
         "inflow_s",
         "name",
+        "paused",
         "queue",
         "running",
         "tier",
@@ -43,6 +44,7 @@
         self.floor = floor
         self.queue = FairQueue()
         self.waiting = SortedKeyList(key=attrgetter("key"))
+        self.paused = SortedKeyList(key=attrgetter("key"))
         self.running = 0
         self.deficit_s = 0.0
         self.granted_at = 0.0
@@ -51,14 +53,26 @@
     def add(self, entry: Entry) -> None:
         """Queue a waiting or paused job."""
         self.queue.add(entry)
-        if entry.job.state is JobState.WAITING:
-            self.waiting.add(entry)
+        self._list_of(entry).add(entry)
 
     def remove(self, entry: Entry) -> None:
         """Take a waiting or paused job out of the queue."""
         self.queue.remove(entry)
-        if entry.job.state is JobState.WAITING:
-            self.waiting.remove(entry)
+        self._list_of(entry).remove(entry)
+
+    def head(self) -> Entry | None:
+        """Return the job that is next: a paused one if there is any.
+
+        Notes
+        -----
+        So a class starts no new job while it has a paused one, and never has
+        more paused jobs than the engine has slots.
+        """
+        return self.paused[0] if self.paused else self.queue.head()
+
+    def _list_of(self, entry: Entry) -> SortedKeyList:
+        is_paused = entry.job.state is JobState.PAUSED
+        return self.paused if is_paused else self.waiting
 
     def grant_quantum(self, now: float, longest_s: float) -> float:
         """Note that a job gets a slot by the floor; return for how many seconds."""
@@ -74,5 +88,5 @@
 
 def first_entry(states: Iterable[ClassState]) -> Entry | None:
     """Return the queued job that is next by tier, then by slack."""
-    heads = [state.queue.head() for state in states if state.queue.count]
+    heads = [state.head() for state in states if state.queue.count]
     return min(heads, key=lambda entry: (entry.tier, entry.key), default=None)
