--- a/features/scheduling/scheduling.feature
+++ b/features/scheduling/scheduling.feature
@@ -59,3 +59,13 @@
     Given an engine of one slot, and a paused dossier of a workspace ahead of its share
     When a dossier of another workspace waits and the slot becomes free
     Then the paused dossier is resumed
+
+  Scenario: A burst of one workspace does not close the door to others
+    Given an engine of four slots whose queue one workspace has filled to the limit
+    When it and another workspace offer a job each
+    Then only the other's is admitted
+
+  Scenario: Recent urgent demand lengthens the wait predicted for others
+    Given an engine of one slot with dossiers waiting
+    When questions came and went
+    Then a dossier's predicted wait is longer than if none had come
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -643,3 +643,46 @@
 @then("the paused dossier is resumed")
 def check_resumed(context):
     assert context.found == [("ResumeJob", "1")], context.found
+
+
+@given("an engine of four slots whose queue one workspace has filled to the limit")
+def filled_queue(context):
+    context.bench = Bench("[defaults]\nqueue_limit = 20" + KINDS, width=4)
+    while context.bench.offer(context.bench.make_job("frame", "greedy")).is_admitted:
+        context.bench.act()
+
+
+@when("it and another workspace offer a job each")
+def offer_each(context):
+    offer, make_job = context.bench.offer, context.bench.make_job
+    context.admissions = [offer(make_job("frame", w)) for w in ("greedy", "other")]
+
+
+@then("only the other's is admitted")
+def check_door(context):
+    found = [admission.is_admitted for admission in context.admissions]
+    assert found == [False, True], context.admissions
+
+
+@given("an engine of one slot with dossiers waiting")
+def dossiers_waiting(context):
+    context.benches = []
+    for _ in range(2):
+        context.bench = Bench("[defaults]\nqueue_limit = 86400" + KINDS, width=1)
+        context.bench.scheduler.speed = SteadySpeed()
+        offer_and_act(context, "dossier")
+        offer_and_act(context, "dossier")
+        context.benches.append(context.bench)
+
+
+@when("questions came and went")
+def questions_came(context):
+    offer_and_act(context, "question")
+    context.bench.end("3")
+    context.bench.act()
+
+
+@then("a dossier's predicted wait is longer than if none had come")
+def check_demand(context):
+    waits = [bench.offer(bench.make_job("dossier")).wait for bench in context.benches]
+    assert waits[0] < waits[1], waits
