--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -28,7 +28,7 @@
 from zinniaramp.links import Identity
 from zinniaramp.observability import configure_logging
 from zinniaramp.settings import read_settings
-from zinniaramp.standins.processes import Fleet
+from zinniaramp.standins.processes import free_port
 
 WAIT_SECONDS = 10
 POLL_SECONDS = 0.02
@@ -99,7 +99,7 @@
 
 def start_entry(context, name):
     """Start an entry process and wait until it has every stream."""
-    callers, operator = context.ports.free_port(), context.ports.free_port()
+    callers, operator = free_port(), free_port()
     path = context.directory / f"{name}.ini"
     path.write_text(settings_text(context, name, callers, operator))
     with (context.directory / f"{name}.log").open("w") as log:
@@ -182,7 +182,6 @@
 def given_entry(context, name, behaviour):
     context.fakes = {}
     context.entries = []
-    context.ports = Fleet(directory=context.directory)
     configure_logging(sink=io.StringIO())
     add_fake(context, name, behaviour)
 
@@ -458,7 +457,7 @@
 
 async def run_entry_here(context, clock=None):
     """Start an entry process on this loop and return it when it is ready."""
-    callers = context.ports.free_port()
+    callers = free_port()
     path = context.directory / "here.ini"
     path.write_text(settings_text(context, "here", callers, callers))
     settings = read_settings(path).unwrap()
