--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -28,7 +28,7 @@
 from zinniaramp.links import Identity
 from zinniaramp.observability import configure_logging
 from zinniaramp.settings import read_settings
-from zinniaramp.standins.processes import free_port
+from zinniaramp.standins.fleet import free_port
 
 WAIT_SECONDS = 10
 POLL_SECONDS = 0.02
