Let the endpoint process pass revisions on over its streams

Each message is given to exchange_revisions first, so a peer's newer revision is asked for and a peer's request for sections is answered.

--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -5,7 +5,7 @@
 from result import Err, Ok
 
 from ..clock import Clock
-from ..configuration import RevisionStore
+from ..configuration import RevisionStore, exchange_revisions
 from ..contracts import (
     Accepted,
     Cancel,
@@ -87,10 +87,18 @@
                     self.executor.check_pause()
                     for message in messages:
                         if not connection.is_closed:
+                            self.exchange(connection, message)
                             self.handle(connection, message)
                 case Err(_):
                     return
 
+    def exchange(self, connection: Connection, message: Message) -> None:
+        """Do what a message means for the configuration."""
+        source = connection.incarnation
+        answer = exchange_revisions(self.revisions, message, source=source)
+        if answer is not None:
+            connection.send(answer)
+
     def handle(self, connection: Connection, message: Message) -> None:
         """Dispatch one message; messages for other roles are ignored."""
         match message:
