--- a/features/endpoint/endpoint.feature
+++ b/features/endpoint/endpoint.feature
@@ -204,6 +204,11 @@
     Then the stream is closed
     And the second stream has been answered
 
+  Scenario: A newer revision that a peer tells of is asked for
+    Given an endpoint process with 1 slot
+    When a heartbeat tells of revision 7
+    Then the endpoint process asks for the sections of the revision
+
   Scenario: A plain service is called with any method and answers whole
     Given an endpoint process before a plain service
     When a plain call "a" is offered
--- a/features/steps/endpoint_steps.py
+++ b/features/steps/endpoint_steps.py
@@ -25,9 +25,12 @@
     Leaving,
     Offer,
     Outcome,
+    Ping,
     Pong,
     Refused,
     Resume,
+    RevisionId,
+    SectionsRequest,
     TicketIssued,
     TicketRequest,
 )
@@ -266,6 +269,22 @@
     context.rig.open()
 
 
+@when("a heartbeat tells of revision {index:d}")
+def tell_revision(context, index):
+    revision = RevisionId(index=index, digest="0" * 64)
+    context.rig.send(Ping(number=1, revision=revision))
+
+
+@then("the endpoint process asks for the sections of the revision")
+def check_sections_request(context):
+    messages = context.rig.callers[-1].messages
+
+    def is_asked():
+        return any(isinstance(one, SectionsRequest) for one in messages)
+
+    context.rig.wait_until(is_asked, "sections request")
+
+
 @when('a plain call "{name}" is offered')
 def offer_plain(context, name):
     context.rig.send(
