Let a fleet on loopback differ from the usual one

Cause: proofs need forwarders between processes and measurements need wider and slower engines; the fleet had one shape. Change: FleetOptions with width, slow factors, advertised addresses and changed settings; entries now learn endpoints from the host list alone.

--- a/zinniaramp/standins/daemons.py
+++ b/zinniaramp/standins/daemons.py
@@ -1,6 +1,7 @@
 """Daemon processes of a fleet: their addresses, settings files and start."""
 
 import configparser
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from .hosts import HostEntry
@@ -42,13 +43,19 @@
     operator: str
     engine: dict[str, str] = field(default_factory=dict)
 
-    def host_entry(self) -> HostEntry:
-        """Return the process's host as the host list names it."""
+    def host_entry(self, advertise: Callable[[str], str]) -> HostEntry:
+        """Return the process's host as the host list names it.
+
+        Parameters
+        ----------
+        advertise : callable
+            Returns the address at which others reach a stream address.
+        """
         return HostEntry(
             name=self.name,
             data_centre=self.data_centre,
             role=self.role,
-            address=self.address if self.role == "endpoint" else "",
+            address=advertise(self.address) if self.role == "endpoint" else "",
             serves=self.engine.get("serves", "").split(),
         )
 
@@ -94,12 +101,29 @@
 
 
 def start_daemon(
-    fleet: Fleet, plan: DaemonPlan, platform: dict[str, str]
+    fleet: Fleet,
+    plan: DaemonPlan,
+    platform: dict[str, str],
+    changed: dict[str, dict[str, str]],
 ) -> FleetProcess:
-    """Write a daemon process's settings file and start it."""
+    """Write a daemon process's settings file and start it.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The fleet that it belongs to.
+    plan : DaemonPlan
+        The process.
+    platform : dict of str
+        Its ``[platform]`` section.
+    changed : dict of dict of str
+        Keys by section that differ from the usual settings.
+    """
     settings = fleet.directory / f"{plan.name}.ini"
+    parser = plan.settings(platform)
+    parser.read_dict(changed)
     with settings.open("w") as file:
-        plan.settings(platform).write(file)
+        parser.write(file)
     operator = f"http://{plan.operator}"
     callers = f"http://{plan.address}"
     return fleet.add(
--- a/zinniaramp/standins/fleet.py
+++ b/zinniaramp/standins/fleet.py
@@ -6,6 +6,7 @@
 
 from .daemons import DaemonPlan, plan_daemon, start_daemon
 from .deployments import Deployment, read_deployment
+from .options import ENGINE_WIDTH, FleetOptions
 from .processes import (
     FLEET_FILE,
     Fleet,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "FleetError",
+    "FleetOptions",
     "FleetProcess",
     "MODEL",
     "bring_down",
@@ -32,9 +34,6 @@
 MODEL = DEFAULT_MODEL
 """Model that the engine stand-ins serve in a fleet without an example."""
 
-ENGINE_WIDTH = 8
-"""Batch width of the engine stand-ins."""
-
 FIRST_INDEX = 1
 """Index under which the configuration stand-in publishes the declarations."""
 
@@ -46,14 +45,15 @@
 
 
 def _plan_engine_endpoint(
-    fleet: Fleet, deployment: Deployment, number: int
+    fleet: Fleet, deployment: Deployment, options: FleetOptions, number: int
 ) -> DaemonPlan:
     serves = " ".join(deployment.models)
     engine = start_standin(
         fleet,
         "engine",
         f"engine-{number}",
-        width=ENGINE_WIDTH,
+        width=options.width,
+        slow=options.slow_factor(number),
         models=serves,
     )
     return plan_daemon(
@@ -63,7 +63,7 @@
         url=engine.url,
         serves=serves,
         kind="engine",
-        width=str(ENGINE_WIDTH),
+        width=str(options.width),
     )
 
 
@@ -83,12 +83,13 @@
 
 
 def _start_platform(
-    fleet: Fleet, deployment: Deployment, plans: list[DaemonPlan]
+    fleet: Fleet, deployment: Deployment, options: FleetOptions, plans: list[DaemonPlan]
 ) -> dict[str, str]:
     declarations = fleet.directory / "declarations.ini"
     declarations.write_text(deployment.text)
     hosts = fleet.directory / "hosts.json"
-    hosts.write_text(json.dumps([asdict(plan.host_entry()) for plan in plans]))
+    entries = [plan.host_entry(options.advertise) for plan in plans]
+    hosts.write_text(json.dumps([asdict(entry) for entry in entries]))
     configuration_service = start_standin(
         fleet,
         "configuration",
@@ -107,10 +108,16 @@
 
 
 def _start_all(
-    fleet: Fleet, deployment: Deployment, *, entries: int, endpoints: int, services: int
+    fleet: Fleet,
+    deployment: Deployment,
+    options: FleetOptions,
+    *,
+    entries: int,
+    endpoints: int,
+    services: int,
 ) -> None:
     endpoint_plans = [
-        _plan_engine_endpoint(fleet, deployment, i) for i in range(endpoints)
+        _plan_engine_endpoint(fleet, deployment, options, i) for i in range(endpoints)
     ]
     endpoint_plans += [
         _plan_service_endpoint(fleet, deployment, i) for i in range(services)
@@ -118,12 +125,10 @@
     entry_plans = [
         plan_daemon(name=f"entry-{i}", role="entry", number=i) for i in range(entries)
     ]
-    platform = _start_platform(fleet, deployment, [*endpoint_plans, *entry_plans])
-    addresses = " ".join(plan.address for plan in endpoint_plans)
-    for plan in endpoint_plans:
-        start_daemon(fleet, plan, platform)
-    for plan in entry_plans:
-        start_daemon(fleet, plan, {**platform, "endpoints": addresses})
+    plans = [*endpoint_plans, *entry_plans]
+    platform = _start_platform(fleet, deployment, options, plans)
+    for plan in plans:
+        start_daemon(fleet, plan, platform, options.settings)
     fleet.wait_ready()
 
 
@@ -134,6 +139,7 @@
     endpoints: int = 1,
     services: int = 0,
     example: str = "",
+    options: FleetOptions | None = None,
 ) -> list[FleetProcess]:
     """Start a fleet and return when all of it is ready.
 
@@ -147,6 +153,8 @@
     example : str
         Name of the deployment below ``examples`` whose declarations are
         published; empty for built-in ones.
+    options : FleetOptions or None
+        How it differs from the usual fleet.
 
     Returns
     -------
@@ -171,7 +179,12 @@
     fleet.write()
     try:
         _start_all(
-            fleet, deployment, entries=entries, endpoints=endpoints, services=services
+            fleet,
+            deployment,
+            options or FleetOptions(),
+            entries=entries,
+            endpoints=endpoints,
+            services=services,
         )
     except BaseException:
         end_processes(fleet.processes)
