--- a/features/steps/commands_steps.py
+++ b/features/steps/commands_steps.py
@@ -3,6 +3,7 @@
 import json
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 from behave import given, then, when
@@ -176,7 +177,20 @@
     assert context.finished.stdout.strip() == expected_text(body).strip()
 
 
+def wait_for_end(log, request_id):
+    """Wait until the entry has logged a request's end, after its last byte."""
+    request = request_id.partition(".")[0]
+    deadline = time.monotonic() + TIMEOUT_SECONDS
+    while not any(
+        "request-ended" in line and request in line
+        for line in Path(log).read_text().splitlines()
+    ):
+        assert time.monotonic() < deadline, request
+        time.sleep(0.02)
+
+
 @when("the command explains that request from the fleet's logs")
 def explain_request(context):
     logs = [one.log for one in context.fleet if one.role in ("entry", "endpoint")]
+    wait_for_end(process_of(context, "entry").log, context.request_id)
     run(context, ["explain", context.request_id, *logs])
