--- a/features/path/whole_path.feature
+++ b/features/path/whole_path.feature
@@ -8,3 +8,7 @@
     Then the answer equals the engine's text for that request
     And the entry's log has a routing decision for it
     And the endpoint's log has a placement decision for it
+
+  Scenario: Whatever the package imports is a declared dependency
+    When the imports of every module of the package are read
+    Then each is of the package, the standard library or a declared dependency
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,13 +1,20 @@
 """Steps about the whole path."""
 
+import ast
 import json
+import sys
+import tomllib
 import urllib.request
+from importlib.metadata import packages_distributions
+from pathlib import Path
 
 from behave import given, then, when
 
 from zinniaramp.standins import expected_text
 from zinniaramp.standins.fleet import MODEL, bring_up
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 def processes_of(context, role):
     """Return the scenario's processes of one role."""
@@ -78,3 +85,34 @@
 def check_placement_decision(context):
     endpoint = processes_of(context, "endpoint")[0]
     assert has_event(endpoint, "attempt-placed", context.request_id)
+
+
+def imported_names(path):
+    """Return the top-level names that a module imports absolutely."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            names |= {alias.name.partition(".")[0] for alias in node.names}
+        elif isinstance(node, ast.ImportFrom) and node.level == 0:
+            names.add(node.module.partition(".")[0])
+    return names
+
+
+@when("the imports of every module of the package are read")
+def read_imports(context):
+    modules = (ROOT / "zinniaramp").rglob("*.py")
+    context.imported = set().union(*map(imported_names, modules))
+
+
+@then("each is of the package, the standard library or a declared dependency")
+def check_imports(context):
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    declared = {line.split(">=")[0].lower() for line in project["dependencies"]}
+    owners = packages_distributions()
+    foreign = context.imported - sys.stdlib_module_names - {"zinniaramp"}
+    undeclared = {
+        name
+        for name in foreign
+        if not declared & {owner.lower() for owner in owners.get(name, [name])}
+    }
+    assert not undeclared, undeclared
