--- a/zinniaramp/experiments/__main__.py
+++ b/zinniaramp/experiments/__main__.py
@@ -4,10 +4,12 @@
 
 from .changes import measure_changes
 from .control import measure_control
+from .in_force import measure_in_force
 from .overhead import measure_overhead
 from .passing import measure_passing
 
 EXPERIMENTS = {
+    "in_force": measure_in_force,
     "changes": measure_changes,
     "control": measure_control,
     "overhead": measure_overhead,
--- /dev/null
+++ b/zinniaramp/experiments/in_force.py
@@ -0,0 +1,130 @@
+"""Time from publishing a revision until every process has it in force."""
+
+import asyncio
+import json
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from ..clock import Clock, monotonic_clock
+from ..standins.fleet import (
+    DAEMON_ROLES,
+    FleetProcess,
+    bring_down,
+    bring_up,
+)
+from .tables import Table, write_table
+
+__all__ = ["measure_in_force"]
+
+PUBLICATIONS = 5
+"""Revisions published, one after another."""
+
+LIMIT_SECONDS = 30
+"""Longest wait for a revision, in seconds."""
+
+POLL_SECONDS = 0.05
+"""Time between two questions to the processes, in seconds."""
+
+TARGET_SECONDS = 9
+"""Time within which a change is in force everywhere, in seconds."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Publication:
+    """What one publication took."""
+
+    processes: int
+    median_s: float
+    slowest_s: float
+    reads: int
+
+
+async def _revision_of(client: AsyncHTTPClient, process: FleetProcess) -> int:
+    response = await client.fetch(f"{process.operator}/status")
+    return json.loads(response.body)["revision"]["index"]
+
+
+async def _reads(client: AsyncHTTPClient, service: FleetProcess) -> int:
+    response = await client.fetch(f"{service.url}/standin/log")
+    return len(json.loads(response.body))
+
+
+async def _publish(client: AsyncHTTPClient, service: FleetProcess, text: str) -> int:
+    request = HTTPRequest(f"{service.url}/standin/publish", method="POST", body=text)
+    response = await client.fetch(request)
+    return json.loads(response.body)["index"]
+
+
+async def _wait_for(
+    client: AsyncHTTPClient, process: FleetProcess, index: int, clock: Clock
+) -> float:
+    started = clock()
+    while await _revision_of(client, process) < index:
+        if (clock() - started).total_seconds() > LIMIT_SECONDS:
+            return float("inf")
+        await asyncio.sleep(POLL_SECONDS)
+    return (clock() - started).total_seconds()
+
+
+async def _publication(
+    fleet: list[FleetProcess], text: str, number: int, clock: Clock
+) -> Publication:
+    client = AsyncHTTPClient(force_instance=True, max_clients=len(fleet))
+    service = next(one for one in fleet if one.role == "configuration")
+    daemons = [one for one in fleet if one.role in DAEMON_ROLES]
+    reads_before = await _reads(client, service)
+    changed = f"{text}\n[workspace added-{number}]\nweight = 1\n"
+    index = await _publish(client, service, changed)
+    waits = await asyncio.gather(
+        *(_wait_for(client, one, index, clock) for one in daemons)
+    )
+    reads = await _reads(client, service) - reads_before
+    client.close()
+    ordered = sorted(waits)
+    return Publication(
+        processes=len(daemons),
+        median_s=ordered[len(ordered) // 2],
+        slowest_s=ordered[-1],
+        reads=reads,
+    )
+
+
+def measure_in_force(entries: int = 6, endpoints: int = 12) -> None:
+    """Measure how long publications take to be in force in every process.
+
+    Parameters
+    ----------
+    entries, endpoints : int
+        Number of processes of each role.
+    """
+    clock = monotonic_clock()
+    with tempfile.TemporaryDirectory(prefix="zinniaramp-") as name:
+        directory = Path(name)
+        fleet = bring_up(directory, entries=entries, endpoints=endpoints)
+        text = (directory / "declarations.ini").read_text()
+        try:
+            publications = [
+                asyncio.run(_publication(fleet, text, number, clock))
+                for number in range(PUBLICATIONS)
+            ]
+        finally:
+            bring_down(directory)
+    slowest = max(one.slowest_s for one in publications)
+    table = Table(
+        name="in_force",
+        command=f"scripts/measure.sh in_force --entries {entries} "
+        f"--endpoints {endpoints}",
+        headings=["processes", "median s", "slowest s", "service reads"],
+        rows=[
+            [one.processes, one.median_s, one.slowest_s, one.reads]
+            for one in publications
+        ],
+        notes=[
+            f"Slowest of {PUBLICATIONS} publications: {slowest:.2f} s; the target is "
+            f"{TARGET_SECONDS} s.",
+        ],
+    )
+    write_table(table)
--- a/zinniaramp/standins/fleet.py
+++ b/zinniaramp/standins/fleet.py
@@ -20,6 +20,7 @@
 from .text import DEFAULT_MODEL
 
 __all__ = [
+    "DAEMON_ROLES",
     "FleetError",
     "FleetOptions",
     "FleetProcess",
