Tell callers of shed and expired work when to come back

Cause: End had no field for it, so ShedJob.retry_after ended at the executor, and an entry gave its default of one second. Ruled out: the load digest of Accepted; it is old by the time the work is shed. Before: with the entry not reading End.retry_after_s, "A request that was shed while it waited is told when to come back" fails; with the executor dropping it, "An attempt whose time runs out while it waits is answered at once" fails. Conclusion: shed and expired work carries the predicted time to a start.

--- a/features/endpoint/endpoint.feature
+++ b/features/endpoint/endpoint.feature
@@ -108,6 +108,7 @@
     And attempt "a" of class "question" for 90 tokens is offered
     And attempt "b" of class "question" for 4 tokens is offered with the ticket and 0.5 seconds left
     Then "b" ends as "not-run"
+    And "b" may come back after a time above 0 s
     When attempt "c" of class "question" for 4 tokens is offered with the ticket
     Then "c" is refused as "cancelled-before"
     And "a" brings its whole text
--- a/features/entry/fake_endpoint.py
+++ b/features/entry/fake_endpoint.py
@@ -185,6 +185,7 @@
                 checksum=checksum,
                 outcome=Outcome.DONE,
                 detail="",
+                retry_after_s=0.0,
             )
         )
 
@@ -243,6 +244,20 @@
     )
 
 
+def sheds(fake, connection, offer):
+    fake.accept(connection, offer)
+    connection.send(
+        End(
+            attempt_id=offer.attempt_id,
+            count=0,
+            checksum=0,
+            outcome=Outcome.NOT_RUN,
+            detail="overloaded",
+            retry_after_s=fake.retry_after_s,
+        )
+    )
+
+
 def accepts_and_goes(fake, connection, offer):
     fake.accept(connection, offer)
     connection.flush()
@@ -338,6 +353,7 @@
                     checksum=self.checksum,
                     outcome=Outcome.DONE,
                     detail="",
+                    retry_after_s=0.0,
                 )
             )
 
@@ -347,6 +363,7 @@
     "answers with an error": answers_with_an_error,
     "answers": answers,
     "refuses": refuses,
+    "sheds": sheds,
     "accepts and waits": FakeEndpoint.accept,
     "accepts and goes": accepts_and_goes,
     "begins and goes": begins_and_goes,
--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -24,6 +24,12 @@
     And its outcome is "not-run" and its caller may return in 4 s to 6 s
     And the endpoints were offered 3 attempts in all
 
+  Scenario: A request that was shed while it waited is told when to come back
+    Given an entry with endpoint "a" that sheds
+    When a caller sends a whole chat
+    Then the answer has status 429 and code "overloaded"
+    And its outcome is "not-run" and its caller may return in 4 s to 6 s
+
   Scenario Outline: A given-up request is said not to have run only on proof
     Given an entry with endpoint "a" that accepts and waits
     And endpoint "a" answers a cancel with <cancelled>
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -33,6 +33,7 @@
         checksum=whole if checksum is None else checksum,
         outcome=Outcome.DONE,
         detail="",
+        retry_after_s=0.0,
     )
 
 
--- a/features/steps/endpoint_steps.py
+++ b/features/steps/endpoint_steps.py
@@ -326,6 +326,11 @@
     assert ended.outcome == outcome, ended
 
 
+@then('"{name}" may come back after a time above 0 s')
+def check_retry_after(context, name):
+    assert context.rig.wait_for(End, name).retry_after_s > 0
+
+
 def check_whole(rig, name, body):
     """Check an answer's count, checksum and text."""
     ended = rig.wait_for(End, name)
--- a/zinniaramp/answers/retention.py
+++ b/zinniaramp/answers/retention.py
@@ -38,11 +38,14 @@
         Why the outcome is not ``done``; empty otherwise.
     at : datetime
         When it ended.
+    retry_after : timedelta
+        When to come back, if it was shed or expired while it waited.
     """
 
     outcome: Outcome
     detail: str
     at: datetime
+    retry_after: timedelta = timedelta(0)
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -133,9 +136,18 @@
         self.size += len(piece.payload)
         self.bound_memory()
 
-    def finish(self, answer: RetainedAnswer, outcome: Outcome, detail: str) -> None:
+    def finish(
+        self,
+        answer: RetainedAnswer,
+        outcome: Outcome,
+        detail: str,
+        *,
+        retry_after: timedelta = timedelta(0),
+    ) -> None:
         """Note how an answer ended; its retention time starts."""
-        answer.ending = Ending(outcome=outcome, detail=detail, at=self.clock())
+        answer.ending = Ending(
+            outcome=outcome, detail=detail, at=self.clock(), retry_after=retry_after
+        )
         self.unfinished.pop(answer.attempt_id, None)
         self.finished[answer.attempt_id] = answer
 
--- a/zinniaramp/contracts/core.py
+++ b/zinniaramp/contracts/core.py
@@ -236,6 +236,9 @@
         A value of `Outcome`.
     detail : str
         Why the outcome is not ``done``; empty otherwise.
+    retry_after_s : float
+        Seconds after which to come back with work that was shed or expired while
+        it waited; 0 otherwise.
     """
 
     attempt_id: str
@@ -243,6 +246,7 @@
     checksum: int
     outcome: str
     detail: str
+    retry_after_s: float
 
 
 @_message
--- a/zinniaramp/endpoint/attempts.py
+++ b/zinniaramp/endpoint/attempts.py
@@ -168,6 +168,7 @@
             checksum=checksum,
             outcome=ending.outcome.value,
             detail=ending.detail,
+            retry_after_s=ending.retry_after.total_seconds(),
         )
     )
 
@@ -184,5 +185,6 @@
             checksum=0,
             outcome=Outcome.UNKNOWN.value,
             detail=DISCARDED_DETAIL,
+            retry_after_s=0.0,
         )
     )
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -163,12 +163,12 @@
                 self.note_decision(attempt, "resume")
                 attempt.active_at = self.clock()
                 self.spawn(self.order(attempt, EngineOrder.RESUME))
-            case ExpireJob():
+            case ExpireJob(retry_after=retry_after):
                 self.note_decision(attempt, "expire")
-                self.end(attempt, Outcome.NOT_RUN, RefusalReason.DEADLINE)
-            case ShedJob():
+                self.end_waiting(attempt, RefusalReason.DEADLINE, retry_after)
+            case ShedJob(retry_after=retry_after):
                 self.note_decision(attempt, "shed")
-                self.end(attempt, Outcome.NOT_RUN, RefusalReason.OVERLOADED)
+                self.end_waiting(attempt, RefusalReason.OVERLOADED, retry_after)
 
     def note_decision(self, attempt: Attempt, decision: str) -> None:
         """Log one decision of the scheduler with what was weighed."""
@@ -350,14 +350,29 @@
         if self.is_chat:
             self.spawn(self.order(attempt, EngineOrder.CANCEL))
 
-    def end(self, attempt: Attempt, outcome: Outcome, detail: str) -> None:
+    def end_waiting(
+        self, attempt: Attempt, reason: RefusalReason, retry_after: timedelta
+    ) -> None:
+        """End an attempt that waited and will not start."""
+        self.end(attempt, Outcome.NOT_RUN, reason, retry_after=retry_after)
+
+    def end(
+        self,
+        attempt: Attempt,
+        outcome: Outcome,
+        detail: str,
+        *,
+        retry_after: timedelta = timedelta(0),
+    ) -> None:
         """Note the end of an attempt and send it on."""
         is_done = outcome is Outcome.DONE
         self.held.discard(attempt.attempt_id)
         self.scheduler.remove(attempt.attempt_id, is_finished=is_done)
         if outcome is Outcome.NOT_RUN and attempt.serial:
             outcome = outcome if self.withdraw(attempt.serial) else Outcome.UNKNOWN
-        self.answers.finish(attempt.answer, outcome, str(detail))
+        self.answers.finish(
+            attempt.answer, outcome, str(detail), retry_after=retry_after
+        )
         attempt.drop_body()
         wasted = 0 if is_done else attempt.answer.tokens
         TOKENS_WASTED.labels(attempt.job.class_name).inc(wasted)
@@ -432,7 +447,7 @@
         self.held.discard(attempt.attempt_id)
         admission = self.scheduler.offer(attempt.job)
         if not admission.is_admitted:
-            self.end(attempt, Outcome.NOT_RUN, admission.reason)
+            self.end_waiting(attempt, admission.reason, admission.retry_after)
         self.changed.set()
 
     def forget_and_abandon(self) -> None:
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -322,4 +322,5 @@
         checksum=0,
         outcome=Outcome.UNKNOWN.value,
         detail=DISCARDED_DETAIL,
+        retry_after_s=0.0,
     )
--- a/zinniaramp/entry/attempt.py
+++ b/zinniaramp/entry/attempt.py
@@ -66,7 +66,7 @@
     reason : str
         The endpoint's reason or this process's.
     retry_after_s : float
-        When a refusing endpoint said to come back, in seconds.
+        When an endpoint that did not run it said to come back, in seconds.
     """
 
     kind: AttemptKind
@@ -272,7 +272,9 @@
             case Addition.WHOLE:
                 self.is_ended = True
                 return AttemptResult(
-                    kind=_kind_of(message.outcome), reason=message.detail
+                    kind=_kind_of(message.outcome),
+                    reason=message.detail,
+                    retry_after_s=message.retry_after_s,
                 )
         return None
 
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -271,11 +271,14 @@
         victim = max(states, key=attrgetter("tier")).waiting[-1]
         del self.entries[victim.job.attempt_id]
         self._leave_queue(victim)
-        wait = self._predict(self._newcomer(victim))
-        answer = refused(RefusalReason.OVERLOADED, wait=wait, limit=0.0)
-        self.shed.append(ShedJob(job=victim.job, retry_after=answer.retry_after))
+        self.shed.append(ShedJob(job=victim.job, retry_after=self._retry_after(victim)))
         return True
 
+    def _retry_after(self, entry: Entry) -> timedelta:
+        """Return when a job that was taken out of the queue would start at once."""
+        wait = self._predict(self._newcomer(entry))
+        return refused(RefusalReason.OVERLOADED, wait=wait, limit=0.0).retry_after
+
     def _take(self, entry: Entry) -> None:
         declaration = entry.declaration
         key = (declaration.name, declaration.tier)
@@ -332,7 +335,8 @@
             entry = self.deadlines[0]
             del self.entries[entry.job.attempt_id]
             self._leave_queue(entry)
-            expired.append(ExpireJob(job=entry.job))
+            retry_after = self._retry_after(entry)
+            expired.append(ExpireJob(job=entry.job, retry_after=retry_after))
         return expired
 
     def _next_entry(self, now: float) -> Entry | None:
--- a/zinniaramp/scheduling/jobs.py
+++ b/zinniaramp/scheduling/jobs.py
@@ -101,9 +101,18 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ExpireJob:
-    """Give the job its final answer: its deadline passed before it started."""
+    """Give the job its final answer: its deadline passed before it started.
+
+    Parameters
+    ----------
+    job : Job
+        A job that was admitted and never started.
+    retry_after : timedelta
+        When its caller should come back.
+    """
 
     job: Job
+    retry_after: timedelta
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
