Believe no other process start about an attempt

Cause: after a restart of the endpoint process the entry sent Cancel to the new incarnation, which truly said that it had not run the attempt; the caller was told not-run of a request that the earlier start may have run. Ruled out: the loss notice alone; it is taken by the attempt before the cancel. Before: with the check of the incarnation off, "A process that was started again proves nothing of the one before it" fails at the outcome (not-run). Conclusion: an attempt keeps the incarnation it was handed to; another is sent no Cancel, and its outcome is unknown.

--- a/features/entry/fake_endpoint.py
+++ b/features/entry/fake_endpoint.py
@@ -200,6 +200,14 @@
         for connection in self.connections:
             connection.close(reason="fake ends")
 
+    def restart(self):
+        """Go on as another incarnation, as a process started again does."""
+        self.incarnation = f"{self.name}/{secrets.token_hex(3)}"
+        self.behaviour = "refuses"
+        self.cancel_answer = False
+        for connection in list(self.connections):
+            connection.close(reason="fake restarts")
+
     def messages(self, kind):
         """Return the messages of one kind that were received."""
         return [one for one in self.seen if isinstance(one, kind)]
@@ -264,6 +272,12 @@
     fake.go()
 
 
+def accepts_and_restarts(fake, connection, offer):
+    fake.accept(connection, offer)
+    connection.flush()
+    fake.restart()
+
+
 def begins_and_goes(fake, connection, offer):
     fake.accept(connection, offer)
     fake.send_chunks(connection, offer.attempt_id, 0, 1)
@@ -366,6 +380,7 @@
     "sheds": sheds,
     "accepts and waits": FakeEndpoint.accept,
     "accepts and goes": accepts_and_goes,
+    "accepts and restarts": accepts_and_restarts,
     "begins and goes": begins_and_goes,
     "begins and waits": begins_and_waits,
     "skips a chunk": skips_a_chunk,
--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -43,6 +43,12 @@
       | ran       | unknown |
       | nothing   | unknown |
 
+  Scenario: A process that was started again proves nothing of the one before it
+    Given an entry with endpoint "a" that accepts and restarts
+    When a caller sends a whole chat
+    Then its outcome is "unknown"
+    And endpoint "a" is sent no cancel
+
   Scenario: An endpoint that is leaving is offered nothing more
     Given an entry with endpoint "a" that answers
     And endpoint "b" that answers
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -438,6 +438,13 @@
     context.fakes[name].wait_for(Cancel)
 
 
+@then('endpoint "{name}" is sent no cancel')
+def check_no_cancel(context, name):
+    fake = context.fakes[name]
+    fake.wait_for_quiet()
+    assert not fake.messages(Cancel)
+
+
 @then('its outcome is "{outcome}"')
 def check_outcome(context, outcome):
     assert context.reply.headers["zinniaramp-outcome"] == outcome, context.reply
--- a/zinniaramp/entry/attempt.py
+++ b/zinniaramp/entry/attempt.py
@@ -114,6 +114,12 @@
         Of the request.
     start : int
         First chunk that is wanted.
+
+    Attributes
+    ----------
+    incarnation : str
+        The process start that the attempt was handed to.  Another one knows
+        nothing of it, so it is neither sent `Cancel` nor believed.
     """
 
     def __init__(
@@ -129,6 +135,7 @@
         start: int = 0,
     ):
         self.peer = peer
+        self.incarnation = peer.incarnation
         self.attempt_id = attempt_id
         self.sink = sink
         self.timeline = timeline
@@ -156,9 +163,14 @@
         self.ask_again(cause)
         return await self.follow()
 
+    @property
+    def is_incarnation_gone(self) -> bool:
+        """Whether the peer is another start than the attempt was handed to."""
+        return self.peer.incarnation != self.incarnation
+
     def cancel(self) -> None:
-        """Ask the endpoint to stop the attempt, unless it has ended."""
-        if not self.is_ended:
+        """Ask the endpoint to stop the attempt, unless it has ended or is gone."""
+        if not (self.is_ended or self.is_incarnation_gone):
             self.peer.cancel(self.attempt_id)
 
     def close(self) -> None:
@@ -306,7 +318,7 @@
 
     async def confirm_not_run(self) -> bool:
         """Wait for the answer to `Cancel`; return whether it never will run."""
-        while True:
+        while not self.is_incarnation_gone:
             match await self.inbox.get():
                 case Cancelled(ran=ran):
                     return not ran
@@ -316,6 +328,7 @@
                     return False
                 case End(outcome=outcome):
                     return outcome == Outcome.NOT_RUN
+        return False
 
 
 def _kind_of(outcome: str) -> AttemptKind:
