Say not-run of a ticket only when the ticket was ruled out

Cause: three ways to a wrong not-run, found by reading the placement of offers with tickets. (1) A used ticket whose record was dropped met the refusals for load, deadline and leaving before it was looked up, and a refusal is told as not-run. (2) A refusal left the ticket usable: of two arrivals of one ticket the first was told not-run and the second ran it. (3) ticket-invalid says nothing about what the ticket's own incarnation ran, but counted as proof. Ruled out: a different order of claim and admission (the ticket must not be noted as used by a job that was not admitted); saying unknown of all refusals. Conclusion: every refusal of a ticket but ticket-invalid is now true of the ticket. A caller who was refused fetches a new one (409 ticket_refused).

--- a/features/endpoint/endpoint.feature
+++ b/features/endpoint/endpoint.feature
@@ -101,6 +101,53 @@
     And "a" brings its whole text
     And the engine has run only "a"
 
+  Scenario: A ticket whose attempt was refused never runs
+    Given an endpoint process with 1 slot
+    When a ticket is fetched
+    And attempt "a" of class "record" for 4 tokens is offered with the ticket and 0 seconds left
+    Then "a" is refused as "deadline"
+    When attempt "b" of class "record" for 4 tokens is offered with the ticket
+    Then "b" is refused as "cancelled-before"
+    And the engine has run nothing
+
+  Scenario: A used ticket that is not held any more is never refused as not run
+    Given an endpoint process with 1 slot
+    When a ticket is fetched
+    And attempt "a" of class "record" for 4 tokens is offered with the ticket
+    Then "a" brings its whole text
+    When the endpoint process has dropped the record of the ticket
+    And attempt "b" of class "record" for 4 tokens is offered with the ticket and 0 seconds left
+    Then "b" ends as "unknown"
+    And the engine has run only "a"
+
+  Scenario Outline: The word on a ticket's attempt agrees at every step of its life
+    Given an endpoint process with 1 slot and 0.1 seconds of silence
+    When a ticket is fetched
+    And attempt "a" of class "record" for 60 tokens is offered with the ticket
+    And the answer of "a" is <step>
+    And "a" is resumed from the next chunk
+    Then "a" is refused as "<reason>"
+    When attempt "a" is cancelled
+    Then "a" is confirmed as run
+    When attempt "b" of class "record" for 60 tokens is offered with the ticket
+    Then "b" ends as "unknown"
+    And the engine has run only "a"
+
+    Examples:
+      | step      | reason           |
+      | discarded | answer-discarded |
+      | forgotten | attempt-unknown  |
+
+  Scenario: No tombstone is left when the table is full, and nothing is confirmed
+    Given an endpoint process with 1 slot
+    And its table holds no tombstone
+    When attempt "a" of class "question" for 40 tokens is offered
+    And attempt "b" of class "question" for 4 tokens is offered
+    And attempt "b" is cancelled
+    And attempt "c" is cancelled
+    Then "b" is confirmed as run
+    And "c" is confirmed as run
+
   Scenario: An attempt whose time runs out while it waits is answered at once
     Given an endpoint process with 1 slot
     When 10 attempts of class "question" for 4 tokens have ended
--- a/features/entry/fake_endpoint.py
+++ b/features/entry/fake_endpoint.py
@@ -68,6 +68,7 @@
         self.incarnation = f"{name}/{secrets.token_hex(3)}"
         self.cancel_answer = None
         self.retry_after_s = 4.0
+        self.refusal_reason = "overloaded"
         self.is_mute = False
         self.long_answer = None
         self.seen = []
@@ -245,7 +246,7 @@
     connection.send(
         Refused(
             attempt_id=offer.attempt_id,
-            reason="overloaded",
+            reason=fake.refusal_reason,
             retry_after_s=fake.retry_after_s,
             load=LOAD,
         )
--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -80,6 +80,28 @@
     And its outcome is "unknown"
     And the endpoints were offered 0 attempts in all
 
+  Scenario Outline: A refused ticket is said not to have run only if the ticket was ruled out
+    Given an entry with endpoint "a" that refuses
+    And endpoint "a" refuses as "<reason>"
+    When a caller fetches a ticket for class "ledger"
+    And the caller sends it again with the ticket that it was given
+    Then the answer has status <status> and code "<code>"
+    And its outcome is "<outcome>"
+
+    Examples:
+      | reason           | status | code            | outcome |
+      | ticket-invalid   | 502    | outcome_unknown | unknown |
+      | answer-discarded | 502    | outcome_unknown | unknown |
+      | attempt-unknown  | 502    | outcome_unknown | unknown |
+      | ticket-expired   | 409    | ticket_refused  | not-run |
+      | cancelled-before | 409    | ticket_refused  | not-run |
+      | overloaded       | 429    | overloaded      | not-run |
+
+  Scenario: A ticket that was taken for a request that did not run is not named
+    Given an entry with endpoint "a" that refuses
+    When a caller sends a whole chat of class "intake"
+    Then its outcome is "not-run" and it names no ticket
+
   Scenario: A non-repeatable request is not tried again when its endpoint is lost
     Given an entry with endpoint "a" that accepts and goes
     And endpoint "b" that accepts and goes
--- a/features/steps/endpoint_steps.py
+++ b/features/steps/endpoint_steps.py
@@ -185,6 +185,32 @@
     context.ticket = sign_ticket(ticket, key=KEY)
 
 
+@when("the endpoint process has dropped the record of the ticket")
+def drop_record(context):
+    tickets = context.rig.process.tickets
+    tickets.clock = lambda: datetime.now(UTC) + timedelta(days=30)
+    issue_ticket(context.rig, "record")
+    assert len(tickets.records) == 1, tickets.records
+
+
+@given("its table holds no tombstone")
+def fill_tombstones(context):
+    context.rig.process.tickets.tombstones.capacity = 0
+
+
+@when('the answer of "{name}" is {step}')
+def discard_answer(context, name, step):
+    rig = context.rig
+    answers = rig.process.answers
+    rig.wait_for(End, name)
+    if step == "discarded":
+        answers.memory = 0
+        answers.bound_memory()
+    else:
+        answers.retention = timedelta(0)
+        rig.wait_until(lambda: name not in rig.process.executor.attempts, step)
+
+
 @when('attempt "{name}" is cancelled')
 def cancel(context, name):
     context.rig.send(Cancel(attempt_id=name))
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -197,6 +197,11 @@
     context.fakes[name].cancel_answer = answers[kind]
 
 
+@given('endpoint "{name}" refuses as "{reason}"')
+def given_refusal_reason(context, name, reason):
+    context.fakes[name].refusal_reason = reason
+
+
 @given("a second entry")
 def given_second_entry(context):
     entry_of(context)
@@ -456,6 +461,12 @@
     assert low <= int(context.reply.headers["retry-after"]) <= high, context.reply
 
 
+@then('its outcome is "{outcome}" and it names no ticket')
+def check_no_ticket_named(context, outcome):
+    check_outcome(context, outcome)
+    assert "zinniaramp-ticket" not in context.reply.headers, context.reply
+
+
 @then('its outcome is "{outcome}" and it names a ticket')
 def check_ticket_named(context, outcome):
     check_outcome(context, outcome)
--- a/zinniaramp/contracts/core.py
+++ b/zinniaramp/contracts/core.py
@@ -55,7 +55,16 @@
 
 
 class RefusalReason(StrEnum):
-    """Why an endpoint process did not take an attempt; none of these ran."""
+    """Why an endpoint process did not take an attempt or a `Resume`.
+
+    Notes
+    -----
+    The refused attempt itself never runs, but for ``ATTEMPT_UNKNOWN`` and
+    ``ANSWER_DISCARDED``, which refuse a `Resume` and prove nothing.
+    ``TICKET_INVALID`` says nothing about what ran under the ticket at its own
+    incarnation.  Any other refusal of an attempt with a ticket also says that
+    nothing ran under the ticket and nothing ever will.
+    """
 
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -46,7 +46,10 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Refusal:
-    """The offer did not start and never will."""
+    """The offer did not start and never will, nor will its ticket.
+
+    ``TICKET_INVALID`` says nothing about the ticket.
+    """
 
     reason: RefusalReason
     retry_after: timedelta = timedelta(0)
@@ -131,15 +134,29 @@
     def place_with(
         self, offer: Offer, ticket: Ticket | None
     ) -> Placed | Gone | Refusal:
-        """Decide on an offer whose ticket, if any, is genuine."""
-        if ticket and self.tickets.attempt_of(ticket.serial):
-            return self.claim(offer, ticket)
-        refusal = self.refusal_of(offer)
-        return refusal if refusal else self.admit(offer, ticket)
-
-    def claim(self, offer: Offer, ticket: Ticket) -> Placed | Gone | Refusal | None:
-        """Claim a ticket; return what the offer joins, or nothing if it may run."""
-        match self.tickets.claim(ticket, offer.attempt_id):
+        """Decide on an offer whose ticket, if any, is genuine.
+
+        Notes
+        -----
+        The ticket comes first: a refusal for another reason must not hide that
+        it was used.  A refusal withdraws the ticket, as it is told as not run
+        and another entry may bring the same ticket later.
+        """
+        if ticket is None:
+            return self.refusal_of(offer) or self.admit(offer, None)
+        decided = self.decided_by(ticket, self.tickets.decide(ticket))
+        if decided is not None:
+            return decided
+        decided = self.refusal_of(offer) or self.admit(offer, ticket)
+        if isinstance(decided, Refusal):
+            self.tickets.withdraw(ticket.serial)
+        return decided
+
+    def decided_by(
+        self, ticket: Ticket, decision: Result[TicketClaim, RefusalReason]
+    ) -> Placed | Gone | Refusal | None:
+        """Return what an offer joins by its ticket, or nothing if it may run."""
+        match decision:
             case Ok(TicketClaim.RUN):
                 return None
             case Ok(TicketClaim.JOIN):
@@ -174,17 +191,19 @@
 
         Notes
         -----
-        The ticket is claimed last, as a refusal for load must leave it unused.
-        Nothing else runs between the two steps.
+        The ticket is claimed last, so that only an attempt that was admitted is
+        noted as its user.  Nothing else runs between the two steps.
         """
         job = self.job_of(offer)
         admission = self.executor.admit(job)
         if not admission.is_admitted:
             return Refusal(reason=admission.reason, retry_after=admission.retry_after)
-        decided = self.claim(offer, ticket) if ticket else None
-        if decided is not None:
-            self.executor.scheduler.remove(offer.attempt_id, is_finished=False)
-            return decided
+        if ticket is not None:
+            claimed = self.tickets.claim(ticket, offer.attempt_id)
+            decided = self.decided_by(ticket, claimed)
+            if decided is not None:
+                self.executor.scheduler.remove(offer.attempt_id, is_finished=False)
+                return decided
         serial = ticket.serial if ticket else None
         attempt = self.executor.take(offer, job, serial=serial)
         return Placed(attempt=attempt, is_new=True, wait=admission.wait)
--- a/zinniaramp/entry/failures.py
+++ b/zinniaramp/entry/failures.py
@@ -22,7 +22,11 @@
 BUSY_REASONS = {RefusalReason.OVERLOADED, RefusalReason.DEADLINE}
 """Refusals that mean too much work for the endpoints there are."""
 
-TICKET_REASONS = {RefusalReason.TICKET_INVALID, RefusalReason.TICKET_EXPIRED}
+TICKET_REASONS = {
+    RefusalReason.TICKET_INVALID,
+    RefusalReason.TICKET_EXPIRED,
+    RefusalReason.CANCELLED_BEFORE,
+}
 """Refusals that another try with the same ticket would meet again."""
 
 
--- a/zinniaramp/entry/runs.py
+++ b/zinniaramp/entry/runs.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from ..answers import new_attempt_id
-from ..contracts import Offer, Outcome
+from ..contracts import Offer, Outcome, RefusalReason
 from ..observability import emit
 from ..routing import retry_after
 from ..tickets import Ticket, read_ticket
@@ -66,7 +66,8 @@
     attempts : list of Attempt
         Attempts offered so far.
     ticket : str
-        Ticket that was taken for the caller.
+        Ticket that was taken for the caller; empty once the request is known not
+        to have run, so that nothing runs under it later.
     """
 
     def __init__(self, *, router, call: Call, sink: Sink):
@@ -228,6 +229,8 @@
         """
         is_not_run = await self.is_confirmed_not_run(is_ticket_brought)
         outcome = Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
+        if is_not_run:
+            self.ticket = ""
         told = [one.retry_after_s for one in self.refusals]
         come_back = retry_after(told, self.router.random_source).total_seconds()
         return Final(outcome=outcome, error=self.error(outcome, come_back))
@@ -235,7 +238,7 @@
     async def is_confirmed_not_run(self, is_ticket_brought: bool) -> bool:
         """Tell whether every endpoint that was sent the request ruled it out."""
         if not self.unconfirmed:
-            return not is_ticket_brought or bool(self.refusals)
+            return not is_ticket_brought or self.is_ticket_ruled_out()
         if is_ticket_brought or any(one.is_ended for one in self.unconfirmed):
             return False
         try:
@@ -247,6 +250,11 @@
             return False
         return True
 
+    def is_ticket_ruled_out(self) -> bool:
+        """Tell whether a refusal says that nothing ran or will under the ticket."""
+        reasons = [one.reason for one in self.refusals]
+        return bool(reasons) and RefusalReason.TICKET_INVALID not in reasons
+
     def error(self, outcome: Outcome, come_back_s: float) -> CallerError:
         """Return what the caller of an unsuccessful request is told."""
         if outcome is Outcome.UNKNOWN and not self.call.class_declaration.repeatable:
--- a/zinniaramp/tickets/core.py
+++ b/zinniaramp/tickets/core.py
@@ -214,6 +214,23 @@
         says that the ticket is not for this process, class or workspace, and
         nothing about what its own incarnation did.
         """
+        decided = self.decide(ticket, class_name=class_name, workspace=workspace)
+        if decided != Ok(TicketClaim.RUN):
+            return decided
+        if attempt_id in self.tombstones:
+            self.withdraw(ticket.serial)
+            return Err(RefusalReason.CANCELLED_BEFORE)
+        self._mark_used(ticket.serial, attempt_id)
+        return decided
+
+    def decide(
+        self,
+        ticket: Ticket,
+        *,
+        class_name: str | None = None,
+        workspace: str | None = None,
+    ) -> Result[TicketClaim, RefusalReason]:
+        """Return what `claim` would say to a new attempt; claim nothing."""
         self._drop_old()
         if not self._is_own(ticket, class_name, workspace):
             return Err(RefusalReason.TICKET_INVALID)
@@ -224,10 +241,6 @@
             return Err(RefusalReason.CANCELLED_BEFORE)
         if record.attempt_id:
             return Ok(TicketClaim.JOIN)
-        if attempt_id in self.tombstones:
-            self.withdraw(ticket.serial)
-            return Err(RefusalReason.CANCELLED_BEFORE)
-        self._mark_used(ticket.serial, attempt_id)
         return Ok(TicketClaim.RUN)
 
     def attempt_of(self, serial: str) -> str | None:
