Honour a ticket also in a class that may be repeated

Cause: an entry looked at the ticket only if the class was non-repeatable under its revision, so a request that ran under a ticket could run again once a revision made its class repeatable (found by reading). Ruled out: leaving it to operators; the caller has the ticket to be safe. Before: with the old order, "A ticket counts also in a class that may be repeated" fails. Conclusion: a genuine ticket decides, whatever the class says.

--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -115,6 +115,14 @@
     When it drains while a caller's answer is under way
     Then it is not ready, and ends only after the answer is whole
 
+  Scenario: A ticket counts also in a class that may be repeated
+    Given an entry with endpoint "a" that accepts and goes
+    And endpoint "b" that accepts and goes
+    When a caller fetches a ticket for class "question"
+    And the caller sends it with that ticket in class "question"
+    Then its outcome is "unknown"
+    And the endpoints were offered 1 attempts in all
+
   Scenario: A ticket may be fetched ahead
     Given an entry with endpoint "a" that answers
     When a caller fetches a ticket for class "ledger"
--- a/features/promises/at_most_once.feature
+++ b/features/promises/at_most_once.feature
@@ -10,7 +10,7 @@
     Examples:
       | kind  |
       | chat  |
-      | entry |
+      | call  |
 
   Scenario Outline: A <kind> that <fault> meets <point> runs at most once
     Given a fleet of real processes
@@ -29,16 +29,16 @@
       | chat  | a cut and a cut      | in mid-answer        | knows    |
       | chat  | a dead entry         | in mid-answer        | knows    |
       | chat  | a split and a kill   | in mid-answer        | forgot   |
-      | entry | a silence            | before the offer     | knows    |
-      | entry | a freeze             | after the offer      | knows    |
-      | entry | a cut and a silence  | after the hand-over  | knows    |
-      | entry | a frozen entry       | after the hand-over  | knows    |
-      | entry | a split              | before the end       | knows    |
-      | entry | a freeze and a kill  | before the end       | forgot   |
+      | call  | a silence            | before the offer     | knows    |
+      | call  | a freeze             | after the offer      | knows    |
+      | call  | a cut and a silence  | after the hand-over  | knows    |
+      | call  | a frozen entry       | after the hand-over  | knows    |
+      | call  | a split              | before the end       | knows    |
+      | call  | a freeze and a kill  | before the end       | forgot   |
 
   Scenario Outline: A call that the service <drops> is not made again
     Given a fleet of real processes
-    When an entry with a ticket is sent while the service <drops>
+    When a call with a ticket is sent while the service <drops>
     And it is sent again through every entry before and after all is mended
     Then it ran at most once, and what every sender was told is true
 
@@ -49,14 +49,14 @@
 
   Scenario: A call without a ticket is not run until it is sent with the one it got
     Given a fleet of real processes
-    When an entry without a ticket is sent
+    When a call without a ticket is sent
     Then its sender is told 428 and "not-run", with a ticket, and it has not run
-    When an entry with that ticket is sent twice through every entry at once
+    When a call with that ticket is sent twice through every entry at once
     Then it ran once, and every sender has the same whole answer
 
   Scenario: A call whose ticket is optional is made once, under a ticket that is named
     Given a fleet of real processes
-    When an entry of class "note" without a ticket is sent
+    When a call of class "note" without a ticket is sent
     Then its reply names a ticket
-    When an entry with that ticket is sent twice through every entry at once
+    When a call with that ticket is sent twice through every entry at once
     Then it ran once, and every sender has the same whole answer
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -289,7 +289,12 @@
 
 @when("the caller sends it again with the ticket that it was given")
 def send_with_ticket(context):
-    headers = {"Zinniaramp-Class": "ledger", "Idempotency-Key": context.ticket}
+    send_with_ticket_in(context, "ledger")
+
+
+@when('the caller sends it with that ticket in class "{name}"')
+def send_with_ticket_in(context, name):
+    headers = {"Zinniaramp-Class": name, "Idempotency-Key": context.ticket}
     context.reply = send(context, context.request, headers)
 
 
--- a/features/steps/promises_once_steps.py
+++ b/features/steps/promises_once_steps.py
@@ -9,12 +9,12 @@
 from zinniaramp.standins.fleet import MODEL
 
 FLEETS = {}
-ENGINE = {"chat": "engine-0", "entry": "service-0"}
-ENDPOINT = {"chat": "endpoint-0", "entry": "service-endpoint-0"}
-TARGET = {"chat": MODEL, "entry": "ledger"}
+ENGINE = {"chat": "engine-0", "call": "service-0"}
+ENDPOINT = {"chat": "endpoint-0", "call": "service-endpoint-0"}
+TARGET = {"chat": MODEL, "call": "ledger"}
 TOKENS = 40
 LESSONS = 8
-SLOW = {"chat": 1.5, "entry": 10}
+SLOW = {"chat": 1.5, "call": 10}
 
 
 def end_fleet(name):
@@ -66,7 +66,7 @@
     send_twice(context)
 
 
-@when("an {kind:w} with that ticket is sent twice through every entry at once")
+@when("a {kind:w} with that ticket is sent twice through every entry at once")
 def send_again_at_once(context, kind):
     context.senders.clear()
     send_twice(context)
@@ -79,13 +79,13 @@
         sender.finish()
 
 
-@when("an {kind:w} without a ticket is sent")
+@when("a {kind:w} without a ticket is sent")
 def send_without(context, kind):
     context.kind = kind
     context.sender = send(context, context.fleet.entries[0]).finish()
 
 
-@when('an {kind:w} of class "{class_name}" without a ticket is sent')
+@when('a {kind:w} of class "{class_name}" without a ticket is sent')
 def send_without_of_class(context, kind, class_name):
     context.class_name = class_name
     send_without(context, kind)
@@ -221,7 +221,7 @@
     POINTS[point](context, strike)
 
 
-@when("an {kind:w} with a ticket is sent while the service {drops}")
+@when("a {kind:w} with a ticket is sent while the service {drops}")
 def send_to_failing_service(context, kind, drops):
     context.kind = kind
     context.ticket = context.fleet.ticket(TARGET[kind], context.class_name)
--- a/zinniaramp/entry/runs.py
+++ b/zinniaramp/entry/runs.py
@@ -92,9 +92,13 @@
     async def run(self) -> Final:
         """Make attempts until the request has its outcome."""
         try:
-            if self.call.class_declaration.repeatable:
-                return await self.run_repeatable()
-            return await self.run_once()
+            match read_ticket(self.call.ticket, key=self.router.key):
+                case Ok(ticket):
+                    return await self.run_with_ticket(ticket)
+                case Err(_) if self.call.class_declaration.repeatable:
+                    return await self.run_repeatable()
+                case Err(_):
+                    return await self.run_without_ticket()
         finally:
             for attempt in self.attempts:
                 attempt.cancel()
@@ -120,17 +124,14 @@
                 break
         return await self.give_up()
 
-    async def run_once(self) -> Final:
-        """Make one attempt, at the incarnation that the ticket names."""
-        key = self.router.key
-        match read_ticket(self.call.ticket, key=key):
-            case Ok(ticket):
-                return await self.run_with_ticket(ticket)
-            case Err(_):
-                return await self.run_without_ticket()
-
     async def run_with_ticket(self, ticket: Ticket) -> Final:
-        """Bring the request to the incarnation that its caller's ticket names."""
+        """Bring the request to the incarnation that its caller's ticket names.
+
+        Notes
+        -----
+        A ticket counts in a class that may be repeated too: the class may have
+        been declared otherwise when the ticket was first used.
+        """
         declared = (self.call.class_declaration.name, self.call.workspace)
         if declared != (ticket.class_name, ticket.workspace):
             return Final(outcome=None, error=ticket_mismatch(ticket))
