--- a/features/entry/fake_endpoint.py
+++ b/features/entry/fake_endpoint.py
@@ -68,6 +68,7 @@
         self.incarnation = f"{name}/{secrets.token_hex(3)}"
         self.cancel_answer = None
         self.retry_after_s = 4.0
+        self.refusal_reason = "overloaded"
         self.is_mute = False
         self.long_answer = None
         self.seen = []
@@ -185,6 +186,7 @@
                 checksum=checksum,
                 outcome=Outcome.DONE,
                 detail="",
+                retry_after_s=0.0,
             )
         )
 
@@ -199,6 +201,14 @@
         for connection in self.connections:
             connection.close(reason="fake ends")
 
+    def restart(self):
+        """Go on as another incarnation, as a process started again does."""
+        self.incarnation = f"{self.name}/{secrets.token_hex(3)}"
+        self.behaviour = "refuses"
+        self.cancel_answer = False
+        for connection in list(self.connections):
+            connection.close(reason="fake restarts")
+
     def messages(self, kind):
         """Return the messages of one kind that were received."""
         return [one for one in self.seen if isinstance(one, kind)]
@@ -236,19 +246,39 @@
     connection.send(
         Refused(
             attempt_id=offer.attempt_id,
-            reason="overloaded",
+            reason=fake.refusal_reason,
             retry_after_s=fake.retry_after_s,
             load=LOAD,
         )
     )
 
 
+def sheds(fake, connection, offer):
+    fake.accept(connection, offer)
+    connection.send(
+        End(
+            attempt_id=offer.attempt_id,
+            count=0,
+            checksum=0,
+            outcome=Outcome.NOT_RUN,
+            detail="overloaded",
+            retry_after_s=fake.retry_after_s,
+        )
+    )
+
+
 def accepts_and_goes(fake, connection, offer):
     fake.accept(connection, offer)
     connection.flush()
     fake.go()
 
 
+def accepts_and_restarts(fake, connection, offer):
+    fake.accept(connection, offer)
+    connection.flush()
+    fake.restart()
+
+
 def begins_and_goes(fake, connection, offer):
     fake.accept(connection, offer)
     fake.send_chunks(connection, offer.attempt_id, 0, 1)
@@ -338,6 +368,7 @@
                     checksum=self.checksum,
                     outcome=Outcome.DONE,
                     detail="",
+                    retry_after_s=0.0,
                 )
             )
 
@@ -347,8 +378,10 @@
     "answers with an error": answers_with_an_error,
     "answers": answers,
     "refuses": refuses,
+    "sheds": sheds,
     "accepts and waits": FakeEndpoint.accept,
     "accepts and goes": accepts_and_goes,
+    "accepts and restarts": accepts_and_restarts,
     "begins and goes": begins_and_goes,
     "begins and waits": begins_and_waits,
     "skips a chunk": skips_a_chunk,
--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -24,6 +24,12 @@
     And its outcome is "not-run" and its caller may return in 4 s to 6 s
     And the endpoints were offered 3 attempts in all
 
+  Scenario: A request that was shed while it waited is told when to come back
+    Given an entry with endpoint "a" that sheds
+    When a caller sends a whole chat
+    Then the answer has status 429 and code "overloaded"
+    And its outcome is "not-run" and its caller may return in 4 s to 6 s
+
   Scenario Outline: A given-up request is said not to have run only on proof
     Given an entry with endpoint "a" that accepts and waits
     And endpoint "a" answers a cancel with <cancelled>
@@ -37,6 +43,12 @@
       | ran       | unknown |
       | nothing   | unknown |
 
+  Scenario: A process that was started again proves nothing of the one before it
+    Given an entry with endpoint "a" that accepts and restarts
+    When a caller sends a whole chat
+    Then its outcome is "unknown"
+    And endpoint "a" is sent no cancel
+
   Scenario: An endpoint that is leaving is offered nothing more
     Given an entry with endpoint "a" that answers
     And endpoint "b" that answers
@@ -68,6 +80,28 @@
     And its outcome is "unknown"
     And the endpoints were offered 0 attempts in all
 
+  Scenario Outline: A refused ticket is said not to have run only if the ticket was ruled out
+    Given an entry with endpoint "a" that refuses
+    And endpoint "a" refuses as "<reason>"
+    When a caller fetches a ticket for class "ledger"
+    And the caller sends it again with the ticket that it was given
+    Then the answer has status <status> and code "<code>"
+    And its outcome is "<outcome>"
+
+    Examples:
+      | reason           | status | code            | outcome |
+      | ticket-invalid   | 502    | outcome_unknown | unknown |
+      | answer-discarded | 502    | outcome_unknown | unknown |
+      | attempt-unknown  | 502    | outcome_unknown | unknown |
+      | ticket-expired   | 409    | ticket_refused  | not-run |
+      | cancelled-before | 409    | ticket_refused  | not-run |
+      | overloaded       | 429    | overloaded      | not-run |
+
+  Scenario: A ticket that was taken for a request that did not run is not named
+    Given an entry with endpoint "a" that refuses
+    When a caller sends a whole chat of class "intake"
+    Then its outcome is "not-run" and it names no ticket
+
   Scenario: A non-repeatable request is not tried again when its endpoint is lost
     Given an entry with endpoint "a" that accepts and goes
     And endpoint "b" that accepts and goes
@@ -81,6 +115,14 @@
     When it drains while a caller's answer is under way
     Then it is not ready, and ends only after the answer is whole
 
+  Scenario: A ticket counts also in a class that may be repeated
+    Given an entry with endpoint "a" that accepts and goes
+    And endpoint "b" that accepts and goes
+    When a caller fetches a ticket for class "question"
+    And the caller sends it with that ticket in class "question"
+    Then its outcome is "unknown"
+    And the endpoints were offered 1 attempts in all
+
   Scenario: A ticket may be fetched ahead
     Given an entry with endpoint "a" that answers
     When a caller fetches a ticket for class "ledger"
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -197,6 +197,11 @@
     context.fakes[name].cancel_answer = answers[kind]
 
 
+@given('endpoint "{name}" refuses as "{reason}"')
+def given_refusal_reason(context, name, reason):
+    context.fakes[name].refusal_reason = reason
+
+
 @given("a second entry")
 def given_second_entry(context):
     entry_of(context)
@@ -284,7 +289,12 @@
 
 @when("the caller sends it again with the ticket that it was given")
 def send_with_ticket(context):
-    headers = {"Zinniaramp-Class": "ledger", "Idempotency-Key": context.ticket}
+    send_with_ticket_in(context, "ledger")
+
+
+@when('the caller sends it with that ticket in class "{name}"')
+def send_with_ticket_in(context, name):
+    headers = {"Zinniaramp-Class": name, "Idempotency-Key": context.ticket}
     context.reply = send(context, context.request, headers)
 
 
@@ -438,6 +448,13 @@
     context.fakes[name].wait_for(Cancel)
 
 
+@then('endpoint "{name}" is sent no cancel')
+def check_no_cancel(context, name):
+    fake = context.fakes[name]
+    fake.wait_for_quiet()
+    assert not fake.messages(Cancel)
+
+
 @then('its outcome is "{outcome}"')
 def check_outcome(context, outcome):
     assert context.reply.headers["zinniaramp-outcome"] == outcome, context.reply
@@ -449,6 +466,12 @@
     assert low <= int(context.reply.headers["retry-after"]) <= high, context.reply
 
 
+@then('its outcome is "{outcome}" and it names no ticket')
+def check_no_ticket_named(context, outcome):
+    check_outcome(context, outcome)
+    assert "zinniaramp-ticket" not in context.reply.headers, context.reply
+
+
 @then('its outcome is "{outcome}" and it names a ticket')
 def check_ticket_named(context, outcome):
     check_outcome(context, outcome)
--- a/zinniaramp/contracts/core.py
+++ b/zinniaramp/contracts/core.py
@@ -58,7 +58,16 @@
 
 
 class RefusalReason(StrEnum):
-    """Why an endpoint process did not take an attempt; none of these ran."""
+    """Why an endpoint process did not take an attempt or a `Resume`.
+
+    Notes
+    -----
+    The refused attempt itself never runs, but for ``ATTEMPT_UNKNOWN`` and
+    ``ANSWER_DISCARDED``, which refuse a `Resume` and prove nothing.
+    ``TICKET_INVALID`` says nothing about what ran under the ticket at its own
+    incarnation.  Any other refusal of an attempt with a ticket also says that
+    nothing ran under the ticket and nothing ever will.
+    """
 
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
@@ -258,6 +267,9 @@
         A value of `Outcome`.
     detail : str
         Why the outcome is not ``done``; empty otherwise.
+    retry_after_s : float
+        Seconds after which to come back with work that was shed or expired while
+        it waited; 0 otherwise.
     """
 
     attempt_id: str
@@ -265,6 +277,7 @@
     checksum: int
     outcome: str
     detail: str
+    retry_after_s: float
 
 
 @_message
