Drain an entry only when the sockets have taken every answer

Found: a drain cut callers off. A whole answer of 4 MB that its caller read late ended with 'IncompleteRead(2807572 bytes read, 1386898 more expected)', and a request of which half had arrived ended with 'RemoteDisconnected: Remote end closed connection without response'. Cause: the drain waited for the work on requests only. An answer handed to the socket, and a request whose body was still arriving, did not count, and close_all_connections dropped both. Ruled out: the drain limit (15 s, not reached) and the body timeout (10 s). Now the server notes a connection from a request's head until the socket has taken its answer, and the drain waits for those; connections end with their next answer.

--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -81,6 +81,11 @@
     When it drains while a caller's answer is under way
     Then it is not ready, and ends only after the answer is whole
 
+  Scenario: Drain waits for a caller that reads its whole answer late
+    Given an entry in this process with endpoint "a" that answers
+    When it drains while a caller has not read its whole answer of 4 MB
+    Then it ends only after that caller has read all of it
+
   Scenario: A ticket may be fetched ahead
     Given an entry with endpoint "a" that answers
     When a caller fetches a ticket for class "ledger"
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -4,6 +4,7 @@
 import http.client
 import io
 import json
+import socket
 import subprocess
 import sys
 import time
@@ -18,6 +19,7 @@
     LONG_CHUNK_BYTES,
     LONG_COUNT,
     FakeEndpoint,
+    payloads_of,
 )
 from zinniaramp.clock import monotonic_clock
 from zinniaramp.configuration import RevisionStore
@@ -31,6 +33,7 @@
 from zinniaramp.standins.fleet import free_port
 
 WAIT_SECONDS = 10
+SMALL_BUFFER_BYTES = 4096
 POLL_SECONDS = 0.02
 DECLARATIONS = """
 [defaults]
@@ -548,3 +551,46 @@
     assert not context.is_ready
     assert not context.was_over_early
     assert data_of(context.rest)[-1] == "[DONE]", context.rest
+
+
+def ask_and_read_nothing(port):
+    """Send a request on a socket with a small buffer; return the socket."""
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    caller.connect(("127.0.0.1", port))
+    caller.settimeout(WAIT_SECONDS)
+    body = json.dumps({"model": "m", "messages": [{"role": "user", "content": "q"}]})
+    caller.sendall(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\n"
+        b"Content-Length: %d\r\n\r\n%b" % (len(body), body.encode())
+    )
+    return caller
+
+
+async def drain_unread(context, size):
+    """Drain an entry that has worked out an answer which its caller has not read."""
+    process = await run_entry_here(context)
+    context.words = ["x" * LONG_CHUNK_BYTES] * (size // LONG_CHUNK_BYTES)
+    context.fakes["a"].payloads = payloads_of(context.words)
+    caller = ask_and_read_nothing(context.entries[0].callers)
+    while not (context.fakes["a"].messages(Offer) and not process.works):
+        await asyncio.sleep(POLL_SECONDS)
+    drain = asyncio.create_task(process.drain())
+    while await is_listening(context.entries[0].callers):
+        await asyncio.sleep(POLL_SECONDS)
+    response = http.client.HTTPResponse(caller)
+    await asyncio.to_thread(response.begin)
+    context.rest = await asyncio.to_thread(response.read)
+    context.left_over = await asyncio.wait_for(drain, WAIT_SECONDS)
+
+
+@when("it drains while a caller has not read its whole answer of {size:d} MB")
+def drain_before_reading(context, size):
+    asyncio.run(drain_unread(context, size * 1024 * 1024))
+
+
+@then("it ends only after that caller has read all of it")
+def check_drained_unread(context):
+    message = json.loads(context.rest)["choices"][0]["message"]
+    assert message["content"] == "".join(context.words)
+    assert context.left_over == 0
--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -4,7 +4,6 @@
 from datetime import timedelta
 from random import Random
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import split_host_and_port
 
 from ..clock import Clock
@@ -19,6 +18,7 @@
 from .events import DRAIN_ENDED, DRAIN_STARTED
 from .peer_set import PeerSet
 from .router import Router
+from .server import CallerServer
 from .status import EntryStatus, peer_status
 
 __all__ = ["EntryProcess"]
@@ -38,6 +38,9 @@
 DRAIN_NOTICE = timedelta(seconds=1)
 """Time for which readiness is false before listening ends."""
 
+DRAIN_CHECK = timedelta(seconds=0.05)
+"""Time between two looks at what is still in flight."""
+
 
 class EntryProcess:
     """Takes callers' requests and routes them to endpoints.
@@ -100,13 +103,13 @@
         )
         self.works: set[asyncio.Task] = set()
         self.is_draining = False
-        self.server: HTTPServer | None = None
+        self.server: CallerServer | None = None
 
     def start(self) -> None:
         """Listen for callers and open streams."""
         self.peers.start()
         host, port = split_host_and_port(self.settings.listen.callers)
-        self.server = HTTPServer(
+        self.server = CallerServer(
             make_application(self),
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
@@ -126,7 +129,7 @@
         return EntryStatus(
             is_ready=self.is_ready(),
             is_draining=self.is_draining,
-            in_flight=len(self.works),
+            in_flight=self.in_flight(),
             retry_budget=self.router.budget.balance,
             revision_index=self.revisions.revision().index,
             policy=self.router.policy,
@@ -142,20 +145,17 @@
             Requests that were left unfinished.
         """
         if self.is_draining:
-            return len(self.works)
+            return self.in_flight()
         self.is_draining = True
-        emit(DRAIN_STARTED, in_flight=len(self.works))
+        emit(DRAIN_STARTED, in_flight=self.in_flight())
         limit = self.settings.fleet.drain_limit
         deadline = asyncio.get_running_loop().time() + limit.total_seconds()
         await asyncio.sleep(min(DRAIN_NOTICE, limit).total_seconds())
+        self.server.end_keep_alive()
         self.server.stop()
-        while self.works:
-            left = deadline - asyncio.get_running_loop().time()
-            if left <= 0:
-                break
-            await asyncio.wait(self.works, timeout=left)
-            await asyncio.sleep(0)
-        left_over = len(self.works)
+        while self.in_flight() and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(DRAIN_CHECK.total_seconds())
+        left_over = self.in_flight()
         emit(DRAIN_ENDED, left=left_over)
         for work in self.works:
             work.cancel()
@@ -163,6 +163,10 @@
         self.peers.stop()
         return left_over
 
+    def in_flight(self) -> int:
+        """Return the requests that are being read, worked on or answered."""
+        return max(len(self.works), len(self.server.in_flight))
+
     def models(self, declarations: Declarations) -> set[str]:
         """Return the models that callers may ask for."""
         if declarations.models:
