Let an entry's cancel stop only what it still receives

Found: a caller whose entry loses it and who continues through another entry lost the answer: the first entry's Cancel came after the second's Resume, and the endpoint process stopped the attempt. The first entry, meanwhile, was told nothing and waited out its limit. Cause: deliveries are kept by attempt, so the second entry's took the first's place, and the Cancel removed it although it came from another process. Ruled out: a Cancel that comes before the Resume; then the caller is gone and stopping is right. Now a Cancel from another incarnation than the one that receives the answer stops nothing, and the entry that is replaced is told at once, with the outcome unknown and the detail continued-elsewhere.

--- a/features/endpoint/endpoint.feature
+++ b/features/endpoint/endpoint.feature
@@ -176,6 +176,16 @@
     And "b" brings its whole text
     And the drain ends with nothing cut off
 
+  Scenario: An entry that has lost its caller does not stop an answer continued elsewhere
+    Given an endpoint process with 1 slot
+    When attempt "a" of class "question" for 60 tokens is offered
+    And 2 chunks of "a" have arrived
+    And another entry resumes "a" from chunk 0
+    Then the first entry is told that "a" is continued elsewhere
+    When the first entry cancels "a"
+    Then "a" brings its whole text
+    And each chunk of "a" is one event
+
   Scenario: The host list says that this host is leaving
     Given an endpoint process with 1 slot
     When the host list says that the host is leaving
--- a/features/endpoint/rig.py
+++ b/features/endpoint/rig.py
@@ -13,6 +13,7 @@
 from zinniaramp.contracts import Chunk, Offer, Ping, Pong, RevisionId
 from zinniaramp.declarations import read_declarations
 from zinniaramp.endpoint import EndpointProcess
+from zinniaramp.entry.peers import NO_LOAD
 from zinniaramp.hosts import HostView
 from zinniaramp.links import Identity, dial
 from zinniaramp.settings import Settings
@@ -82,6 +83,7 @@
         self.connection = connection
         self.interval_s = interval_s
         self.messages = []
+        self.answers_heartbeats = True
         loop = asyncio.get_running_loop()
         self.receiving = loop.create_task(self.receive())
         self.pinging = loop.create_task(self.ping())
@@ -97,6 +99,15 @@
         """Collect messages until the stream ends."""
         while (received := await self.connection.receive()).is_ok():
             self.messages += received.ok_value
+            for message in received.ok_value:
+                if isinstance(message, Ping) and self.answers_heartbeats:
+                    self.answer(message)
+
+    def answer(self, ping):
+        """Answer a heartbeat, as entry processes do."""
+        revision = RevisionId(index=1, digest="")
+        pong = Pong(number=ping.number, revision=revision, load=NO_LOAD)
+        self.connection.send(pong)
 
 
 class Rig:
@@ -208,12 +219,12 @@
             incarnation=incarnation, role="", key=KEY, revision=revisions.revision
         )
 
-    def open(self):
+    def open(self, incarnation="entry-1/start"):
         """Open one more stream and use it from now on."""
 
         async def connect():
             host, port = self.streams.split(":")
-            identity = self.identity("entry-1/start", self.revisions)
+            identity = self.identity(incarnation, self.revisions)
             opened = await dial(host, int(port), identity=identity, clock=self.clock)
             connection = opened.unwrap().connection
             return Caller(connection, interval_s=self.silence / 4)
--- a/features/steps/endpoint_steps.py
+++ b/features/steps/endpoint_steps.py
@@ -35,6 +35,7 @@
     TicketRequest,
 )
 from zinniaramp.endpoint.engine import EventReader
+from zinniaramp.endpoint.streams import MOVED_DETAIL
 from zinniaramp.hosts import Host, HostState
 from zinniaramp.standins import expected_text
 from zinniaramp.standins.service import expected_reply
@@ -239,6 +240,33 @@
     context.drain = context.rig.run(begin())
 
 
+@when('another entry resumes "{name}" from chunk {start:d}')
+def resume_from_another(context, name, start):
+    context.rig.open("entry-2/start")
+    context.rig.send(Resume(attempt_id=name, from_sequence=start, credit=1000))
+    context.rig.settle()
+
+
+@then('the first entry is told that "{name}" is continued elsewhere')
+def check_moved(context, name):
+    ended = context.rig.wait_for(End, name)
+    assert ended.detail == MOVED_DETAIL, ended
+    assert ended in context.rig.callers[0].messages
+    context.rig.callers[0].messages.remove(ended)
+
+
+@when('the first entry cancels "{name}"')
+def cancel_from_first(context, name):
+    first = context.rig.callers[0].connection
+    context.rig.loop.call_soon(first.send, Cancel(attempt_id=name))
+
+
+@then('each chunk of "{name}" is one event')
+def check_one_event(context, name):
+    payloads = context.rig.payloads(name).values()
+    assert payloads and all(b"\n" not in one for one in payloads), payloads
+
+
 @when("the host list says that the host is leaving")
 def leave_by_list(context):
     host = Host(
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -37,6 +37,9 @@
 __all__ = ["Streams"]
 
 
+MOVED_DETAIL = "continued-elsewhere"
+"""Detail of the end of an answer that another entry process continues."""
+
 class Streams:
     """Serves the streams that entry processes have opened.
 
@@ -231,6 +234,9 @@
             max(0, message.from_sequence),
             message.credit,
         )
+        previous = attempt.deliveries.get(attempt_id)
+        if previous is not None and _is_elsewhere(previous, connection):
+            _end_moved(previous)
 
     def cancel(self, connection: Connection, attempt_id: str) -> None:
         """Stop an attempt, or make sure that it never starts."""
@@ -238,12 +244,15 @@
         if attempt is None:
             ran, serial = self.executor.may_have_run(attempt_id), None
         else:
-            ran, serial = self.cancel_known(attempt, attempt_id), attempt.serial
+            ran = self.cancel_known(connection, attempt, attempt_id)
+            serial = attempt.serial
         tickets = self.placement.tickets
         is_stopped = not ran and tickets.cancel_before_start(attempt_id, serial)
         connection.send(Cancelled(attempt_id=attempt_id, ran=not is_stopped))
 
-    def cancel_known(self, attempt: Attempt, attempt_id: str) -> bool:
+    def cancel_known(
+        self, connection: Connection, attempt: Attempt, attempt_id: str
+    ) -> bool:
         """Stop an attempt unless others take its answer; return whether it ran."""
         attempt.deliveries.pop(attempt_id, None)
         if any(not one.is_lost() for one in attempt.deliveries.values()):
@@ -280,6 +289,9 @@
             case Ok(ticket):
                 connection.send(
                     TicketIssued(
+        delivery = attempt.deliveries.get(attempt_id)
+        if delivery is not None and _is_elsewhere(delivery, connection):
+            return True
                         request_id=request.request_id,
                         ticket=sign_ticket(ticket, key=self.placement.key),
                         expires_s=tickets.lifetime.total_seconds(),
@@ -323,3 +335,23 @@
         outcome=Outcome.UNKNOWN.value,
         detail=DISCARDED_DETAIL,
     )
+def _is_elsewhere(delivery: Delivery, connection: Connection) -> bool:
+    is_same = delivery.connection.incarnation == connection.incarnation
+    return not delivery.is_lost() and not is_same
+
+
+def _end_moved(delivery: Delivery) -> None:
+    """Tell an entry process that another one continues the answer."""
+    if delivery.is_end_sent:
+        return
+    delivery.connection.send(
+        End(
+            attempt_id=delivery.attempt_id,
+            count=delivery.next_sequence,
+            checksum=0,
+            outcome=Outcome.UNKNOWN.value,
+            detail=MOVED_DETAIL,
+        )
+    )
+
+
