Wait on a drain until entries prove that they have the answers

Found: an endpoint process that was told to stop while its streams had gone silent ended with exit code 0 and cut 6 of 6 answers: 'the answer failed: stream to 127.0.0.1:41495 closed'. Cause: an answer counted as delivered once the socket had taken it. A silent stream takes it too, and the process was gone before the entry had dialled a new one. Ruled out: the drain limit (15 s) and the engine, which had finished the answers. Now a heartbeat follows the ends of answers during a drain; since messages keep their order, its answer proves that the entry has them. If the stream closes first, the answer is kept for the usual wait for a Resume, unless it had ended three silences before: the entry would have asked again by then.

--- a/zinniaramp/endpoint/attempts.py
+++ b/zinniaramp/endpoint/attempts.py
@@ -30,6 +30,11 @@
         First chunk that was not sent yet.
     limit : int
         Sequence number up to which the receiver takes chunks, exclusive.
+    receipt : int or None
+        Number of the heartbeat that was sent after the end; its answer proves
+        that the receiver has the whole answer.
+    is_received : bool
+        Whether that is proved.
     """
 
     attempt_id: str
@@ -38,17 +43,13 @@
     limit: int
     is_head_sent: bool = False
     is_end_sent: bool = False
+    receipt: int | None = None
+    is_received: bool = False
 
     def is_lost(self) -> bool:
         """Tell whether the stream has closed."""
         return self.connection.is_closed
 
-    def is_delivered(self) -> bool:
-        """Tell whether the whole answer has been written to the socket."""
-        return self.is_end_sent and not (
-            self.connection.outgoing or self.connection.stream.writing()
-        )
-
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class Attempt:
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -39,6 +39,11 @@
 STREAM_SILENCES = 2
 """Time after which a silent stream is closed, in silences."""
 
+UNPROVED_SILENCES = 3
+"""Time after which an answer that nobody asked for again was received, in silences.
+
+An entry process whose stream has gone silent asks again on a new one before that."""
+
 CHECKS_PER_SILENCE = 4
 """Checks of streams and duties in the time that counts as silence."""
 
@@ -264,6 +269,7 @@
         self.leave()
         until = self.clock() + self.settings.fleet.drain_limit
         while self.unfinished() and self.clock() < until:
+            self.streams.ask_receipts()
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
         unfinished = len(self.unfinished())
         emit(DRAIN_ENDED, unfinished=unfinished)
@@ -277,10 +283,12 @@
         """Tell whether an attempt is to be waited for."""
         if not attempt.is_over():
             return True
-        pending = [d for d in attempt.deliveries.values() if not d.is_delivered()]
+        pending = [one for one in attempt.deliveries.values() if not one.is_received]
         if attempt.lost_at is not None:
             is_recent = self.clock() - attempt.lost_at < self.executor.resume_wait
-            return bool(pending) and is_recent
+            ended_before = attempt.lost_at - attempt.answer.ending.at
+            is_open = ended_before < UNPROVED_SILENCES * self.silence
+            return bool(pending) and is_recent and is_open
         return any(not delivery.is_lost() for delivery in pending)
 
     def status(self) -> EndpointStatus:
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -1,5 +1,6 @@
 """The endpoint process's streams, and the dispatch of what arrives on them."""
 
+from collections.abc import Iterator
 from datetime import timedelta
 
 from result import Err, Ok
@@ -36,10 +37,10 @@
 
 __all__ = ["Streams"]
 
-
 MOVED_DETAIL = "continued-elsewhere"
 """Detail of the end of an answer that another entry process continues."""
 
+
 class Streams:
     """Serves the streams that entry processes have opened.
 
@@ -72,6 +73,7 @@
         self.silence = silence
         self.clock = clock
         self.connections: set[Connection] = set()
+        self.receipts = 0
 
     async def serve(self, connection: Connection) -> None:
         """Serve one stream until it ends."""
@@ -117,6 +119,8 @@
                 self.issue_ticket(connection, message)
             case Ping(number=number):
                 self.answer_ping(connection, number)
+            case Pong(number=number):
+                self.take_receipt(connection, number)
 
     def load(self) -> Load:
         """Return the current load."""
@@ -127,6 +131,37 @@
         revision = self.revisions.revision()
         connection.send(Pong(number=number, revision=revision, load=self.load()))
 
+    def ask_receipts(self) -> None:
+        """Ask for proof that the answers which have ended were received.
+
+        Notes
+        -----
+        That the socket took an answer proves nothing if the stream has gone silent.
+        Messages keep their order, so the answer to a heartbeat that follows an
+        answer's end proves that the entry process has that answer.
+        """
+        self.receipts += 1
+        asked = set()
+        for delivery in self.deliveries():
+            if delivery.is_end_sent and delivery.receipt is None:
+                delivery.receipt = self.receipts
+                asked.add(delivery.connection)
+        revision = self.revisions.revision()
+        for connection in asked:
+            connection.send(Ping(number=self.receipts, revision=revision))
+
+    def take_receipt(self, connection: Connection, number: int) -> None:
+        """Note which answers an answered heartbeat proves to be received."""
+        for delivery in self.deliveries():
+            is_asked = delivery.receipt is not None and delivery.receipt <= number
+            if delivery.connection is connection and is_asked:
+                delivery.is_received = True
+
+    def deliveries(self) -> Iterator[Delivery]:
+        """Return where the answers of all attempts go."""
+        for attempt in self.executor.attempts.values():
+            yield from attempt.deliveries.values()
+
     def take_offer(self, connection: Connection, offer: Offer) -> None:
         """Answer an offer and, if it is taken, send its answer on this stream."""
         decided = self.placement.place(offer)
@@ -199,6 +234,9 @@
             next_sequence=sequence,
             limit=sequence + credit,
         )
+        previous = attempt.deliveries.get(attempt_id)
+        if previous is not None and _is_elsewhere(previous, connection):
+            _end_moved(previous)
         attempt.deliveries[attempt_id] = delivery
         if attempt_id != attempt.attempt_id:
             self.executor.aliases[attempt_id] = attempt.attempt_id
@@ -234,9 +272,6 @@
             max(0, message.from_sequence),
             message.credit,
         )
-        previous = attempt.deliveries.get(attempt_id)
-        if previous is not None and _is_elsewhere(previous, connection):
-            _end_moved(previous)
 
     def cancel(self, connection: Connection, attempt_id: str) -> None:
         """Stop an attempt, or make sure that it never starts."""
@@ -254,6 +289,9 @@
         self, connection: Connection, attempt: Attempt, attempt_id: str
     ) -> bool:
         """Stop an attempt unless others take its answer; return whether it ran."""
+        delivery = attempt.deliveries.get(attempt_id)
+        if delivery is not None and _is_elsewhere(delivery, connection):
+            return True
         attempt.deliveries.pop(attempt_id, None)
         if any(not one.is_lost() for one in attempt.deliveries.values()):
             return True
@@ -289,9 +327,6 @@
             case Ok(ticket):
                 connection.send(
                     TicketIssued(
-        delivery = attempt.deliveries.get(attempt_id)
-        if delivery is not None and _is_elsewhere(delivery, connection):
-            return True
                         request_id=request.request_id,
                         ticket=sign_ticket(ticket, key=self.placement.key),
                         expires_s=tickets.lifetime.total_seconds(),
@@ -327,14 +362,6 @@
     return None
 
 
-def _end_of_gone(attempt_id: str) -> End:
-    return End(
-        attempt_id=attempt_id,
-        count=0,
-        checksum=0,
-        outcome=Outcome.UNKNOWN.value,
-        detail=DISCARDED_DETAIL,
-    )
 def _is_elsewhere(delivery: Delivery, connection: Connection) -> bool:
     is_same = delivery.connection.incarnation == connection.incarnation
     return not delivery.is_lost() and not is_same
@@ -355,3 +382,11 @@
     )
 
 
+def _end_of_gone(attempt_id: str) -> End:
+    return End(
+        attempt_id=attempt_id,
+        count=0,
+        checksum=0,
+        outcome=Outcome.UNKNOWN.value,
+        detail=DISCARDED_DETAIL,
+    )
