Never call an answer whole that is taken from beyond its end

Found: GET /v1/requests/ID?from=1000 of an answer of 60 tokens was answered 200 with [DONE] and no text. Cause: for an answer taken from the middle, Assembly.end did not compare the count. Now a count below the number that was asked for is WRONG when the end says done. Its test is in features/promises/whole_answers.feature, with the proof.

--- a/zinniaramp/answers/assembly.py
+++ b/zinniaramp/answers/assembly.py
@@ -3,7 +3,7 @@
 import zlib
 from enum import StrEnum
 
-from ..contracts import Chunk, End
+from ..contracts import Chunk, End, Outcome
 
 __all__ = ["Addition", "Assembly"]
 
@@ -77,13 +77,15 @@
         Addition
             ``WHOLE``, ``WRONG``, or a gap.  The checksum covers the answer from
             its start, so it is not checked for an answer taken from the middle.
+            An answer taken from beyond its end is ``WRONG``, never whole.
         """
         if end.attempt_id != self.attempt_id:
             return Addition.OTHER_ATTEMPT
         if end.count > self.next_sequence:
             return self._gap()
         is_checked = self.start == 0
-        if end.count < self.next_sequence and is_checked:
+        is_beyond = end.count < self.next_sequence
+        if is_beyond and (is_checked or end.outcome == Outcome.DONE):
             return Addition.WRONG
         if is_checked and end.checksum != self.checksum:
             return Addition.WRONG
