Number every event of an answer

Found by reading: events that came together were one chunk, and the chunk's number was sent as the id of its first event only. A caller cut off between two events of one chunk had the number of both, asked from the next one, and lost the second event in an answer that then looked whole. Ruled out: an id on the last event; the caller would get the first one twice. Now each event is a chunk of its own.

--- a/zinniaramp/endpoint/responses.py
+++ b/zinniaramp/endpoint/responses.py
@@ -173,25 +173,29 @@
             self.end = ResponseEnd(outcome=Outcome.DONE, detail="")
 
     def take_pieces(self) -> list[Piece]:
-        """Return the content so far, joined into as few pieces as may be."""
-        separator = b"\n" if self.head and self.has_events() else b""
+        """Return the content so far.
+
+        Notes
+        -----
+        Each event is a piece of its own, so that its number is that of a chunk and
+        a caller can continue after any event.  Other content is joined.
+        """
+        pending, self.pending = self.pending, []
+        if self.head and self.has_events():
+            return pending
         pieces: list[Piece] = []
         group: list[Piece] = []
         size = 0
-        for piece in self.pending:
+        for piece in pending:
             if group and size + len(piece.payload) > MAX_PIECE_BYTES:
-                pieces.append(_join(group, separator))
+                pieces.append(_join(group))
                 group, size = [], 0
             group.append(piece)
             size += len(piece.payload)
         if group:
-            pieces.append(_join(group, separator))
-        self.pending = []
+            pieces.append(_join(group))
         return pieces
 
 
-def _join(group: list[Piece], separator: bytes) -> Piece:
-    return Piece(
-        payload=separator.join(piece.payload for piece in group),
-        tokens=sum(piece.tokens for piece in group),
-    )
+def _join(group: list[Piece]) -> Piece:
+    return Piece(payload=b"".join(piece.payload for piece in group), tokens=0)
