--- a/features/environment.py
+++ b/features/environment.py
@@ -21,6 +21,8 @@
 
 def after_scenario(context, scenario):
     """End the scenario's processes and remove its directory."""
+    if "end_fleet" in context:
+        context.end_fleet()
     if (context.directory / "fleet.json").exists():
         bring_down(context.directory)
     shutil.rmtree(context.directory)
--- a/features/support/forwarder.py
+++ b/features/support/forwarder.py
@@ -70,6 +70,8 @@
         IP number and port to which connections are forwarded.
     """
 
+    server_class = ForwarderServer
+
     def __init__(self, *, address):
         host, _, port = address.rpartition(":")
         self.target_host, self.target_port = host, int(port)
@@ -88,7 +90,7 @@
         self.stopped = asyncio.Event()
         sock, port = bind_unused_port()
         self.address = f"127.0.0.1:{port}"
-        self.server = ForwarderServer(host=self.target_host, port=self.target_port)
+        self.server = self.server_class(host=self.target_host, port=self.target_port)
         self.server.add_socket(sock)
         self.ready.set()
         await self.stopped.wait()
