--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -123,6 +123,11 @@
     Then its outcome is "unknown"
     And the endpoints were offered 1 attempts in all
 
+  Scenario: Drain waits for a caller that reads its whole answer late
+    Given an entry in this process with endpoint "a" that answers
+    When it drains while a caller has not read its whole answer of 4 MB
+    Then it ends only after that caller has read all of it
+
   Scenario: A ticket may be fetched ahead
     Given an entry with endpoint "a" that answers
     When a caller fetches a ticket for class "ledger"
