Apply exceptions at the endpoint process and in the report

Cause: only the entry looked a class up with `class_for`. The scheduler, the check whether an offer needs a ticket, the priority told to the engine, the memory of attempts that ran and the load report took the class as declared, so an exception's tier, queue_limit, floor, preemptible and repeatable had no effect at an endpoint, and a workspace that must bring tickets needed none there. Declarations made for a plain service also shared the resolved classes of the revision, so that an exception for preemptible came back.

Ruled out: the entry; its class, deadline and targets come from `class_for` already.

The engine is told the tier with which the attempt was admitted, so a revision that arrives while it waits does not change its priority.

Not changed: `Scheduler.load` takes the lowest tier for `queue_s` from the classes as declared, so an exception that sets a higher tier number is not reflected there.

--- /dev/null
+++ b/features/steps/promises_exceptions_steps.py
@@ -0,0 +1,135 @@
+"""Steps about exceptions at the endpoint process."""
+
+import json
+
+from behave import given, then, when
+
+from features.endpoint.rig import MODEL, Rig
+from zinniaramp.contracts import Offer, Refused, RevisionId
+from zinniaramp.declarations import class_for, read_declarations
+
+EXCEPTED = "archive"
+TOKENS = 40
+EXCEPTIONS = """
+[class question]
+tier = 2
+[class summary]
+tier = 6
+preemptible = false
+[workspace archive]
+[exception early]
+reason = loaned reels go back on a fixed morning
+class_name = summary
+workspace = archive
+set_key = tier
+set_value = 3
+[exception once]
+reason = their questions are billed one by one
+class_name = question
+workspace = archive
+set_key = repeatable
+set_value = false
+"""
+PAUSABLE = """
+[class call]
+tier = 2
+[workspace archive]
+[exception pausable]
+reason = their calls may be paused for others
+class_name = call
+workspace = archive
+set_key = preemptible
+set_value = true
+"""
+
+
+def start_rig(context, text, kind):
+    """Start an endpoint process with declarations."""
+    context.rig = Rig(kind=kind)
+    context.add_cleanup(context.rig.close)
+    context.rig.serve_engine()
+    context.rig.start()
+    revision = RevisionId(index=2, digest="")
+    declared = read_declarations(text, file="", revision=revision).unwrap()
+    context.rig.revisions.advance(declared).unwrap()
+
+
+def send_offer(rig, name, class_name, workspace):
+    """Offer a repeatable attempt of a workspace."""
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": name}],
+        "max_tokens": TOKENS,
+        "metadata": {"mark": name, "output_tokens": TOKENS},
+    }
+    rig.send(
+        Offer(
+            attempt_id=name,
+            target=MODEL,
+            class_name=class_name,
+            workspace=workspace,
+            revision_index=2,
+            deadline_s=30,
+            ticket="",
+            method="POST",
+            path="/v1/chat/completions",
+            headers=[],
+            body=json.dumps(body).encode(),
+            credit=1000,
+        )
+    )
+
+
+@given('an endpoint process whose class "summary" has exceptions for one workspace')
+def start_with_exceptions(context):
+    start_rig(context, EXCEPTIONS, "engine")
+
+
+@when('"busy" of class "summary" runs and "other" of another workspace waits')
+def occupy(context):
+    send_offer(context.rig, "busy", "summary", "other")
+    context.rig.wait_until(lambda: context.rig.marks() == ["busy"], "busy runs")
+    send_offer(context.rig, "other", "summary", "other")
+
+
+@when('"urgent" of class "summary" of that workspace is offered')
+def offer_urgent(context):
+    rig = context.rig
+    send_offer(rig, "urgent", "summary", EXCEPTED)
+    executor = rig.process.executor
+    rig.wait_until(lambda: "urgent" in executor.attempts, "urgent is accepted")
+    context.call = executor.call_of(executor.attempts["urgent"]).unwrap()
+
+
+@then('"urgent" starts first, as its exception\'s tier says')
+def check_order(context):
+    rig = context.rig
+    rig.wait_until(lambda: len(rig.marks()) == 3, "three have started")
+    assert rig.marks() == ["busy", "urgent", "other"], rig.marks()
+
+
+@then('an offer of class "question" of that workspace needs a ticket, as its {_} says')
+def check_ticket(context, _):
+    send_offer(context.rig, "plain", "question", "other")
+    send_offer(context.rig, "billed", "question", EXCEPTED)
+    refused = context.rig.wait_for(Refused, "billed")
+    assert refused.reason == "ticket-invalid", refused
+    assert not context.rig.received(Refused, "plain")
+
+
+@then("the engine was told the priority of the exception")
+def check_priority(context):
+    assert json.loads(context.call.body)["priority"] == 3, context.call.body
+
+
+@given("an endpoint process before a plain service with an exception for preemptible")
+def start_service(context):
+    start_rig(context, PAUSABLE, "service")
+
+
+@then("its scheduler holds no class of any workspace for preemptible")
+def check_not_preemptible(context):
+    class_for(context.rig.revisions.current(), "call", EXCEPTED)
+    held = context.rig.process.executor.scheduler.declarations
+    for workspace in ("", EXCEPTED):
+        assert not class_for(held, "call", workspace).preemptible, workspace
--- a/zinniaramp/declarations/lookup.py
+++ b/zinniaramp/declarations/lookup.py
@@ -4,7 +4,7 @@
 
 from .core import ClassDeclaration, Declarations
 
-__all__ = ["class_for"]
+__all__ = ["class_for", "class_variants"]
 
 
 def class_for(
@@ -48,6 +48,16 @@
     return by_workspace[scope]
 
 
+def class_variants(declarations: Declarations) -> list[ClassDeclaration]:
+    """Return every form that a class takes for some workspace."""
+    variants = [class_for(declarations, name, "") for name in declarations.classes]
+    variants += [
+        class_for(declarations, one.class_name, one.workspace)
+        for one in declarations.exceptions.values()
+    ]
+    return variants
+
+
 def _apply(
     declarations: Declarations, declared: ClassDeclaration, workspace: str
 ) -> ClassDeclaration:
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..configuration import RevisionStore
 from ..contracts import Load, Welcome
-from ..declarations import Declarations
+from ..declarations import Declarations, class_variants
 from ..hosts import Host, HostState, HostView
 from ..links import Identity, Listener
 from ..observability import emit
@@ -180,7 +180,8 @@
 
         Notes
         -----
-        A plain service cannot pause a call, so nothing there is preemptible.
+        A plain service cannot pause a call, so nothing there is preemptible,
+        whatever an exception says.
         """
         if self.settings.engine.kind == "engine":
             return declarations
@@ -188,7 +189,14 @@
             name: replace(one, preemptible=False)
             for name, one in declarations.classes.items()
         }
-        return replace(declarations, classes=classes)
+        exceptions = {
+            name: one
+            for name, one in declarations.exceptions.items()
+            if one.set_key != "preemptible"
+        }
+        return replace(
+            declarations, classes=classes, exceptions=exceptions, resolved={}
+        )
 
     def use_declarations(self, declarations: Declarations) -> None:
         """Take a new revision into use."""
@@ -200,9 +208,7 @@
         self.tickets.capacity = defaults.ticket_table
         self.tickets.retention = defaults.ticket_lifetime
         self.tickets.lifetime = defaults.ticket_lifetime
-        deadlines = [
-            one.deadline or one.finish for one in declarations.classes.values()
-        ]
+        deadlines = [one.deadline or one.finish for one in class_variants(declarations)]
         longest = max(deadlines, default=timedelta(0))
         for remembered in (self.tickets.tombstones, self.forgotten):
             remembered.retention = max(remembered.retention, longest)
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -269,8 +269,8 @@
             service = self.scheduler.declarations.services.get(offer.target)
             limit = service.timeout if service else timeout
             return plain_call(offer, timeout=min(timeout, limit))
-        declared = self.scheduler.declarations.classes.get(attempt.job.class_name)
-        priority = declared.tier if declared else 0
+        entry = self.scheduler.entries.get(attempt.attempt_id)
+        priority = entry.tier if entry else 0
         return chat_call(offer, priority=priority, timeout=timeout)
 
     async def run_attempt(self, attempt: Attempt, transfer: Transfer) -> None:
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..contracts import Offer, RefusalReason
-from ..declarations import Declarations
+from ..declarations import Declarations, class_for
 from ..scheduling import Job
 from ..tickets import Ticket, TicketClaim, TicketTable, read_ticket
 from .attempts import Attempt
@@ -116,10 +116,7 @@
     def ticket_of(self, offer: Offer) -> Result[Ticket | None, RefusalReason]:
         """Return the offer's ticket, if it needs and has one."""
         if not offer.ticket:
-            declared = self.declarations().classes.get(self.class_name_of(offer))
-            if declared is not None and not declared.repeatable:
-                return Err(RefusalReason.TICKET_INVALID)
-            return Ok(None)
+            return self.without_ticket(offer)
         match read_ticket(offer.ticket, key=self.key):
             case Ok(ticket) if ticket.class_name == offer.class_name and (
                 ticket.workspace == offer.workspace
@@ -128,6 +125,15 @@
             case _:
                 return Err(RefusalReason.TICKET_INVALID)
 
+    def without_ticket(self, offer: Offer) -> Result[None, RefusalReason]:
+        """Tell whether an offer may come without a ticket."""
+        declarations, name = self.declarations(), self.class_name_of(offer)
+        if name in declarations.classes:
+            declared = class_for(declarations, name, offer.workspace)
+            if not declared.repeatable:
+                return Err(RefusalReason.TICKET_INVALID)
+        return Ok(None)
+
     def place_with(
         self, offer: Offer, ticket: Ticket | None
     ) -> Placed | Gone | Refusal:
--- a/zinniaramp/load/report.py
+++ b/zinniaramp/load/report.py
@@ -2,13 +2,14 @@
 
 import json
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from datetime import timedelta
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
 
-from ..declarations import ClassDeclaration, Declarations
+from ..declarations import ClassDeclaration, Declarations, class_for
 from .executions import Execution
 from .records import CallerRecord, Fate
 
@@ -122,6 +123,10 @@
     return count / total if total else 1.0
 
 
+def _class_of(record: CallerRecord, declarations: Declarations) -> ClassDeclaration:
+    return class_for(declarations, record.class_name, record.workspace)
+
+
 def _met_first_token(record: CallerRecord, declared: ClassDeclaration) -> bool:
     return record.fate is Fate.WHOLE and record.first_token <= declared.first_token
 
@@ -140,14 +145,20 @@
 
 
 def _class_report(
-    class_name: str, records: list[CallerRecord], declared: ClassDeclaration
+    class_name: str, records: list[CallerRecord], declarations: Declarations
 ) -> ClassReport:
+    def met(
+        some: list[CallerRecord],
+        is_met: Callable[[CallerRecord, ClassDeclaration], bool],
+    ) -> list[CallerRecord]:
+        return [one for one in some if is_met(one, _class_of(one, declarations))]
+
     judged = [one for one in records if one.fate not in SENT_BY_WILL]
     whole = [one for one in records if one.fate is Fate.WHOLE]
-    met_first = [one for one in judged if _met_first_token(one, declared)]
-    met_finish = [one for one in judged if _met_finish(one, declared)]
-    met_between = [one for one in judged if _met_between_tokens(one, declared)]
-    good = [one for one in met_first if _met_finish(one, declared)]
+    met_first = met(judged, _met_first_token)
+    met_finish = met(judged, _met_finish)
+    met_between = met(judged, _met_between_tokens)
+    good = met(met_first, _met_finish)
     return ClassReport(
         class_name=class_name,
         requests=len(records),
@@ -186,7 +197,7 @@
     return [
         one.mark
         for one in records
-        if runs[one.mark] > 1 and not declarations.classes[one.class_name].repeatable
+        if runs[one.mark] > 1 and not _class_of(one, declarations).repeatable
     ]
 
 
@@ -220,7 +231,7 @@
     executions : list of Execution
         What the stand-ins ran; empty if they were not asked.
     declarations : Declarations
-        Targets by class.
+        Targets by class and workspace.
     plan : str
         Name of the plan.
     seed : int
@@ -238,7 +249,7 @@
         _class_report(
             name,
             [one for one in records if one.class_name == name],
-            declarations.classes[name],
+            declarations,
         )
         for name in class_names
     ]
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -13,7 +13,7 @@
 
 from ..clock import Clock
 from ..contracts import Load, RefusalReason
-from ..declarations import ClassDeclaration, Declarations
+from ..declarations import ClassDeclaration, Declarations, class_for
 from .admission import (
     INFLOW_MEMORY_S,
     EngineView,
@@ -117,9 +117,9 @@
         """
         if job.attempt_id in self.entries:
             return admitted(0.0)
-        declaration = self.declarations.classes.get(job.class_name)
-        if declaration is None:
+        if job.class_name not in self.declarations.classes:
             return refused(RefusalReason.REVISION, wait=0.0, limit=0.0)
+        declaration = class_for(self.declarations, job.class_name, job.workspace)
         now = self._advance()
         entry = self._new_entry(job, declaration)
         admission = self._decide(entry, now)
