Become ready only after a peer has told its revision

Cause: a starting process was settled as soon as the service had answered. A stale service answers at once, so a restarted endpoint process reported ready on the revision before the one that every peer had in force, up to a heartbeat or an entry's next dial long. While the service was down, each start waited for the whole `lookup_timeout`, even when peers had told the newest long before.

Ruled out: the store; it took the peers' revision when it came. The entry did not show it, as it needs a stream, but it had no rule either.

Now a process waits until its first read is over, a peer was heard, and no pull is under way. `lookup_timeout` bounds it; the default is 8 s, as an entry dials again after 5 s at most.

Not proved: an entry whose reachable peers hold unlike revisions becomes ready after the first was heard; the others are a dial away.

--- a/zinniaramp/configuration/core.py
+++ b/zinniaramp/configuration/core.py
@@ -40,6 +40,8 @@
         The newest revision whose content was refused here.
     heard_at : datetime
         When a peer last told its revision.
+    has_heard : bool
+        Whether any peer has told its revision.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.subscribers: list[Subscriber] = []
         self.refused: RevisionId | None = None
         self.heard_at: datetime = self.clock()
+        self.has_heard = False
         self.wanted: RevisionId | None = None
         self.asked_at: datetime = self.heard_at
         self.behind_since: datetime = self.heard_at
@@ -135,6 +138,7 @@
         """
         now = self.clock()
         self.heard_at = now
+        self.has_heard = True
         if not self.is_newer(peer_revision):
             return None
         if not self.is_pulling():
--- a/zinniaramp/configuration/follower.py
+++ b/zinniaramp/configuration/follower.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -28,6 +28,10 @@
 """Rate that watches which end without a change may cost a host."""
 
 
+SETTLE_CHECK_SECONDS = 0.02
+"""Time between two looks at whether a starting process knows the newest."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class FollowerLimits:
     """Times that bound what a follower asks of the service.
@@ -159,6 +163,7 @@
         self.read_at = self.next_read_at = clock()
         self.shown_index = -1
         self.has_answer = asyncio.Event()
+        self.has_read = False
         self.quiet_limit = self.limits.quiet * random.uniform(1, 2)
         self.refresh_limit = self.limits.refresh * random.uniform(1, 2)
 
@@ -168,14 +173,29 @@
         Parameters
         ----------
         timeout : timedelta
-            Longest wait; what is in force by then stays until something newer
-            is found.
+            Longest wait for both, and then for a newer revision that a peer
+            has; what is in force by then stays until something newer is found.
+
+        Notes
+        -----
+        An answer of the service alone is not enough, for it may be stale.  When
+        a peer was heard, a service that does not answer is not waited for.
         """
+        await self.wait_until(self.has_asked_all, timeout)
+        await self.wait_until(lambda: not self.store.is_pulling(), timeout)
+
+    def has_asked_all(self) -> bool:
+        """Tell whether the first read is over and a peer was heard."""
+        return self.has_read and self.store.has_heard
+
+    async def wait_until(
+        self, condition: Callable[[], bool], timeout: timedelta
+    ) -> None:
+        """Wait for a condition, for a bounded time."""
         try:
             async with asyncio.timeout(timeout.total_seconds()):
-                await self.has_answer.wait()
-                while self.store.is_pulling():
-                    await asyncio.sleep(0.02)
+                while not condition():
+                    await asyncio.sleep(SETTLE_CHECK_SECONDS)
         except TimeoutError:
             return
 
@@ -216,7 +236,9 @@
         """Read or watch once; after a failure, wait before returning."""
         await self.keep_spacing()
         url = sections_url(self.url, index=self.watch_index(), wait=wait)
-        match await self.read_json(url, wait + self.limits.answer):
+        answered = await self.read_json(url, wait + self.limits.answer)
+        self.has_read = True
+        match answered:
             case Err(error):
                 await self.wait_after(str(error))
                 return
--- a/zinniaramp/settings/core.py
+++ b/zinniaramp/settings/core.py
@@ -87,7 +87,12 @@
         default="",
     )
     lookup_timeout: Seconds = declare_key(
-        "Longest wait for the platform at start.", unit="s", default=3, ge=0, le=60
+        "Longest wait at start for the platform, and for a peer's word on which "
+        "revision is in force.",
+        unit="s",
+        default=8,
+        ge=0,
+        le=60,
     )
 
 
