Name a lower revision of the service also after it was in force

Cause: the follower took "shown before" for "named before". A process that started under a stale service took the old revision, got the newest from a peer, and was then shown the old one again: no event 1102, so operators did not learn from its log that the service is behind.

Ruled out: the watch; it asks above the revision in force and is answered.

--- a/features/promises/configuration.feature
+++ b/features/promises/configuration.feature
@@ -21,6 +21,7 @@
     And endpoint-0 is restarted
     Then endpoint-0 becomes ready with the highest revision
     When the service is restarted with the content of the start
+    And every process has been shown a lower revision
     Then every process has the highest revision in force within 9 seconds
     When entry-0 is restarted
     Then entry-0 becomes ready with the highest revision
--- a/zinniaramp/configuration/follower.py
+++ b/zinniaramp/configuration/follower.py
@@ -162,6 +162,7 @@
         )
         self.read_at = self.next_read_at = clock()
         self.shown_index = -1
+        self.named_lower: int | None = None
         self.has_answer = asyncio.Event()
         self.has_read = False
         self.quiet_limit = self.limits.quiet * random.uniform(1, 2)
@@ -260,10 +261,14 @@
     def take(self, published: Published) -> None:
         """Put a newer revision in force; a lower one is named once."""
         index, in_force = published.revision.index, self.store.revision().index
-        is_repeated = index < in_force and index == self.shown_index
         self.shown_index = index
-        if not is_repeated:
-            take_revision(self.store, published, source="service")
+        if index >= in_force:
+            self.named_lower = None
+        elif index == self.named_lower:
+            return
+        else:
+            self.named_lower = index
+        take_revision(self.store, published, source="service")
 
     async def keep_spacing(self) -> None:
         """Wait until the next read may start."""
