Handle a request under its entry's revision at the endpoint process too

Cause: the endpoint process looked the class up in whatever it had in force and did not read `Offer.revision_index`. A revision that arrived between entry and endpoint changed tier, limits and the need of a ticket on the way. An offer of a class that the endpoint process did not have yet was refused with `revision` until its next heartbeat, up to a second, by all endpoints alike.

Ruled out: the entry; it holds one `Declarations` for the whole request.

The store keeps 8 revisions; the job carries its class. An offer of a newer revision makes the endpoint process ask for the sections and is held for 0.5 s at most. Plain services no longer need a second form of the declarations in `placement`.

--- a/features/steps/promises_exceptions_steps.py
+++ b/features/steps/promises_exceptions_steps.py
@@ -5,7 +5,15 @@
 from behave import given, then, when
 
 from features.endpoint.rig import MODEL, Rig
-from zinniaramp.contracts import Offer, Refused, RevisionId
+from zinniaramp.configuration.sections import digest_of, make_section
+from zinniaramp.contracts import (
+    Accepted,
+    Offer,
+    Refused,
+    RevisionId,
+    SectionsReply,
+    SectionsRequest,
+)
 from zinniaramp.declarations import class_for, read_declarations
 
 EXCEPTED = "archive"
@@ -54,7 +62,7 @@
     context.rig.revisions.advance(declared).unwrap()
 
 
-def send_offer(rig, name, class_name, workspace):
+def send_offer(rig, name, class_name, workspace, revision_index=2):
     """Offer a repeatable attempt of a workspace."""
     body = {
         "model": MODEL,
@@ -68,7 +76,7 @@
             target=MODEL,
             class_name=class_name,
             workspace=workspace,
-            revision_index=2,
+            revision_index=revision_index,
             deadline_s=30,
             ticket="",
             method="POST",
@@ -130,6 +138,48 @@
 @then("its scheduler holds no class of any workspace for preemptible")
 def check_not_preemptible(context):
     class_for(context.rig.revisions.current(), "call", EXCEPTED)
-    held = context.rig.process.executor.scheduler.declarations
-    for workspace in ("", EXCEPTED):
-        assert not class_for(held, "call", workspace).preemptible, workspace
+    for workspace in ("other", EXCEPTED):
+        send_offer(context.rig, workspace, "call", workspace)
+    entries = context.rig.process.executor.scheduler.entries
+    context.rig.wait_until(lambda: len(entries) == 2, "both are accepted")
+    for entry in entries.values():
+        assert not entry.is_pausable, entry
+
+
+@when("a revision without exceptions is in force")
+def drop_exceptions(context):
+    text = EXCEPTIONS.partition("[exception early]")[0]
+    revision = RevisionId(index=3, digest="")
+    declared = read_declarations(text, file="", revision=revision).unwrap()
+    context.rig.revisions.advance(declared).unwrap()
+
+
+@when("an offer of a class that only the entry's revision has arrives")
+def offer_newer(context):
+    sections = (make_section(f"{EXCEPTIONS}\n[class novel]\ntier = 4\n"),)
+    context.newer = SectionsReply(
+        revision=RevisionId(index=9, digest=digest_of(sections)),
+        digests=[sections[0].digest[:16]],
+        texts=[sections[0].text],
+    )
+    send_offer(context.rig, "early", "novel", "other", revision_index=9)
+
+
+@then("the endpoint process asks for the entry's sections")
+def check_asked(context):
+    messages = context.rig.callers[-1].messages
+    context.rig.wait_until(
+        lambda: any(isinstance(one, SectionsRequest) for one in messages), "request"
+    )
+
+
+@then("the offer is accepted once they have arrived, and not refused before")
+def check_held(context):
+    rig = context.rig
+    assert not rig.received(Refused, "early")
+    rig.send(context.newer)
+    rig.wait_until(
+        lambda: rig.received(Accepted, "early") or rig.received(Refused, "early"),
+        "an answer to the offer",
+    )
+    assert not rig.received(Refused, "early"), rig.received(Refused, "early")
--- a/zinniaramp/configuration/core.py
+++ b/zinniaramp/configuration/core.py
@@ -18,6 +18,10 @@
 """Time after which sections are asked for again, perhaps from another peer."""
 
 
+KEPT_REVISIONS = 8
+"""Revisions that are kept for requests that began under them."""
+
+
 class ConfigurationError(Exception):
     """A revision cannot be put in force."""
 
@@ -53,6 +57,7 @@
     ):
         self.declarations = initial
         self.sections = sections
+        self.kept = {initial.revision.index: initial}
         self.clock = clock or monotonic_clock()
         self.subscribers: list[Subscriber] = []
         self.refused: RevisionId | None = None
@@ -66,6 +71,10 @@
         """Return the declarations in force."""
         return self.declarations
 
+    def at(self, index: int) -> Declarations:
+        """Return the declarations of a revision, if kept; else those in force."""
+        return self.kept.get(index, self.declarations)
+
     def revision(self) -> RevisionId:
         """Return the revision in force."""
         return self.declarations.revision
@@ -102,6 +111,9 @@
             )
         self.declarations = newer
         self.sections = sections
+        self.kept[newer.revision.index] = newer
+        while len(self.kept) > KEPT_REVISIONS:
+            del self.kept[min(self.kept)]
         for subscriber in self.subscribers:
             subscriber(newer)
         return Ok(None)
@@ -114,6 +126,12 @@
         """Tell whether a peer is known to have a newer revision."""
         return self.wanted is not None and self.is_newer(self.wanted)
 
+    def note_index(self, index: int) -> SectionsRequest | None:
+        """Note the revision under which a peer handles a request."""
+        if self.refused is not None and index <= self.refused.index:
+            return None
+        return self.note_revision(RevisionId(index=index, digest=""))
+
     def behind_for(self) -> timedelta:
         """Return for how long a peer has been known to have a newer revision."""
         if not self.is_pulling():
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -127,7 +127,8 @@
             tickets=self.tickets,
             serves=engine.serves.split(),
             key=self.settings.fleet.key,
-            declarations=self.revisions.current,
+            declarations=self.revisions.at,
+            is_pausable=engine.kind == "engine",
             is_leaving=lambda: self.is_leaving,
             clock=self.clock,
         )
@@ -213,6 +214,7 @@
         for remembered in (self.tickets.tombstones, self.forgotten):
             remembered.retention = max(remembered.retention, longest)
         self.executor.changed.set()
+        self.streams.release_all_early()
 
     def use_hosts(self, hosts: dict[str, Host]) -> None:
         """Leave if the platform's list says that this host is leaving."""
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -1,14 +1,14 @@
 """Decides what becomes of an offer before the scheduler may order it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from result import Err, Ok, Result
 
 from ..clock import Clock
 from ..contracts import Offer, RefusalReason
-from ..declarations import Declarations, class_for
+from ..declarations import ClassDeclaration, Declarations, class_for
 from ..scheduling import Job
 from ..tickets import Ticket, TicketClaim, TicketTable, read_ticket
 from .attempts import Attempt
@@ -66,7 +66,10 @@
     key : str
         The fleet's secret.
     declarations : callable
-        Returns the declarations in force.
+        Returns the declarations of a revision by its index; those in force if
+        that one is not known.
+    is_pausable : bool
+        Whether the engine can pause a request.
     is_leaving : callable
         Tells whether this process takes no new work.
     clock : Clock
@@ -80,7 +83,8 @@
         tickets: TicketTable,
         serves: list[str],
         key: str,
-        declarations: Callable[[], Declarations],
+        declarations: Callable[[int], Declarations],
+        is_pausable: bool,
         is_leaving: Callable[[], bool],
         clock: Clock,
     ):
@@ -89,6 +93,7 @@
         self.serves = serves
         self.key = key
         self.declarations = declarations
+        self.is_pausable = is_pausable
         self.is_leaving = is_leaving
         self.clock = clock
 
@@ -127,11 +132,9 @@
 
     def without_ticket(self, offer: Offer) -> Result[None, RefusalReason]:
         """Tell whether an offer may come without a ticket."""
-        declarations, name = self.declarations(), self.class_name_of(offer)
-        if name in declarations.classes:
-            declared = class_for(declarations, name, offer.workspace)
-            if not declared.repeatable:
-                return Err(RefusalReason.TICKET_INVALID)
+        declared = self.class_of(offer)
+        if declared is not None and not declared.repeatable:
+            return Err(RefusalReason.TICKET_INVALID)
         return Ok(None)
 
     def place_with(
@@ -197,7 +200,23 @@
 
     def class_name_of(self, offer: Offer) -> str:
         """Return the class of an offer; the fleet's default if it names none."""
-        return offer.class_name or self.declarations().defaults.class_name
+        declarations = self.declarations(offer.revision_index)
+        return offer.class_name or declarations.defaults.class_name
+
+    def class_of(self, offer: Offer) -> ClassDeclaration | None:
+        """Return an offer's class under the request's revision, if it is declared."""
+        declarations = self.declarations(offer.revision_index)
+        name = self.class_name_of(offer)
+        if name not in declarations.classes:
+            return None
+        declared = class_for(declarations, name, offer.workspace)
+        defaults = declarations.defaults
+        return replace(
+            declared,
+            preemptible=declared.preemptible and self.is_pausable,
+            floor=declared.floor or defaults.floor,
+            queue_limit=declared.queue_limit or defaults.queue_limit,
+        )
 
     def job_of(self, offer: Offer) -> Job:
         """Return an offer as the scheduler sees it."""
@@ -206,6 +225,7 @@
             attempt_id=offer.attempt_id,
             class_name=self.class_name_of(offer),
             workspace=offer.workspace,
+            declaration=self.class_of(offer),
             arrived=now,
             deadline=now + timedelta(seconds=offer.deadline_s),
         )
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -1,5 +1,7 @@
 """The endpoint process's streams, and the dispatch of what arrives on them."""
 
+import asyncio
+from dataclasses import dataclass
 from datetime import timedelta
 
 from result import Err, Ok
@@ -36,6 +38,17 @@
 
 __all__ = ["Streams"]
 
+EARLY_HOLD = timedelta(seconds=0.5)
+"""Longest wait of an offer for its revision; half of an entry's wait for a word."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True, eq=False)
+class EarlyOffer:
+    """An offer whose revision is not in force here yet."""
+
+    connection: Connection
+    offer: Offer
+
 
 class Streams:
     """Serves the streams that entry processes have opened.
@@ -69,6 +82,7 @@
         self.silence = silence
         self.clock = clock
         self.connections: set[Connection] = set()
+        self.early: list[EarlyOffer] = []
 
     async def serve(self, connection: Connection) -> None:
         """Serve one stream until it ends."""
@@ -125,6 +139,39 @@
         connection.send(Pong(number=number, revision=revision, load=self.load()))
 
     def take_offer(self, connection: Connection, offer: Offer) -> None:
+        """Answer an offer, once the request's revision is in force here."""
+        if offer.revision_index > self.revisions.revision().index:
+            request = self.revisions.note_index(offer.revision_index)
+            if request is not None:
+                connection.send(request)
+            if self.revisions.is_pulling():
+                self.hold_early(connection, offer)
+                return
+        self.decide(connection, offer)
+
+    def hold_early(self, connection: Connection, offer: Offer) -> None:
+        """Hold an offer until its revision has come, for a bounded time."""
+        early = EarlyOffer(connection=connection, offer=offer)
+        self.early.append(early)
+        loop = asyncio.get_running_loop()
+        loop.call_later(EARLY_HOLD.total_seconds(), self.release_early, early)
+
+    def release_early(self, early: EarlyOffer) -> None:
+        """Answer a held offer, unless its stream has ended."""
+        if early not in self.early:
+            return
+        self.early.remove(early)
+        if not early.connection.is_closed:
+            self.decide(early.connection, early.offer)
+
+    def release_all_early(self) -> None:
+        """Answer the held offers whose revision is in force."""
+        in_force = self.revisions.revision().index
+        for early in list(self.early):
+            if early.offer.revision_index <= in_force:
+                self.release_early(early)
+
+    def decide(self, connection: Connection, offer: Offer) -> None:
         """Answer an offer and, if it is taken, send its answer on this stream."""
         decided = self.placement.place(offer)
         match decided:
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -117,9 +117,9 @@
         """
         if job.attempt_id in self.entries:
             return admitted(0.0)
-        if job.class_name not in self.declarations.classes:
+        declaration = job.declaration or self._class_of(job)
+        if declaration is None:
             return refused(RefusalReason.REVISION, wait=0.0, limit=0.0)
-        declaration = class_for(self.declarations, job.class_name, job.workspace)
         now = self._advance()
         entry = self._new_entry(job, declaration)
         admission = self._decide(entry, now)
@@ -226,6 +226,11 @@
             state.inflow_s *= kept
         return now
 
+    def _class_of(self, job: Job) -> ClassDeclaration | None:
+        if job.class_name not in self.declarations.classes:
+            return None
+        return class_for(self.declarations, job.class_name, job.workspace)
+
     def _new_entry(self, job: Job, declaration: ClassDeclaration) -> Entry:
         self.offered += 1
         workspace = self.declarations.workspaces.get(job.workspace)
--- a/zinniaramp/scheduling/jobs.py
+++ b/zinniaramp/scheduling/jobs.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from ..contracts import RefusalReason
+from ..declarations import ClassDeclaration
 
 __all__ = [
     "Action",
@@ -37,6 +38,9 @@
         The attempt.
     class_name, workspace : str
         Names from the declarations.
+    declaration : ClassDeclaration or None
+        Its class under the request's revision; None to look it up in the one
+        in force.
     arrived : datetime
         When the offer arrived.
     deadline : datetime
@@ -52,6 +56,7 @@
     workspace: str
     arrived: datetime
     deadline: datetime
+    declaration: ClassDeclaration | None = None
     state: JobState = JobState.WAITING
     tokens: int = 0
 
