Bound what a peer may make the decoder take, and more tightly before its proof

Cause: msgpack takes memory for an array when its header says how long it is, and nothing bounded that but the size of a frame: 5 bytes for 4 million elements, and a header inside a header again. A connection that had proved nothing could also fill 4 MiB before it was cut off.

Ruled out: the frame's own bound; a frame above 4 MiB closed its stream already.

Arrays have 16,384 elements at most, maps are refused, and 64 KB may arrive before the proof.

--- a/zinniaramp/contracts/codec.py
+++ b/zinniaramp/contracts/codec.py
@@ -47,6 +47,9 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Largest encoded message, in bytes: the largest request body and its headers."""
 
+MAX_ARRAY_LENGTH = 16_384
+"""Most elements of one array; memory for them is taken before they arrive."""
+
 _NESTED_TYPES = {Load, RevisionId}
 _CLASSES = dict(enumerate(get_args(Message)))
 _KINDS = {cls: kind for kind, cls in _CLASSES.items()}
@@ -122,7 +125,12 @@
     __slots__ = ("unpacker", "control_bytes")
 
     def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES):
-        self.unpacker = msgpack.Unpacker(max_buffer_size=max_frame_bytes)
+        self.unpacker = msgpack.Unpacker(
+            max_buffer_size=max_frame_bytes,
+            max_array_len=MAX_ARRAY_LENGTH,
+            max_map_len=0,
+            max_ext_len=0,
+        )
         self.control_bytes = 0
 
     def feed(self, data: bytes) -> Result[list[Message], ContractError]:
--- a/zinniaramp/links/handshake.py
+++ b/zinniaramp/links/handshake.py
@@ -13,7 +13,7 @@
 from tornado.tcpclient import TCPClient
 
 from ..clock import Clock
-from ..contracts import Challenge, Hello, Message, RevisionId, Welcome
+from ..contracts import Challenge, Decoder, Hello, Message, RevisionId, Welcome
 from ..observability import emit
 from .core import Connection, LinkError
 from .events import PEER_REFUSED, STREAM_OPENED
@@ -23,6 +23,9 @@
 HANDSHAKE_TIMEOUT = timedelta(seconds=2)
 """Longest time from connecting to the last message of the handshake."""
 
+MAX_HELLO_BYTES = 64 * 1024
+"""Bytes that a peer may send before it has proved that it has the key."""
+
 NONCE_BYTES = 16
 """Length of a challenge."""
 
@@ -172,6 +175,7 @@
         The open connection; or `LinkError`, with the socket closed.
     """
     connection = Connection(stream=stream, peer=peer, clock=clock)
+    connection.decoder = Decoder(max_frame_bytes=MAX_HELLO_BYTES)
     nonce = secrets.token_bytes(NONCE_BYTES)
     connection.send(Challenge(nonce=nonce))
     try:
@@ -182,6 +186,7 @@
     match answer:
         case Ok(hello) if _is_proved(hello, nonce, identity):
             connection.incarnation = hello.incarnation
+            connection.decoder = Decoder()
             connection.send(welcome())
             _opened(connection)
             return Ok(connection)
