Close a stream whose serving fails, and bound an offer's deadline

Cause: an offer with deadline_s = 1e15 made `timedelta` raise OverflowError in the task that serves the stream. The task ended, the socket stayed open: the peer saw a stream that answers nothing, and its messages filled the socket's buffer.

Ruled out: the decoder; the offer is well typed.

--- /dev/null
+++ b/features/support/raw_peer.py
@@ -0,0 +1,79 @@
+"""A peer that sends whatever bytes a test wants over a stream; for tests only."""
+
+import socket
+
+from zinniaramp.contracts import Challenge, Hello, RevisionId
+from zinniaramp.contracts.codec import Decoder, encode
+from zinniaramp.links.handshake import proof_of
+from zinniaramp.standins.daemons import FLEET_KEY
+
+TIMEOUT_SECONDS = 10
+READ_BYTES = 64 * 1024
+INCARNATION = "entry-9/start"
+REVISION = RevisionId(index=0, digest="")
+
+
+class RawPeer:
+    """One connection to an address."""
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        self.socket = socket.create_connection((host, int(port)), TIMEOUT_SECONDS)
+        self.name = "{}:{}".format(*self.socket.getsockname())
+        self.decoder = Decoder()
+
+    def read_messages(self):
+        """Return the next messages; nothing at the end of the stream."""
+        while True:
+            try:
+                data = self.socket.recv(READ_BYTES)
+            except ConnectionError:
+                return []
+            if not data:
+                return []
+            if messages := self.decoder.feed(data).unwrap():
+                return messages
+
+    def hello(self, key=FLEET_KEY):
+        """Return the frame that answers this connection's challenge."""
+        challenge = self.read_messages()[0]
+        assert isinstance(challenge, Challenge)
+        proof = proof_of(key, challenge.nonce, INCARNATION)
+        return encode(
+            Hello(incarnation=INCARNATION, role="entry", revision=REVISION, proof=proof)
+        )
+
+    def open(self):
+        """Complete the handshake."""
+        self.send(self.hello())
+        assert self.read_messages()
+        return self
+
+    def send(self, data):
+        """Send bytes; a closed connection takes none."""
+        try:
+            self.socket.sendall(data)
+        except ConnectionError:
+            return
+
+    def finish(self):
+        """Say that nothing more is sent."""
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+    def is_closed(self):
+        """Read until the other end has closed the connection."""
+        try:
+            while self.socket.recv(READ_BYTES):
+                pass
+        except ConnectionError:
+            return True
+        except TimeoutError:
+            return False
+        return True
+
+    def close(self):
+        """Close the connection."""
+        self.socket.close()
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -16,6 +16,9 @@
 
 __all__ = ["Gone", "Placed", "Placement", "Refusal"]
 
+LONGEST_DEADLINE = timedelta(days=1)
+"""Longest time until a request is given up; the bound of the declared `deadline`."""
+
 ENGINE_RETRY = timedelta(seconds=1)
 """When a caller that was refused for want of the engine should come back."""
 
@@ -221,11 +224,12 @@
     def job_of(self, offer: Offer) -> Job:
         """Return an offer as the scheduler sees it."""
         now = self.clock()
+        seconds = min(offer.deadline_s, LONGEST_DEADLINE.total_seconds())
         return Job(
             attempt_id=offer.attempt_id,
             class_name=self.class_name_of(offer),
             workspace=offer.workspace,
             declaration=self.class_of(offer),
             arrived=now,
-            deadline=now + timedelta(seconds=offer.deadline_s),
+            deadline=now + timedelta(seconds=seconds),
         )
--- a/zinniaramp/links/listener.py
+++ b/zinniaramp/links/listener.py
@@ -52,4 +52,11 @@
             clock=self.clock,
         )
         if isinstance(opened, Ok):
-            await self.serve(opened.ok_value)
+            await self.serve_to_end(opened.ok_value)
+
+    async def serve_to_end(self, connection: Connection) -> None:
+        """Serve a stream, and close it also if that fails."""
+        try:
+            await self.serve(connection)
+        finally:
+            connection.close(reason="not served any more")
