--- a/scripts/run_features.py
+++ b/scripts/run_features.py
@@ -19,8 +19,8 @@
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 KNOWN_RED_PREFIX = "test: "
 
-PARALLEL_SUBJECTS = 4
-"""Subjects whose features run at the same time."""
+PARALLEL_FEATURES = 4
+"""Features that run at the same time."""
 
 
 def read_known_red():
@@ -36,23 +36,23 @@
 
 
 @dataclass(slots=True, kw_only=True)
-class SubjectRun:
-    """Result of the features of one subject."""
+class FeatureRun:
+    """Result of one feature."""
 
-    subject: str
+    name: str
     report: list
     output: str
     is_broken: bool
     seconds: float
 
 
-def subjects():
-    """Return the directories that hold features, by name."""
-    return sorted({path.parent for path in FEATURES.rglob("*.feature")})
+def feature_files():
+    """Return the files that hold features, by name."""
+    return sorted(FEATURES.rglob("*.feature"))
 
 
-def run_subject(subject):
-    """Run the features of one subject in a process of their own."""
+def run_feature(path):
+    """Run one feature in a process of its own."""
     started = time.monotonic()
     with tempfile.TemporaryDirectory() as directory:
         report_path = Path(directory) / "report.json"
@@ -65,7 +65,7 @@
             "--format=json",
             f"--outfile={report_path.with_suffix('.txt')}",
             f"--outfile={report_path}",
-            str(subject),
+            str(path),
         ]
         finished = subprocess.run(
             command, cwd=ROOT, check=False, capture_output=True, text=True
@@ -75,8 +75,8 @@
         steps = steps_path.read_text() if steps_path.exists() else ""
     report = json.loads(text) if text else []
     has_failure = any(not is_passed for _, is_passed in scenario_results(report))
-    return SubjectRun(
-        subject=str(subject.relative_to(FEATURES)),
+    return FeatureRun(
+        name=str(path.relative_to(FEATURES)),
         report=report,
         output=f"{steps}\n{finished.stdout}\n{finished.stderr}",
         is_broken=finished.returncode != 0 and not has_failure,
@@ -97,10 +97,10 @@
     """Run the features and print the verdict."""
     known_red = read_known_red()
     passed, failed, red = 0, [], []
-    with ThreadPoolExecutor(max_workers=PARALLEL_SUBJECTS) as pool:
-        for run in pool.map(run_subject, subjects()):
+    with ThreadPoolExecutor(max_workers=PARALLEL_FEATURES) as pool:
+        for run in pool.map(run_feature, feature_files()):
             results = list(scenario_results(run.report))
-            print(f"{run.subject}: {len(results)} scenarios, {run.seconds:.0f} s")
+            print(f"{run.name}: {len(results)} scenarios, {run.seconds:.0f} s")
             failures = [name for name, is_passed in results if not is_passed]
             red += [name for name in failures if name in known_red]
             failed += [name for name in failures if name not in known_red]
@@ -109,7 +109,7 @@
             failed += [name for name in passing if name in known_red]
             passed += len([name for name in passing if name not in known_red])
             if run.is_broken:
-                failed.append(f"features of {run.subject} did not run")
+                failed.append(f"{run.name} did not run")
             if run.is_broken or any(name not in known_red for name in failures):
                 print(run.output)
     for name in red:
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -10,7 +10,7 @@
 from ..clock import Clock
 from ..configuration import RevisionStore
 from ..contracts import Load, Welcome
-from ..declarations import Declarations
+from ..declarations import Declarations, class_variants
 from ..hosts import Host, HostState, HostView
 from ..links import Identity, Listener
 from ..observability import emit
@@ -132,7 +132,8 @@
             tickets=self.tickets,
             serves=engine.serves.split(),
             key=self.settings.fleet.key,
-            declarations=self.revisions.current,
+            declarations=self.revisions.at,
+            is_pausable=engine.kind == "engine",
             is_leaving=lambda: self.is_leaving,
             clock=self.clock,
         )
@@ -185,7 +186,8 @@
 
         Notes
         -----
-        A plain service cannot pause a call, so nothing there is preemptible.
+        A plain service cannot pause a call, so nothing there is preemptible,
+        whatever an exception says.
         """
         if self.settings.engine.kind == "engine":
             return declarations
@@ -193,7 +195,14 @@
             name: replace(one, preemptible=False)
             for name, one in declarations.classes.items()
         }
-        return replace(declarations, classes=classes)
+        exceptions = {
+            name: one
+            for name, one in declarations.exceptions.items()
+            if one.set_key != "preemptible"
+        }
+        return replace(
+            declarations, classes=classes, exceptions=exceptions, resolved={}
+        )
 
     def use_declarations(self, declarations: Declarations) -> None:
         """Take a new revision into use."""
@@ -205,13 +214,12 @@
         self.tickets.capacity = defaults.ticket_table
         self.tickets.retention = defaults.ticket_lifetime
         self.tickets.lifetime = defaults.ticket_lifetime
-        deadlines = [
-            one.deadline or one.finish for one in declarations.classes.values()
-        ]
+        deadlines = [one.deadline or one.finish for one in class_variants(declarations)]
         longest = max(deadlines, default=timedelta(0))
         for remembered in (self.tickets.tombstones, self.forgotten):
             remembered.retention = max(remembered.retention, longest)
         self.executor.changed.set()
+        self.streams.release_all_early()
 
     def use_hosts(self, hosts: dict[str, Host]) -> None:
         """Leave if the platform's list says that this host is leaving."""
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -1,14 +1,14 @@
 """Decides what becomes of an offer before the scheduler may order it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from result import Err, Ok, Result
 
 from ..clock import Clock
 from ..contracts import Offer, RefusalReason
-from ..declarations import Declarations
+from ..declarations import ClassDeclaration, Declarations, class_for
 from ..scheduling import Job
 from ..tickets import Ticket, TicketClaim, TicketTable, read_ticket
 from .attempts import Attempt
@@ -16,6 +16,9 @@
 
 __all__ = ["Gone", "Placed", "Placement", "Refusal"]
 
+LONGEST_DEADLINE = timedelta(days=1)
+"""Longest time until a request is given up; the bound of the declared `deadline`."""
+
 ENGINE_RETRY = timedelta(seconds=1)
 """When a caller that was refused for want of the engine should come back."""
 
@@ -69,7 +72,10 @@
     key : str
         The fleet's secret.
     declarations : callable
-        Returns the declarations in force.
+        Returns the declarations of a revision by its index; those in force if
+        that one is not known.
+    is_pausable : bool
+        Whether the engine can pause a request.
     is_leaving : callable
         Tells whether this process takes no new work.
     clock : Clock
@@ -83,7 +89,8 @@
         tickets: TicketTable,
         serves: list[str],
         key: str,
-        declarations: Callable[[], Declarations],
+        declarations: Callable[[int], Declarations],
+        is_pausable: bool,
         is_leaving: Callable[[], bool],
         clock: Clock,
     ):
@@ -92,6 +99,7 @@
         self.serves = serves
         self.key = key
         self.declarations = declarations
+        self.is_pausable = is_pausable
         self.is_leaving = is_leaving
         self.clock = clock
 
@@ -119,10 +127,7 @@
     def ticket_of(self, offer: Offer) -> Result[Ticket | None, RefusalReason]:
         """Return the offer's ticket, if it needs and has one."""
         if not offer.ticket:
-            declared = self.declarations().classes.get(self.class_name_of(offer))
-            if declared is not None and not declared.repeatable:
-                return Err(RefusalReason.TICKET_INVALID)
-            return Ok(None)
+            return self.without_ticket(offer)
         match read_ticket(offer.ticket, key=self.key):
             case Ok(ticket) if ticket.class_name == offer.class_name and (
                 ticket.workspace == offer.workspace
@@ -131,6 +136,13 @@
             case _:
                 return Err(RefusalReason.TICKET_INVALID)
 
+    def without_ticket(self, offer: Offer) -> Result[None, RefusalReason]:
+        """Tell whether an offer may come without a ticket."""
+        declared = self.class_of(offer)
+        if declared is not None and not declared.repeatable:
+            return Err(RefusalReason.TICKET_INVALID)
+        return Ok(None)
+
     def place_with(
         self, offer: Offer, ticket: Ticket | None
     ) -> Placed | Gone | Refusal:
@@ -210,15 +222,33 @@
 
     def class_name_of(self, offer: Offer) -> str:
         """Return the class of an offer; the fleet's default if it names none."""
-        return offer.class_name or self.declarations().defaults.class_name
+        declarations = self.declarations(offer.revision_index)
+        return offer.class_name or declarations.defaults.class_name
+
+    def class_of(self, offer: Offer) -> ClassDeclaration | None:
+        """Return an offer's class under the request's revision, if it is declared."""
+        declarations = self.declarations(offer.revision_index)
+        name = self.class_name_of(offer)
+        if name not in declarations.classes:
+            return None
+        declared = class_for(declarations, name, offer.workspace)
+        defaults = declarations.defaults
+        return replace(
+            declared,
+            preemptible=declared.preemptible and self.is_pausable,
+            floor=declared.floor or defaults.floor,
+            queue_limit=declared.queue_limit or defaults.queue_limit,
+        )
 
     def job_of(self, offer: Offer) -> Job:
         """Return an offer as the scheduler sees it."""
         now = self.clock()
+        seconds = min(offer.deadline_s, LONGEST_DEADLINE.total_seconds())
         return Job(
             attempt_id=offer.attempt_id,
             class_name=self.class_name_of(offer),
             workspace=offer.workspace,
+            declaration=self.class_of(offer),
             arrived=now,
-            deadline=now + timedelta(seconds=offer.deadline_s),
+            deadline=now + timedelta(seconds=seconds),
         )
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -1,6 +1,8 @@
 """The endpoint process's streams, and the dispatch of what arrives on them."""
 
+import asyncio
 from collections.abc import Iterator
+from dataclasses import dataclass
 from datetime import timedelta
 
 from result import Err, Ok
@@ -40,6 +42,17 @@
 MOVED_DETAIL = "continued-elsewhere"
 """Detail of the end of an answer that another entry process continues."""
 
+EARLY_HOLD = timedelta(seconds=0.5)
+"""Longest wait of an offer for its revision; half of an entry's wait for a word."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True, eq=False)
+class EarlyOffer:
+    """An offer whose revision is not in force here yet."""
+
+    connection: Connection
+    offer: Offer
+
 
 class Streams:
     """Serves the streams that entry processes have opened.
@@ -74,6 +87,7 @@
         self.clock = clock
         self.connections: set[Connection] = set()
         self.receipts = 0
+        self.early: list[EarlyOffer] = []
 
     async def serve(self, connection: Connection) -> None:
         """Serve one stream until it ends."""
@@ -163,6 +177,39 @@
             yield from attempt.deliveries.values()
 
     def take_offer(self, connection: Connection, offer: Offer) -> None:
+        """Answer an offer, once the request's revision is in force here."""
+        if offer.revision_index > self.revisions.revision().index:
+            request = self.revisions.note_index(offer.revision_index)
+            if request is not None:
+                connection.send(request)
+            if self.revisions.is_pulling():
+                self.hold_early(connection, offer)
+                return
+        self.decide(connection, offer)
+
+    def hold_early(self, connection: Connection, offer: Offer) -> None:
+        """Hold an offer until its revision has come, for a bounded time."""
+        early = EarlyOffer(connection=connection, offer=offer)
+        self.early.append(early)
+        loop = asyncio.get_running_loop()
+        loop.call_later(EARLY_HOLD.total_seconds(), self.release_early, early)
+
+    def release_early(self, early: EarlyOffer) -> None:
+        """Answer a held offer, unless its stream has ended."""
+        if early not in self.early:
+            return
+        self.early.remove(early)
+        if not early.connection.is_closed:
+            self.decide(early.connection, early.offer)
+
+    def release_all_early(self) -> None:
+        """Answer the held offers whose revision is in force."""
+        in_force = self.revisions.revision().index
+        for early in list(self.early):
+            if early.offer.revision_index <= in_force:
+                self.release_early(early)
+
+    def decide(self, connection: Connection, offer: Offer) -> None:
         """Answer an offer and, if it is taken, send its answer on this stream."""
         decided = self.placement.place(offer)
         match decided:
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -13,7 +13,7 @@
 
 from ..clock import Clock
 from ..contracts import Load, RefusalReason
-from ..declarations import ClassDeclaration, Declarations
+from ..declarations import ClassDeclaration, Declarations, class_for
 from .admission import (
     INFLOW_MEMORY_S,
     EngineView,
@@ -117,7 +117,7 @@
         """
         if job.attempt_id in self.entries:
             return admitted(0.0)
-        declaration = self.declarations.classes.get(job.class_name)
+        declaration = job.declaration or self._class_of(job)
         if declaration is None:
             return refused(RefusalReason.REVISION, wait=0.0, limit=0.0)
         now = self._advance()
@@ -226,6 +226,11 @@
             state.inflow_s *= kept
         return now
 
+    def _class_of(self, job: Job) -> ClassDeclaration | None:
+        if job.class_name not in self.declarations.classes:
+            return None
+        return class_for(self.declarations, job.class_name, job.workspace)
+
     def _new_entry(self, job: Job, declaration: ClassDeclaration) -> Entry:
         self.offered += 1
         workspace = self.declarations.workspaces.get(job.workspace)
