--- a/features/scheduling/scheduling.feature
+++ b/features/scheduling/scheduling.feature
@@ -78,3 +78,21 @@
     Given an engine of 1 slots, a limit of 86400 s and 9 places
     When "dossier dossier" are offered
     Then the wait predicted for a dossier is longer once a question came and went
+
+  Scenario Outline: The baselines neither pause jobs nor weigh workspaces
+    Given an engine of 1 slots that serves by <order>
+    When "dossier dossier question/a frame/a question/b" are offered
+    And job 1 ends
+    And job <second> ends
+    And job <third> ends
+    Then the actions are "StartJob 1, StartJob <second>, StartJob <third>, StartJob <last>"
+
+    Examples:
+      | order                              | second | third | last |
+      | first_come_first_served            | 2      | 3     | 4    |
+      | strict_priority_without_preemption | 3      | 4     | 5    |
+
+  Scenario: Without early refusal only places and the deadline limit the queue
+    Given an engine of 1 slots, a limit of 0.01 s, 3 places and no early refusal
+    When "frame frame frame frame frame" are offered
+    Then the last offers are "admitted admitted admitted admitted refused"
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -524,6 +524,23 @@
     context.actions, context.admissions = [], []
 
 
+@given("an engine of {width:d} slots that serves by {order}")
+def engine_with_order(context, width, order):
+    text = "[defaults]\nqueue_limit = 86400" + KINDS
+    context.bench = Bench(text, width=width, order=order)
+    context.actions, context.admissions = [], []
+
+
+@given(
+    "an engine of {width:d} slots, a limit of {limit:g} s, {places:d} places and "
+    "no early refusal"
+)
+def engine_without_early_refusal(context, width, limit, places):
+    text = f"[defaults]\nqueue_limit = {limit}" + KINDS
+    context.bench = Bench(text, width=width, max_queued=places, admission="places")
+    context.actions, context.admissions = [], []
+
+
 @when('"{names}" are offered')
 def offer_jobs(context, names):
     for name in names.split():
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -113,6 +113,8 @@
                 width=engine.width,
                 declarations=self.schedulable(declarations),
                 clock=self.clock,
+                order=self.settings.scheduling.order,
+                admission=self.settings.scheduling.admission,
             ),
             answers=self.answers,
             pace=Pace(least=TOKEN_SILENCES * self.silence),
--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -13,7 +13,6 @@
 from ..hosts import HostView
 from ..links import Identity
 from ..observability import emit
-from ..routing import DEFAULT_POLICY
 from ..settings import Settings
 from .callers import make_application
 from .events import DRAIN_ENDED, DRAIN_STARTED
@@ -56,8 +55,6 @@
         The process's clock.
     random_source : random.Random, optional
         Source of all randomness in routing.
-    policy : str
-        Name in `zinniaramp.routing.POLICIES`.
 
     Attributes
     ----------
@@ -76,7 +73,6 @@
         hosts: HostView,
         clock: Clock,
         random_source: Random | None = None,
-        policy: str = DEFAULT_POLICY,
     ):
         self.settings = settings
         self.revisions = revisions
@@ -96,7 +92,7 @@
             key=settings.fleet.key,
             clock=clock,
             random_source=random_source,
-            policy=policy,
+            policy=settings.routing.policy,
         )
         self.works: set[asyncio.Task] = set()
         self.is_draining = False
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -22,7 +22,7 @@
     predict_wait,
     refused,
 )
-from .entries import Entry, order_key
+from .entries import Entry
 from .estimates import LengthEstimates, SpeedEstimate
 from .floor import MAX_QUANTUM_S, accrue_floors, due_entry, floor_slots
 from .jobs import (
@@ -37,6 +37,7 @@
     StartJob,
 )
 from .order import ClassState, first_entry
+from .orders import DEFAULT_ADMISSION, DEFAULT_ORDER, ORDERS
 from .preemption import CLOCK_STEP_S, choose_victim
 
 __all__ = [
@@ -73,6 +74,10 @@
     max_queued : int
         Jobs that wait for their first slot at most.  Paused jobs are not
         counted; a class never has more of them than the width.
+    order : str
+        Name in `zinniaramp.scheduling.orders.ORDERS`.
+    admission : str
+        Name in `zinniaramp.scheduling.orders.ADMISSIONS`.
     """
 
     def __init__(
@@ -82,11 +87,15 @@
         declarations: Declarations,
         clock: Clock,
         max_queued: int = MAX_QUEUED,
+        order: str = DEFAULT_ORDER,
+        admission: str = DEFAULT_ADMISSION,
     ):
         self.width = width
         self.declarations = declarations
         self.clock = clock
         self.max_queued = max_queued
+        self.order = ORDERS[order]
+        self.refuses_early = admission == DEFAULT_ADMISSION
         self.entries: dict[str, Entry] = {}
         self.running: dict[str, Entry] = {}
         self.states: dict[tuple[str, int], ClassState] = {}
@@ -100,7 +109,8 @@
     def use_declarations(self, declarations: Declarations) -> None:
         """Take a new revision into use for jobs offered from now on."""
         self.declarations = declarations
-        declared = {(item.name, item.tier) for item in declarations.classes.values()}
+        seen = map(self.order.declare, declarations.classes.values())
+        declared = {(item.name, item.tier) for item in seen}
         self.states = {
             key: state
             for key, state in self.states.items()
@@ -121,7 +131,7 @@
         if declaration is None:
             return refused(RefusalReason.REVISION, wait=0.0, limit=0.0)
         now = self._advance()
-        entry = self._new_entry(job, declaration)
+        entry = self._new_entry(job, self.order.declare(declaration))
         admission = self._decide(entry, now)
         if admission.is_admitted:
             self._take(entry)
@@ -199,10 +209,8 @@
     def load(self) -> Load:
         """Return the load digest to send to entries."""
         self._advance()
-        lowest = max(
-            (declared.tier for declared in self.declarations.classes.values()),
-            default=HIGHEST_TIER,
-        )
+        seen = map(self.order.declare, self.declarations.classes.values())
+        lowest = max((one.tier for one in seen), default=HIGHEST_TIER)
         return Load(
             running=len(self.running),
             width=self.width,
@@ -232,7 +240,7 @@
         return Entry(
             job=job,
             declaration=declaration,
-            key=order_key(job, declaration, self.offered),
+            key=self.order.key(job, declaration, self.offered),
             weight=workspace.weight if workspace else 1.0,
             predicted_tokens=self.lengths.remaining(job.class_name, job.workspace),
         )
@@ -242,10 +250,11 @@
         remaining = entry.job.deadline.timestamp() - now
         declared = entry.declaration.queue_limit
         limit = (declared or self.declarations.defaults.queue_limit).total_seconds()
-        if remaining <= wait:
-            return refused(RefusalReason.DEADLINE, wait=wait, limit=limit)
-        if wait > limit and not self._is_floor_in_the_way(entry, now):
-            return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
+        if self.refuses_early:
+            if remaining <= wait:
+                return refused(RefusalReason.DEADLINE, wait=wait, limit=limit)
+            if wait > limit and not self._is_floor_in_the_way(entry, now):
+                return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
         if len(self.deadlines) >= self.max_queued and not self._shed_for(entry):
             return refused(RefusalReason.OVERLOADED, wait=wait, limit=limit)
         return admitted(wait)
@@ -282,7 +291,10 @@
         floor = declaration.floor or self.declarations.defaults.floor
         if key not in self.states:
             self.states[key] = ClassState(
-                name=declaration.name, tier=declaration.tier, floor=floor
+                name=declaration.name,
+                tier=declaration.tier,
+                floor=floor,
+                is_fair=self.order.is_fair,
             )
         state = self.states[key]
         state.floor = floor
@@ -298,7 +310,7 @@
     def _newcomer(self, entry: Entry) -> Newcomer:
         return Newcomer(
             tier=entry.tier,
-            class_name=entry.job.class_name,
+            class_name=entry.job.class_name if self.order.is_fair else "",
             workspace=entry.job.workspace,
             weight=entry.weight,
             tokens=entry.predicted_tokens,
@@ -339,7 +351,8 @@
         states = self.states.values()
         protected = sum(e.protected_until > now for e in self.running.values())
         is_free = len(self.running) < self.width
-        if is_free and protected < floor_slots(self.width):
+        has_room = is_free and protected < floor_slots(self.width)
+        if self.order.has_floor and has_room:
             due = due_entry(states)
             if due is not None:
                 state = self._state_of(due)
--- a/zinniaramp/scheduling/order.py
+++ b/zinniaramp/scheduling/order.py
@@ -23,6 +23,8 @@
         Its service tier.
     floor : float
         Least share of slots that it gets while it has queued jobs.
+    is_fair : bool
+        Whether its least served workspace goes first.
     """
 
     __slots__ = (
@@ -30,6 +32,7 @@
         "floor",
         "granted_at",
         "inflow_s",
+        "is_fair",
         "name",
         "paused",
         "queue",
@@ -38,10 +41,11 @@
         "waiting",
     )
 
-    def __init__(self, *, name: str, tier: int, floor: float):
+    def __init__(self, *, name: str, tier: int, floor: float, is_fair: bool = True):
         self.name = name
         self.tier = tier
         self.floor = floor
+        self.is_fair = is_fair
         self.queue = FairQueue()
         self.waiting = SortedKeyList(key=attrgetter("key"))
         self.paused = SortedKeyList(key=attrgetter("key"))
@@ -68,7 +72,11 @@
         So a class starts no new job while it has a paused one, and never has
         more paused jobs than the engine has slots.
         """
-        return self.paused[0] if self.paused else self.queue.head()
+        if self.paused:
+            return self.paused[0]
+        if not self.is_fair:
+            return self.waiting[0] if self.waiting else None
+        return self.queue.head()
 
     def _list_of(self, entry: Entry) -> SortedKeyList:
         is_paused = entry.job.state is JobState.PAUSED
--- a/zinniaramp/settings/core.py
+++ b/zinniaramp/settings/core.py
@@ -8,6 +8,8 @@
 from result import Err, Ok, Result
 
 from ..ini import Problem, Seconds, declare_key, read_section, read_text
+from ..routing import DEFAULT_POLICY
+from ..scheduling.orders import DEFAULT_ADMISSION, DEFAULT_ORDER
 
 __all__ = [
     "EngineSettings",
@@ -16,7 +18,9 @@
     "LogSettings",
     "PlatformSettings",
     "ProcessSettings",
+    "RoutingSettings",
     "SECTIONS",
+    "SchedulingSettings",
     "Settings",
     "read_settings",
 ]
@@ -137,6 +141,39 @@
     )
 
 
+@_section
+class RoutingSettings:
+    """``[routing]``: how an entry process chooses endpoints."""
+
+    policy: Literal["two_choices", "random", "round_robin", "least_reported"] = (
+        declare_key(
+            "Choice of an endpoint; all but the default are baselines for "
+            "measurements.",
+            default=DEFAULT_POLICY,
+        )
+    )
+
+
+@_section
+class SchedulingSettings:
+    """``[scheduling]``: how an endpoint process orders and admits work."""
+
+    order: Literal[
+        "priority_with_preemption",
+        "strict_priority_without_preemption",
+        "first_come_first_served",
+    ] = declare_key(
+        "Order of service; all but the default are baselines for measurements and "
+        "break promises to urgent work.",
+        default=DEFAULT_ORDER,
+    )
+    admission: Literal["predicted_wait", "places"] = declare_key(
+        "Whether work is refused early, by its predicted wait, or only when there "
+        "is no place left; the latter is a baseline for measurements.",
+        default=DEFAULT_ADMISSION,
+    )
+
+
 @_section
 class LogSettings:
     """``[log]``: the process's log."""
@@ -153,6 +190,8 @@
     "platform": PlatformSettings,
     "fleet": FleetSettings,
     "engine": EngineSettings,
+    "routing": RoutingSettings,
+    "scheduling": SchedulingSettings,
     "log": LogSettings,
 }
 
@@ -167,6 +206,8 @@
     fleet: FleetSettings
     log: LogSettings
     engine: EngineSettings | None = Field(default=None)
+    routing: RoutingSettings = Field(default_factory=RoutingSettings)
+    scheduling: SchedulingSettings = Field(default_factory=SchedulingSettings)
 
 
 def _unknown_section(file: str, section: str) -> Problem:
--- a/zinniaramp/standins/deployments.py
+++ b/zinniaramp/standins/deployments.py
@@ -54,13 +54,15 @@
     return [name for word, _, name in headings if word == kind]
 
 
-def read_deployment(example: str) -> Deployment:
+def read_deployment(example: str, file: Path | None = None) -> Deployment:
     """Return the declarations of an example.
 
     Parameters
     ----------
     example : str
         Name of a directory below ``examples``; empty for the built-in ones.
+    file : Path or None
+        File to read in place of the example's own.
 
     Raises
     ------
@@ -68,7 +70,9 @@
         There is no such example.
     """
     text = BUILT_IN_DECLARATIONS
-    if example:
+    if file is not None:
+        text = file.read_text()
+    elif example:
         text = (EXAMPLES / example / "declarations.ini").read_text()
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     parser.read_string(text)
--- a/zinniaramp/standins/fleet.py
+++ b/zinniaramp/standins/fleet.py
@@ -167,12 +167,13 @@
         A fleet runs from this directory already, the example does not exist, or
         a process was not ready in time; what was started has been ended.
     """
+    options = options or FleetOptions()
     directory = directory.resolve()
     directory.mkdir(parents=True, exist_ok=True)
     if any(is_alive(one) for one in _listed(directory)):
         raise FleetError(f"a fleet runs from {directory}; bring it down first")
     try:
-        deployment = read_deployment(example)
+        deployment = read_deployment(example, options.declarations)
     except OSError as error:
         raise FleetError(f"example {example} cannot be read: {error}") from error
     fleet = Fleet(directory=directory)
@@ -181,7 +182,7 @@
         _start_all(
             fleet,
             deployment,
-            options or FleetOptions(),
+            options,
             entries=entries,
             endpoints=endpoints,
             services=services,
--- a/zinniaramp/standins/options.py
+++ b/zinniaramp/standins/options.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from pathlib import Path
 
 __all__ = ["ENGINE_WIDTH", "FleetOptions"]
 
@@ -21,6 +22,8 @@
     ----------
     width : int
         Batch width of the engine stand-ins.
+    declarations : Path or None
+        File of declarations to publish in place of the example's own.
     slow : tuple of float
         Factor on the step time of each engine, in turn; 1 for all if empty.
     advertise : callable
@@ -32,6 +35,7 @@
     """
 
     width: int = ENGINE_WIDTH
+    declarations: Path | None = None
     slow: tuple[float, ...] = ()
     advertise: Callable[[str], str] = _same_address
     settings: dict[str, dict[str, str]] = field(default_factory=dict)
