--- a/zinniaramp/experiments/limits.py
+++ b/zinniaramp/experiments/limits.py
@@ -1,19 +1,21 @@
 """What the engine stand-ins can give by their own speed law, and what was used."""
 
-from collections.abc import Iterable
+import json
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
 from ..declarations import Declarations
 from ..load.arrivals import PlannedRequest
+from ..load.executions import Execution
 from ..load.records import CallerRecord, Fate
-from ..standins.engine.prefix import TOKEN_BYTES
+from ..standins.engine.prefix import BLOCK_TOKENS, PrefixCache, prompt_blocks
 from ..standins.engine.speed import prefill_seconds, tokens_per_second
 
-__all__ = ["EngineUse", "Window", "engine_use"]
+__all__ = ["EngineUse", "Window", "engine_use", "replay_prefills"]
 
-TOKENS_PER_WORD = 7 / TOKEN_BYTES
-"""Prompt tokens of one planned word and the space after it."""
+CACHE_BLOCKS = 4096
+"""Blocks that the prefix cache of an engine stand-in holds."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -38,16 +40,44 @@
         Tokens, in the window, of whole answers that met their targets.
     seconds : float
         Engine time that these and their prompts need in a full batch.
+    late_seconds : float
+        The same for whole answers that missed a target.
     """
 
     tokens: int = 0
     seconds: float = 0.0
+    late_seconds: float = 0.0
+
+
+def replay_prefills(
+    requests: Iterable[PlannedRequest], by_engine: Iterable[Iterable[Execution]]
+) -> dict[str, float]:
+    """Return the seconds in which each prompt was read, by mark.
+
+    Parameters
+    ----------
+    requests : iterable of PlannedRequest
+        What was sent.
+    by_engine : iterable of iterable of Execution
+        What each engine ran, in order.
+    """
+    bodies = {one.mark: one.body for one in requests if one.stream.model}
+    seconds: dict[str, float] = {}
+    for executions in by_engine:
+        cache = PrefixCache(capacity=CACHE_BLOCKS)
+        for execution in executions:
+            blocks = prompt_blocks(json.loads(bodies[execution.mark])["messages"])
+            tokens = len(blocks) * BLOCK_TOKENS
+            spent = prefill_seconds(tokens, cache.use(blocks))
+            seconds[execution.mark] = seconds.get(execution.mark, 0.0) + spent
+    return seconds
 
 
 def engine_use(
     requests: Iterable[PlannedRequest],
     records: Iterable[CallerRecord],
     declarations: Declarations,
+    prefills: Mapping[str, float],
     *,
     window: Window,
     width: int,
@@ -62,34 +92,32 @@
         What its callers saw, in the same order.
     declarations : Declarations
         Targets by class.
+    prefills : mapping of str to float
+        Seconds in which each prompt was read, by mark.
     window : Window
         Part of the run that counts.
     width : int
         Batch width of the engines.
-
-    Notes
-    -----
-    Prefixes that sessions share are taken as cached, so the engine time is a
-    lower bound.
     """
     use = EngineUse()
     for planned, record in zip(requests, records, strict=True):
-        if not planned.stream.model or not _is_good(record, declarations):
+        if not planned.stream.model or record.fate is not Fate.WHOLE:
             continue
         times = _token_times_s(record)
         count = sum(window.holds(moment) for moment in times)
-        use.tokens += count
-        use.seconds += count / tokens_per_second(width)
+        seconds = count / tokens_per_second(width)
         if window.holds(times[0]):
-            prompt = planned.stream.prompt_tokens * TOKENS_PER_WORD
-            use.seconds += prefill_seconds(round(prompt), 0)
+            seconds += prefills.get(planned.mark, 0.0)
+        if _is_good(record, declarations):
+            use.tokens += count
+            use.seconds += seconds
+        else:
+            use.late_seconds += seconds
     return use
 
 
 def _is_good(record: CallerRecord, declarations: Declarations) -> bool:
     declared = declarations.classes[record.class_name]
-    if record.fate is not Fate.WHOLE:
-        return False
     is_soon = record.first_token <= declared.first_token
     return is_soon and record.finish <= declared.finish
 
--- a/zinniaramp/experiments/policy.py
+++ b/zinniaramp/experiments/policy.py
@@ -1,11 +1,12 @@
 """Decisions under load and faults, against naive ones, by the same seed and plan."""
 
 import asyncio
+import json
 import os
 import subprocess
 import tempfile
 import time
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 
 import psutil
@@ -22,7 +23,7 @@
 from ..load.report import RunReport
 from ..standins.fleet import FleetOptions, FleetProcess, bring_down, bring_up
 from ..standins.options import ENGINE_WIDTH
-from .limits import EngineUse, Window, engine_use
+from .limits import EngineUse, Window, engine_use, replay_prefills
 from .scenarios import SCENARIOS, VARIANTS, EngineFault, Scenario
 from .tables import Table, write_table
 
@@ -49,6 +50,7 @@
     "others' finish met",
     "good tokens/s",
     "of the engines' limit",
+    "late answers, of the limit",
     "wasted",
     "engine tokens max/mean",
     "worst 3 s of urgent",
@@ -183,9 +185,19 @@
         finally:
             faults.close()
             bring_down(directory)
+    if logs:
+        _write_records(Path(logs) / "records.json", records)
     return _judge(scenario, plan, seed, records, by_engine, served)
 
 
+def _write_records(path: Path, records: list[CallerRecord]) -> None:
+    """Write what callers saw, to be read beside the logs."""
+    fields = [asdict(one) for one in records]
+    for one in fields:
+        del one["gaps"]
+    path.write_text(json.dumps(fields, default=str, indent=1))
+
+
 def _judge(
     scenario: Scenario,
     plan: LoadPlan,
@@ -220,13 +232,15 @@
     report.wasted_tokens = whole_run.wasted_tokens
     report.generated_tokens = whole_run.generated_tokens
     report.all_whole = whole_run.all_whole
+    requests = planned_requests(plan, seed=seed)
     return PolicyRun(
         report=report,
         records=records,
         use=engine_use(
-            planned_requests(plan, seed=seed),
+            requests,
             records,
             declarations,
+            replay_prefills(requests, by_engine),
             window=window,
             width=ENGINE_WIDTH,
         ),
@@ -268,7 +282,8 @@
         f"{urgent.finish_attained:.1%}",
         others,
         run.use.tokens / seconds,
-        f"{run.use.seconds / (ENGINES * seconds):.0%}",
+        f"{run.use.seconds / (ENGINES * seconds):.1%}",
+        f"{run.use.late_seconds / (ENGINES * seconds):.1%}",
         f"{wasted:.2%}",
         max(run.engine_tokens) / max(1.0, mean),
         f"{run.worst_urgent:.0%}",
@@ -300,7 +315,8 @@
     decisions : str
         Names in `zinniaramp.experiments.scenarios.VARIANTS`, separated by commas.
     logs : str
-        Directory for a fleet's logs; a temporary one if empty.
+        Directory for the logs of the last run and what its callers saw; a temporary
+        one if empty.
     name : str
         Name of the table's files.
     """
