--- a/features/routing/policies.feature
+++ b/features/routing/policies.feature
@@ -8,19 +8,14 @@
     Given any candidates
     Then without affinity two choices never take one that is costlier than all
 
-  Scenario: Affinity is bounded by load and latency
+  Scenario: Affinity is bounded by load
     Given any candidates
-    Then affinity is followed exactly while the bounds of a naive version hold
+    Then affinity is followed exactly while the load bound of a naive version holds
 
   Scenario: Two choices herd less than least reported load on late reports
     Given 8 endpoints and reports that are 20 requests old
     Then 400 requests by two choices leave a lower peak than by least reported
 
-  Scenario: An endpoint that keeps an urgent attempt waiting counts as slow
-    Given a peer that answers in 0.1 s
-    When it has kept an urgent attempt waiting for 2 s
-    Then its latency is 2 s, and 0.1 s again once the attempt is over
-
   Scenario: A subset is deterministic, of its size and spread over data centres
     Given any endpoints in data centres
     Then their subset equals that of a naive version
--- a/zinniaramp/entry/attempt.py
+++ b/zinniaramp/entry/attempt.py
@@ -44,10 +44,6 @@
 """Refusals of `Resume`, which do not prove that the attempt never ran."""
 
 
-FIRST_TIER = 1
-"""Tier whose attempts are served at once."""
-
-
 class AttemptKind(StrEnum):
     """How an attempt ended."""
 
@@ -153,8 +149,6 @@
     async def offer(self, offer: Offer) -> AttemptResult:
         """Offer the attempt and follow it to its end."""
         self.peer.offer(offer)
-        if self.timeline.declared.tier == FIRST_TIER:
-            self.peer.await_first_token(self.attempt_id)
         return await self.follow()
 
     async def resume(self, cause: str) -> AttemptResult:
@@ -213,7 +207,6 @@
         now = self.clock()
         if self.timeline.first_s is None:
             self.peer.take_latency((now - self.offered).total_seconds())
-            self.peer.awaited.pop(self.attempt_id, None)
         tokens = sum(chunk.tokens for chunk in chunks)
         if tokens:
             self.timeline.add((now - self.arrived).total_seconds(), tokens)
--- a/zinniaramp/entry/peers.py
+++ b/zinniaramp/entry/peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from datetime import datetime
 from random import Random
 
 from result import Err, Ok
@@ -109,7 +108,6 @@
         self.load = NO_LOAD
         self.unreported = 0
         self.latency_s = 0.0
-        self.awaited: dict[str, datetime] = {}
         self.is_leaving = False
         self.is_silent = False
         self.is_retired = False
@@ -137,7 +135,7 @@
             reported=self.load.running + self.load.queued,
             unreported=self.unreported,
             width=max(1, self.load.width),
-            latency_s=max(self.latency_s, self.longest_wait_s()),
+            latency_s=self.latency_s,
         )
 
     async def run(self) -> None:
@@ -257,21 +255,6 @@
             self.latency_s = seconds
         self.latency_s += LATENCY_WEIGHT * (seconds - self.latency_s)
 
-    def await_first_token(self, attempt_id: str) -> None:
-        """Note that an attempt that is served at once waits for its first token."""
-        self.awaited[attempt_id] = self.clock()
-
-    def longest_wait_s(self) -> float:
-        """Return how long an attempt that is served at once has waited so far.
-
-        Notes
-        -----
-        An endpoint that has become slow shows here before any answer of it does.
-        """
-        if not self.awaited:
-            return 0.0
-        return (self.clock() - min(self.awaited.values())).total_seconds()
-
     def send(self, message: Message) -> None:
         """Send a message, or drop it if no stream is open."""
         if self.connection is not None:
@@ -286,7 +269,6 @@
     def close_inbox(self, attempt_id: str) -> None:
         """Forget an attempt."""
         self.inboxes.pop(attempt_id, None)
-        self.awaited.pop(attempt_id, None)
 
     def offer(self, offer: Offer) -> None:
         """Send an offer."""
--- a/zinniaramp/routing/core.py
+++ b/zinniaramp/routing/core.py
@@ -25,12 +25,6 @@
 AFFINITY_LOAD_BOUND = 1.25
 """Multiple of the mean load up to which affinity is followed."""
 
-AFFINITY_LATENCY_BOUND = 3
-"""Multiple of the least latency up to which affinity is followed."""
-
-MIN_AFFINITY_LATENCY_S = 0.1
-"""Smallest latency that affinity is bounded by, in seconds."""
-
 MIN_LATENCY_S = 0.001
 """Smallest latency that is weighed, in seconds."""
 
@@ -121,13 +115,6 @@
     return math.ceil(AFFINITY_LOAD_BOUND * pending * candidate.width / width)
 
 
-def _keeps_affinity(preferred: Candidate, candidates: Sequence[Candidate]) -> bool:
-    if preferred.pending + 1 > _affinity_capacity(preferred, candidates):
-        return False
-    least_s = min(max(one.latency_s, MIN_AFFINITY_LATENCY_S) for one in candidates)
-    return preferred.latency_s <= AFFINITY_LATENCY_BOUND * least_s
-
-
 def choose_by_two_choices(candidates: Sequence[Candidate], choice: Choice) -> Candidate:
     """Follow prefix affinity while load is balanced, else the better of two.
 
@@ -143,8 +130,7 @@
     Candidate
         The one with the highest rendezvous rank for the affinity key if its
         pending requests stay within `AFFINITY_LOAD_BOUND` times its share of
-        all and its latency within `AFFINITY_LATENCY_BOUND` times the least;
-        otherwise the cheaper of two drawn at random.
+        all; otherwise the cheaper of two drawn at random.
 
     References
     ----------
@@ -154,7 +140,7 @@
     if choice.affinity_key:
         by_name = {one.name: one for one in candidates}
         preferred = by_name[rank(choice.affinity_key, by_name)[0]]
-        if _keeps_affinity(preferred, candidates):
+        if preferred.pending + 1 <= _affinity_capacity(preferred, candidates):
             return preferred
     size = min(SAMPLE_SIZE, len(candidates))
     sample = choice.random_source.sample(list(candidates), size)
