--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -87,6 +87,7 @@
             **options,
         )
         self.running, self.queued, self.got_slot = {}, {}, {}
+        self.prompt_bytes = 0
 
     def make_job(self, class_name, workspace="w", deadline_s=86400):
         """Return a new job."""
@@ -97,6 +98,7 @@
             workspace=workspace,
             arrived=self.now,
             deadline=self.now + timedelta(seconds=deadline_s),
+            prompt_bytes=self.prompt_bytes,
         )
 
     def offer(self, job):
@@ -524,6 +526,28 @@
     context.actions, context.admissions = [], []
 
 
+@given("an engine of {width:d} slots that serves by {order}")
+def engine_with_order(context, width, order):
+    text = "[defaults]\nqueue_limit = 86400" + KINDS
+    context.bench = Bench(text, width=width, order=order)
+    context.actions, context.admissions = [], []
+
+
+@given(
+    "an engine of {width:d} slots, a limit of {limit:g} s, {places:d} places and "
+    "no early refusal"
+)
+def engine_without_early_refusal(context, width, limit, places):
+    text = f"[defaults]\nqueue_limit = {limit}" + KINDS
+    context.bench = Bench(text, width=width, max_queued=places, admission="places")
+    context.actions, context.admissions = [], []
+
+
+@given("prompts of {count:d} bytes")
+def give_prompts(context, count):
+    context.bench.prompt_bytes = count
+
+
 @when('"{names}" are offered')
 def offer_jobs(context, names):
     for name in names.split():
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -251,4 +251,5 @@
             declaration=self.class_of(offer),
             arrived=now,
             deadline=now + timedelta(seconds=seconds),
+            prompt_bytes=len(offer.body),
         )
--- a/zinniaramp/experiments/__main__.py
+++ b/zinniaramp/experiments/__main__.py
@@ -7,6 +7,7 @@
 from .in_force import measure_in_force
 from .overhead import measure_overhead
 from .passing import measure_passing
+from .policy import measure_policy
 
 EXPERIMENTS = {
     "in_force": measure_in_force,
@@ -14,6 +15,7 @@
     "control": measure_control,
     "overhead": measure_overhead,
     "passing": measure_passing,
+    "policy": measure_policy,
 }
 
 fire.Fire(EXPERIMENTS, name="measure")
--- a/zinniaramp/scheduling/jobs.py
+++ b/zinniaramp/scheduling/jobs.py
@@ -45,6 +45,8 @@
         When the offer arrived.
     deadline : datetime
         When the request is given up.
+    prompt_bytes : int
+        Size of the request's body.
     state : JobState
         Where the job is.
     tokens : int
@@ -57,6 +59,7 @@
     arrived: datetime
     deadline: datetime
     declaration: ClassDeclaration | None = None
+    prompt_bytes: int = 0
     state: JobState = JobState.WAITING
     tokens: int = 0
 
