Judge runs by a history checker

Cause: nothing judged a whole run by what must always hold; the report knew doubled and untruly told requests and cut answers only.

zinniaramp/history reads callers' records, stand-ins' runs and processes' logs, and shares no code with what it judges: it rebuilds each endpoint's queue from events. Event 1400 lacked the tier and whether an attempt may be paused, event 1402 for how long a slot is its class's floor; both carry it now.

features/history: a good history passes, 18 planted breaches of the eight promises are each named alone, 5 allowed cases are not.

--- /dev/null
+++ b/features/steps/history_steps.py
@@ -0,0 +1,327 @@
+"""Steps about the history checker."""
+
+import json
+import subprocess
+import sys
+from dataclasses import replace
+from datetime import UTC, datetime
+
+from behave import given, then, when
+
+from zinniaramp.history import (
+    History,
+    Limits,
+    LogLine,
+    Outage,
+    Promise,
+    RequestRecord,
+    RunRecord,
+    check_history,
+)
+from zinniaramp.history.reading import write_lines
+
+TIERS = {"question": 1, "ledger": 2, "dossier": 6}
+
+LIMITS = Limits(progress_s=20, queue_places=2)
+
+ENTRY_URL = "http://127.0.0.1:1"
+
+
+def line(process, time, name, **fields):
+    """Return one event."""
+    return LogLine(process=process, time=float(time), name=name, fields=fields)
+
+
+def placed(time, attempt, decision="accept", reason="", **changed):
+    """Return the placement of an attempt at the endpoint."""
+    name = attempt.partition("-")[0]
+    fields = {"class": name, "tier": TIERS[name], "pausable": name == "dossier"}
+    fields |= {"attempt": attempt, "decision": decision, "reason": reason} | changed
+    return line("endpoint-0", time, "attempt-placed", **fields)
+
+
+def scheduled(time, attempt, decision, floor_s=0.0):
+    """Return a decision of the endpoint's scheduler."""
+    fields = {"class": attempt.partition("-")[0], "floor_s": floor_s}
+    fields |= {"attempt": attempt, "decision": decision}
+    return line("endpoint-0", time, "attempt-scheduled", **fields)
+
+
+def ended(time, attempt):
+    """Return the end of an attempt at the endpoint."""
+    return line("endpoint-0", time, "attempt-ended", attempt=attempt)
+
+
+def start(process, time, index):
+    """Return the events of a process's start."""
+    return [
+        line(process, time, "process-started"),
+        line(process, time, "revision-accepted", index=index),
+        line(process, time, "process-settled", index=index),
+    ]
+
+
+def request(mark, fate="whole", **changed):
+    """Return what a caller saw."""
+    fields = {
+        "class_name": "question",
+        "is_repeatable": True,
+        "entry": ENTRY_URL,
+        "sent": 10.0,
+        "ended": 15.0,
+        "outcome": "done",
+        "request_id": f"r-{mark}",
+        "sends": 1,
+        "not_run_answers": 0,
+    }
+    return RequestRecord(mark=mark, fate=fate, **(fields | changed))
+
+
+@given("a history in which everything holds")
+def good_history(context):
+    endpoint = [
+        *start("endpoint-0", 0, 1),
+        placed(10, "dossier-1"),
+        scheduled(10, "dossier-1", "start"),
+        placed(11, "question-1"),
+        scheduled(11, "dossier-1", "pause"),
+        scheduled(11, "question-1", "start"),
+        placed(12, "question-2", "refuse", "overloaded"),
+        ended(13, "question-1"),
+        scheduled(13, "dossier-1", "resume"),
+        ended(20, "dossier-1"),
+        line("endpoint-0", 25, "revision-accepted", index=2),
+        line("endpoint-0", 60, "drain-ended", unfinished=0),
+    ]
+    entry = [
+        *start("entry-0", 0, 1),
+        line("entry-0", 24, "revision-accepted", index=2),
+        line("entry-0", 60, "shutdown-ended", left=0),
+    ]
+    context.history = History(
+        requests=[request("mark-1"), request("mark-2", "refused", not_run_answers=1)],
+        runs=[RunRecord(stand_in="engine-0", mark="mark-1")],
+        logs={"endpoint-0": endpoint, "entry-0": entry},
+    )
+
+
+def add(context, process, *lines):
+    """Put events into a process's log by their times."""
+    log = [*context.history.logs.get(process, []), *lines]
+    context.history.logs[process] = sorted(log, key=lambda one: one.time)
+
+
+def at_endpoint(*lines):
+    """Return a change that adds events of the endpoint."""
+    return lambda context: add(context, "endpoint-0", *lines)
+
+
+def at_entry(*lines):
+    """Return a change that adds events of the entry."""
+    return lambda context: add(context, "entry-0", *lines)
+
+
+def seen(record, *runs):
+    """Return a change that adds a caller's record and runs of it."""
+
+    def change(context):
+        context.history.requests.append(record)
+        context.history.runs += [
+            RunRecord(stand_in=run, mark=record.mark) for run in runs
+        ]
+
+    return change
+
+
+def out_of_order(context):
+    """Have the entry go back to the revision before."""
+    add(context, "entry-0", line("entry-0", 30, "revision-accepted", index=1))
+    log = context.history.logs["entry-0"]
+    context.history.logs["entry-0"] = [
+        replace(one, time=59.0) if one.get("index") == 1 and one.time == 30 else one
+        for one in sorted(log, key=lambda one: (one.time, one.get("index") or 0))
+    ]
+
+
+def second_dossier(**changed):
+    """Return the events of a dossier that runs from 30 s on."""
+    floor_s = changed.pop("floor_s", 0.0)
+    return [
+        placed(30, "dossier-8", **changed),
+        scheduled(30, "dossier-8", "start", floor_s=floor_s),
+        ended(45, "dossier-8"),
+    ]
+
+
+REFUSED = placed(32, "question-9", "refuse", "overloaded")
+
+EXPIRED = [placed(31, "question-9"), scheduled(35, "question-9", "expire")]
+
+LEAVING = line("endpoint-0", 40, "host-leaving")
+
+
+def routed(time):
+    """Return the choice of the endpoint by an entry."""
+    return line(
+        "entry-0", time, "attempt-routed", attempt="dossier-9", chosen="endpoint-0"
+    )
+
+
+PLANTED = {
+    "a question is refused while a dossier runs": [
+        at_endpoint(*second_dossier(), REFUSED)
+    ],
+    "a question is refused while a quantum runs": [
+        at_endpoint(*second_dossier(floor_s=5), REFUSED)
+    ],
+    "a question finds its place taken by dossiers": [
+        at_endpoint(
+            placed(30, "dossier-7"),
+            placed(30, "dossier-8"),
+            REFUSED,
+            ended(33, "dossier-7"),
+            ended(33, "dossier-8"),
+        )
+    ],
+    "a question expires while a dossier runs": [
+        at_endpoint(*second_dossier(), *EXPIRED)
+    ],
+    "a question is shed": [
+        at_endpoint(placed(31, "question-9"), scheduled(31, "question-9", "shed"))
+    ],
+    "a question is paused for a dossier": [
+        at_endpoint(
+            placed(30, "question-9"),
+            scheduled(30, "question-9", "start"),
+            placed(31, "dossier-8"),
+            scheduled(31, "question-9", "pause"),
+            scheduled(31, "dossier-8", "start"),
+            ended(32, "dossier-8"),
+            ended(33, "question-9"),
+        )
+    ],
+    "a dossier waits for longer than the bound": [
+        at_endpoint(placed(30, "dossier-9"), scheduled(51, "dossier-9", "start"))
+    ],
+    "a dossier stays paused until the log ends": [
+        at_endpoint(
+            placed(30, "dossier-9"),
+            scheduled(30, "dossier-9", "start"),
+            placed(31, "question-8"),
+            scheduled(31, "dossier-9", "pause"),
+            scheduled(31, "question-8", "start"),
+            ended(32, "question-8"),
+        )
+    ],
+    "an answer belongs to another request": [seen(request("mark-9", "wrong"))],
+    "an answer is cut": [seen(request("mark-9", "cut"))],
+    "a request ran after it was told not-run": [
+        seen(request("mark-9", "refused", not_run_answers=1), "engine-0")
+    ],
+    "a ledger entry ran twice": [
+        seen(request("mark-9", is_repeatable=False), "service-0", "service-1")
+    ],
+    "an entry offers work to a leaving endpoint": [
+        at_endpoint(LEAVING),
+        at_entry(routed(44)),
+    ],
+    "a leaving endpoint takes work": [
+        at_endpoint(LEAVING, placed(44, "dossier-9"), ended(45, "dossier-9"))
+    ],
+    "a shutdown leaves an answer unfinished": [
+        at_entry(line("entry-0", 59, "drain-ended", left=1))
+    ],
+    "a process goes back to a lower revision": [out_of_order],
+    "a process does not take a newer revision": [
+        at_endpoint(line("endpoint-0", 40, "revision-accepted", index=3))
+    ],
+    "a process is ready under an older revision": [
+        lambda context: add(
+            context,
+            "entry-1",
+            *start("entry-1", 40, 1),
+            line("entry-1", 41, "revision-accepted", index=2),
+        )
+    ],
+    "a question is refused while a fixed job runs": [
+        at_endpoint(*second_dossier(pausable=False), REFUSED)
+    ],
+    "a question expires inside a quantum": [
+        at_endpoint(*second_dossier(floor_s=6), *EXPIRED)
+    ],
+    "an answer is cut as its entry process is killed": [
+        seen(request("mark-9", "cut")),
+        lambda context: context.history.outages.append(
+            Outage(process="entry-0", url=ENTRY_URL, start=14, end=20)
+        ),
+    ],
+    "an entry offers work soon after the word": [
+        at_endpoint(LEAVING),
+        at_entry(routed(42)),
+    ],
+    "an endpoint returns after leaving": [
+        at_endpoint(LEAVING, *start("endpoint-0", 42, 2)),
+        at_entry(routed(44)),
+    ],
+}
+
+
+@given("the history shows that {what}")
+def plant(context, what):
+    for change in PLANTED[what]:
+        change(context)
+
+
+@when("it is checked")
+def check(context):
+    context.breaches = check_history(context.history, LIMITS)
+
+
+@then("no breach is named")
+def check_none(context):
+    assert not context.breaches, [str(one) for one in context.breaches]
+
+
+@then('a breach of "{promise}" by "{subject}" is named and no other')
+def check_named(context, promise, subject):
+    named = [(one.promise, one.subject.partition(" ")[0]) for one in context.breaches]
+    assert named == [(Promise[promise], subject)], [str(o) for o in context.breaches]
+
+
+def log_text(lines):
+    """Return events as a process writes them."""
+    return "".join(
+        json.dumps(
+            one.fields
+            | {
+                "time": datetime.fromtimestamp(one.time, UTC).isoformat(),
+                "name": one.name,
+            }
+        )
+        + "\n"
+        for one in lines
+    )
+
+
+@given("a directory with a history in which an answer is cut")
+def write_history(context):
+    good_history(context)
+    plant(context, "an answer is cut")
+    write_lines(context.directory / "run.records.jsonl", context.history.requests)
+    write_lines(context.directory / "run.runs.jsonl", context.history.runs)
+    for process, lines in context.history.logs.items():
+        (context.directory / f"{process}.log").write_text(log_text(lines))
+
+
+@when('"report --check" is run on it')
+def run_command(context):
+    command = [sys.executable, "-m", "zinniaramp.commands", "report", "--check"]
+    context.finished = subprocess.run(
+        [*command, str(context.directory)], capture_output=True, text=True, check=False
+    )
+
+
+@then("it exits with 1 and names the breach")
+def check_command(context):
+    assert context.finished.returncode == 1, context.finished
+    assert "mark-9" in context.finished.stdout, context.finished
--- a/zinniaramp/declarations/core.py
+++ b/zinniaramp/declarations/core.py
@@ -155,6 +155,11 @@
         le=86400,
     )
 
+    @property
+    def is_pausable(self) -> bool:
+        """Whether a request of the class may be paused once it runs."""
+        return self.preemptible and self.repeatable
+
 
 @_section
 class WorkspaceDeclaration:
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -183,6 +183,7 @@
             tokens=job.tokens,
             waited_s=round((now - job.arrived).total_seconds(), 3),
             slack_s=round((job.deadline - now).total_seconds(), 3),
+            floor_s=round(self.scheduler.protection_s(job.attempt_id), 3),
             running=load.running,
             width=load.width,
             queued=load.queued,
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -8,7 +8,7 @@
 
 from ..clock import Clock
 from ..contracts import Offer, RefusalReason
-from ..declarations import Declarations
+from ..declarations import ClassDeclaration, Declarations
 from ..scheduling import Job
 from ..tickets import Ticket, TicketClaim, TicketTable, read_ticket
 from .attempts import Attempt
@@ -189,6 +189,13 @@
         attempt = self.executor.take(offer, job, serial=serial)
         return Placed(attempt=attempt, is_new=True, wait=admission.wait)
 
+    def declaration_of(self, offer: Offer) -> ClassDeclaration | None:
+        """Return the declaration of an offer's class as it is scheduled by."""
+        entry = self.executor.scheduler.entries.get(offer.attempt_id)
+        if entry is not None:
+            return entry.declaration
+        return self.declarations().classes.get(self.class_name_of(offer))
+
     def class_name_of(self, offer: Offer) -> str:
         """Return the class of an offer; the fleet's default if it names none."""
         return offer.class_name or self.declarations().defaults.class_name
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -165,6 +165,7 @@
     ) -> None:
         """Log the decision on an offer with what was weighed."""
         load = self.load()
+        declared = self.placement.declaration_of(offer)
         PLACEMENTS.labels(offer.class_name, decision, str(reason)).inc()
         emit(
             ATTEMPT_PLACED,
@@ -172,6 +173,8 @@
             decision=decision,
             reason=str(reason),
             **{"class": offer.class_name},
+            tier=declared.tier if declared else None,
+            pausable=declared.is_pausable if declared else None,
             workspace=offer.workspace,
             wait_s=round(wait.total_seconds(), 3),
             deadline_s=round(offer.deadline_s, 3),
--- a/zinniaramp/load/callers.py
+++ b/zinniaramp/load/callers.py
@@ -81,6 +81,8 @@
             class_name=planned.stream.class_name,
             workspace=planned.workspace,
             offset=planned.offset,
+            url=url,
+            planned=self.planned_time,
         )
 
     async def run(self) -> CallerRecord:
@@ -188,6 +190,7 @@
         )
         record.request_id = response.headers.get("Zinniaramp-Request-Id", "")
         record.was_told_not_run |= record.outcome == "not-run"
+        record.not_run_answers += record.outcome == "not-run"
         record.finish = self.clock() - self.planned_time
         record.fate = self.fate_of(response, answer)
         if response.code == 200:
--- a/zinniaramp/load/records.py
+++ b/zinniaramp/load/records.py
@@ -1,7 +1,7 @@
 """What one caller saw of one request."""
 
 from dataclasses import dataclass, field
-from datetime import timedelta
+from datetime import datetime, timedelta
 from enum import StrEnum
 
 __all__ = ["CallerRecord", "Fate"]
@@ -51,6 +51,12 @@
         Tokens received.
     was_told_not_run : bool
         Whether any answer said ``not-run``.
+    not_run_answers : int
+        Answers that said ``not-run``.
+    url : str
+        Entry process that the request was sent to.
+    planned : datetime or None
+        Planned send time.
     """
 
     mark: str
@@ -68,3 +74,6 @@
     gaps: list[timedelta] = field(default_factory=list)
     tokens: int = 0
     was_told_not_run: bool = False
+    not_run_answers: int = 0
+    url: str = ""
+    planned: datetime | None = None
--- a/zinniaramp/scheduling/core.py
+++ b/zinniaramp/scheduling/core.py
@@ -212,6 +212,13 @@
             tokens_per_s=self.speed.tokens_per_s() * self.speed.generating,
         )
 
+    def protection_s(self, attempt_id: str) -> float:
+        """Return the seconds for which a job's slot is its class's floor."""
+        entry = self.running.get(attempt_id)
+        if entry is None:
+            return 0.0
+        return max(0.0, entry.protected_until - self.clock().timestamp())
+
     def _advance(self) -> float:
         """Account for the time since the last call; return the current time."""
         now = self.clock().timestamp()
--- a/zinniaramp/scheduling/entries.py
+++ b/zinniaramp/scheduling/entries.py
@@ -55,7 +55,7 @@
     @property
     def is_pausable(self) -> bool:
         """Whether it may ever be paused once it runs."""
-        return self.declaration.preemptible and self.declaration.repeatable
+        return self.declaration.is_pausable
 
 
 def order_key(job: Job, declaration: ClassDeclaration, number: int) -> OrderKey:
