Start waiting jobs before another is refused

Cause: an endpoint process decided on every offer of one read from a stream before it looked at its scheduler again, so that questions were refused for the predicted wait while dossiers still held the slots that were about to be taken from them. Ruled out: the scheduler's prediction, which leaves lower classes out; the floor, whose quanta it admits beyond the limit.

features/promises/urgent.feature, 'Questions that arrive at once', 2 engines of 8 slots: before, 3 runs of 3 fail with 26 breaches each ('question at endpoint-0: refused (overloaded) while ... of dossier held slots'); after, 3 of 3 pass. A trial with 26 questions within 20 ms: 9 breaches and 22 whole before, 0 and 24 whole after.

Conclusion: a refusal is decided with all slots given away.

--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -222,7 +222,17 @@
         return self.attempts.get(self.aliases.get(attempt_id, attempt_id))
 
     def admit(self, job: Job) -> Admission:
-        """Ask the scheduler to take a job."""
+        """Ask the scheduler to take a job.
+
+        Notes
+        -----
+        Before a job is refused, those that wait get the slots that they may take
+        from lower classes, so that none of these holds one meanwhile.
+        """
+        admission = self.scheduler.offer(job)
+        if admission.is_admitted:
+            return admission
+        self.advance()
         return self.scheduler.offer(job)
 
     def take(self, offer: Offer, job: Job, *, serial: str | None) -> Attempt:
