Check refusals against the slots of the whole fleet

An endpoint process sees its own slots only, so a caller could be refused while a dossier held a slot elsewhere; the checker now looks at all endpoints that serve the target.

--- a/features/history/checker.feature
+++ b/features/history/checker.feature
@@ -18,6 +18,7 @@
       | a question is refused while a dossier runs       | URGENT        | question-9  |
       | a question is refused while a quantum runs       | URGENT        | question-9  |
       | a question finds its place taken by dossiers     | URGENT        | question-9  |
+      | a question is refused by all while a dossier runs | URGENT       | question-9  |
       | a question expires while a dossier runs          | URGENT        | question-9  |
       | a question is shed                               | URGENT        | question-9  |
       | a question is paused for a dossier               | URGENT        | question-9  |
@@ -44,6 +45,7 @@
       | what                                             |
       | a question is refused while a fixed job runs     |
       | a question expires inside a quantum              |
+      | a question is refused as a dossier starts        |
       | an answer is cut as its entry process is killed  |
       | an entry offers work soon after the word         |
       | an endpoint returns after leaving                |
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -167,6 +167,36 @@
     )
 
 
+def fleet_refusal(time):
+    """Return the events of a request that another endpoint refused."""
+    return [
+        line(
+            "entry-0",
+            11,
+            "attempt-routed",
+            attempt="r.0.endpoint-0",
+            target="small-model",
+            chosen="endpoint-0",
+        ),
+        line(
+            "entry-0",
+            time,
+            "attempt-routed",
+            attempt="question-9.0.endpoint-1",
+            target="small-model",
+            chosen="endpoint-1",
+        ),
+        line(
+            "entry-0",
+            time,
+            "request-ended",
+            **{"class": "question"},
+            request="question-9",
+            reason="overloaded",
+        ),
+    ]
+
+
 PLANTED = {
     "a question is refused while a dossier runs": [
         at_endpoint(*second_dossier(), REFUSED)
@@ -183,6 +213,14 @@
             ended(33, "dossier-8"),
         )
     ],
+    "a question is refused by all while a dossier runs": [
+        at_endpoint(*second_dossier()),
+        at_entry(*fleet_refusal(32)),
+    ],
+    "a question is refused as a dossier starts": [
+        at_endpoint(*second_dossier()),
+        at_entry(*fleet_refusal(30.2)),
+    ],
     "a question expires while a dossier runs": [
         at_endpoint(*second_dossier(), *EXPIRED)
     ],
--- a/zinniaramp/history/core.py
+++ b/zinniaramp/history/core.py
@@ -2,6 +2,7 @@
 
 from .answers import check_at_most_once, check_not_run, check_whole
 from .breaches import Breach
+from .fleet_refusals import check_fleet_refusals
 from .leaving import check_leaving, check_shutdown
 from .progress import check_progress
 from .records import History, Limits
@@ -12,6 +13,7 @@
 
 CHECKS = (
     check_urgency,
+    check_fleet_refusals,
     check_progress,
     check_whole,
     check_not_run,
--- a/zinniaramp/history/queues.py
+++ b/zinniaramp/history/queues.py
@@ -4,7 +4,7 @@
 
 from .records import LogLine
 
-__all__ = ["HeldAttempt", "Queues", "rebuild"]
+__all__ = ["HeldAttempt", "Queues", "rebuild", "usable_slots"]
 
 WAITING, RUNNING, PAUSED = "waiting", "running", "paused"
 
@@ -86,6 +86,34 @@
     )
 
 
+def usable_slots(
+    queues: Queues, tier: int, now: float, *, with_floor: bool, settle_s: float = 0
+) -> list[HeldAttempt]:
+    """Return attempts whose slots one of a tier could use.
+
+    Parameters
+    ----------
+    queues : Queues
+        What the endpoint process holds.
+    tier : int
+        The tier that looks for a slot.
+    now : float
+        The time.
+    with_floor : bool
+        Whether slots that a class's floor holds count.
+    settle_s : float
+        Time for which a slot must have been usable.
+    """
+    return [
+        one
+        for one in queues.in_state(RUNNING)
+        if one.tier > tier
+        and one.is_pausable
+        and one.since + settle_s <= now
+        and (with_floor or one.protected_until + settle_s <= now)
+    ]
+
+
 def rebuild(lines: list[LogLine]):
     """Yield each event with what was held just before it."""
     queues = Queues()
--- a/zinniaramp/history/urgency.py
+++ b/zinniaramp/history/urgency.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 
 from .breaches import Breach, Promise
-from .queues import RUNNING, WAITING, HeldAttempt, Queues, rebuild
+from .queues import WAITING, HeldAttempt, Queues, rebuild, usable_slots
 from .records import History, Limits, LogLine
 
 __all__ = ["check_urgency"]
@@ -40,24 +40,11 @@
                 pausing = []
 
 
-def _usable(
-    queues: Queues, tier: int, now: float, *, with_floor: bool, settle_s: float = 0
-) -> list[HeldAttempt]:
-    return [
-        one
-        for one in queues.in_state(RUNNING)
-        if one.tier > tier
-        and one.is_pausable
-        and one.since + settle_s <= now
-        and (with_floor or one.protected_until + settle_s <= now)
-    ]
-
-
 def _judge_refusal(line: LogLine, queues: Queues, limits: Limits) -> Iterator[Breach]:
     reason, tier = line.get("reason"), line.get("tier")
     if reason not in LOAD_REASONS or not tier:
         return
-    slots = _usable(queues, tier, line.time, with_floor=reason == "overloaded")
+    slots = usable_slots(queues, tier, line.time, with_floor=reason == "overloaded")
     if slots:
         yield _breach(line, f"refused ({reason}) while {_names(slots)} held slots")
     waiting = queues.in_state(WAITING)
@@ -71,7 +58,7 @@
     if lost is None:
         return
     decision = line.get("decision")
-    lower = _usable(
+    lower = usable_slots(
         queues, lost.tier, line.time, with_floor=False, settle_s=limits.settle_s
     )
     if decision == "shed":
