Bring a request of the highest tier to every endpoint before refusing it

Cause: refusals counted towards the three attempts of a request, so a question was refused by the slow endpoints that it met first while a dossier kept a slot of one that it was never brought to.

The scenario 'A request that every endpoint refuses did not run' asked for 3 attempts of class question, which is of the highest tier; it now asks for 3 of class summary and for 4, all there are, of class question. Without the change the latter fails with 'offered [1, 0, 1, 1]'.

Conclusion: a refusal costs no work, so the bound on attempts holds for lower tiers only; the number of endpoints bounds the highest.

--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -14,15 +14,20 @@
       | begins and goes            |
       | ends with a wrong checksum |
 
-  Scenario: A request that every endpoint refuses did not run
+  Scenario Outline: A request that every endpoint refuses did not run
     Given an entry with endpoint "a" that refuses
     And endpoint "b" that refuses
     And endpoint "c" that refuses
     And endpoint "d" that refuses
-    When a caller sends a whole chat
+    When a caller sends a whole chat of class "<class>"
     Then the answer has status 429 and code "overloaded"
     And its outcome is "not-run" and its caller may return in 4 s to 6 s
-    And the endpoints were offered 3 attempts in all
+    And the endpoints were offered <count> attempts in all
+
+    Examples: The highest tier asks every endpoint, others three at most
+      | class    | count |
+      | summary  | 3     |
+      | question | 4     |
 
   Scenario Outline: A given-up request is said not to have run only on proof
     Given an entry with endpoint "a" that accepts and waits
--- a/zinniaramp/entry/runs.py
+++ b/zinniaramp/entry/runs.py
@@ -32,6 +32,9 @@
 CONFIRM_TIMEOUT = timedelta(seconds=0.25)
 """Longest wait, before giving up, for endpoints to say that nothing ran."""
 
+HIGHEST_TIER = 1
+"""Tier that is served first."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Final:
@@ -104,7 +107,7 @@
         defaults = self.call.declarations.defaults
         self.router.budget.deposit(defaults.retry_budget)
         tried: set[str] = set()
-        while len(self.attempts) < defaults.attempts and self.remaining_s() > 0:
+        while self.counted_attempts() < defaults.attempts and self.remaining_s() > 0:
             peer = await self.router.choose(self.call, self.next_id, tried)
             if peer is None:
                 break
@@ -119,6 +122,18 @@
                 break
         return await self.give_up()
 
+    def counted_attempts(self) -> int:
+        """Return the attempts that count towards the most that may be made.
+
+        Notes
+        -----
+        A refusal costs no work.  One of the highest tier is therefore brought to
+        every endpoint that it may use before its caller is refused, since a
+        lower class may hold a slot at any of them.
+        """
+        is_highest = self.call.class_declaration.tier == HIGHEST_TIER
+        return len(self.attempts) - (len(self.refusals) if is_highest else 0)
+
     async def run_once(self) -> Final:
         """Make one attempt, at the incarnation that the ticket names."""
         key = self.router.key
