--- a/features/steps/promise_load_steps.py
+++ b/features/steps/promise_load_steps.py
@@ -15,6 +15,7 @@
 from zinniaramp.load import read_plan, run_load
 from zinniaramp.load.executions import read_executions
 from zinniaramp.load.saving import request_records, run_records
+from zinniaramp.scheduling.floor import floor_wait_bound
 from zinniaramp.standins.fleet import FleetOptions, bring_up
 
 PROMISES = Path(__file__).resolve().parents[1] / "promises"
@@ -22,6 +23,10 @@
 URGENT_CLASS = "question"
 
 
+WIDTH = 4
+"""Slots of the engine that the floor's bound is worked out for."""
+
+
 @given('a loopback fleet of {count:d} engines with {width:d} slots that runs "{name}"')
 def fleet_of_engines(context, count, width, name):
     files = PROMISES / name
@@ -37,6 +42,19 @@
     )
 
 
+@given(
+    "the bound on waits that a floor of {floor:g} sets if slots are released "
+    "every {release_s:g} s"
+)
+def bound_waits(context, floor, release_s):
+    declared = context.declarations.classes["dossier"].floor
+    assert (declared or context.declarations.defaults.floor) == floor
+    bound_s = floor_wait_bound(
+        floor=floor, floor_sum=floor, width=WIDTH, classes=1, release_s=release_s
+    )
+    context.limits = Limits(progress_s=bound_s)
+
+
 def urls(context, role):
     """Return the URLs of a role's processes."""
     return [one.url for one in context.fleet if one.role == role]
@@ -103,7 +121,8 @@
 
 @then("the checker names no breach in its history")
 def check_no_breach(context):
-    breaches = check_history(context.history, Limits())
+    limits = getattr(context, "limits", Limits())
+    breaches = check_history(context.history, limits)
     named = [str(one) for one in breaches]
     assert not breaches, (len(named), named[:5], decisions(context))
 
@@ -119,3 +138,29 @@
 def check_no_pause(context):
     counts = decisions(context)
     assert counts[URGENT_CLASS, "pause"] == 0, counts
+
+
+@then(
+    "more questions arrived than started in each of the seconds {first:d} to {last:d}"
+)
+def check_overload(context, first, last):
+    log = context.history.logs["endpoint-0"]
+    lines = [line for line in log if line.get("class") == URGENT_CLASS]
+    begun = lines[0].time
+    arrived, started = Counter(), Counter()
+    for line in lines:
+        second = int(line.time - begun)
+        arrived[second] += line.name == "attempt-placed"
+        started[second] += line.get("decision") == "start"
+    seconds = range(first, last + 1)
+    assert all(arrived[one] > started[one] for one in seconds), (arrived, started)
+
+
+@then("every dossier was admitted, was paused and came whole")
+def check_dossiers(context):
+    counts = decisions(context)
+    fates = [
+        one.fate for one in context.history.requests if one.class_name == "dossier"
+    ]
+    assert fates == ["whole"] * counts["dossier", "accept"], (fates, counts)
+    assert counts["dossier", "pause"] >= counts["dossier", "accept"] > 0, counts
