Soak a fleet under random faults, two at a time

Outages that the soak notes tell the checker which answers could not be whole: those whose entry process was killed or stopped, and those whose endpoint or engine failed and whose callers were told so. A process that starts while the configuration is down or stale gets no such allowance.

--- a/zinniaramp/experiments/__main__.py
+++ b/zinniaramp/experiments/__main__.py
@@ -4,7 +4,12 @@
 
 from .overhead import measure_overhead
 from .passing import measure_passing
+from .soak import measure_soak
 
-EXPERIMENTS = {"overhead": measure_overhead, "passing": measure_passing}
+EXPERIMENTS = {
+    "overhead": measure_overhead,
+    "passing": measure_passing,
+    "soak": measure_soak,
+}
 
 fire.Fire(EXPERIMENTS, name="measure")
--- a/zinniaramp/history/records.py
+++ b/zinniaramp/history/records.py
@@ -90,12 +90,16 @@
         Its name, and its URL for callers if it is an entry process.
     start, end : float
         From when to when.
+    is_graceful : bool
+        Whether it finished what it had; only what was sent from the start on
+        could then meet it.
     """
 
     process: str
     url: str
     start: float
     end: float
+    is_graceful: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
