Excuse a cut answer only for an endpoint that failed, and was told of

Cause: the checker let an answer be cut while its endpoint process shut down gracefully, and counted an outage of the host list as one of the configuration.

--- a/features/history/checker.feature
+++ b/features/history/checker.feature
@@ -26,6 +26,8 @@
       | a dossier stays paused until the log ends        | STARVATION    | dossier-9   |
       | an answer belongs to another request             | WHOLE         | mark-9      |
       | an answer is cut                                 | WHOLE         | mark-9      |
+      | an answer is cut as its endpoint shuts down      | WHOLE         | mark-9      |
+      | an answer is cut unsaid as its endpoint is killed | WHOLE        | mark-9      |
       | a request ran after it was told not-run          | NOT_RUN       | mark-9      |
       | a ledger entry ran twice                         | AT_MOST_ONCE  | mark-9      |
       | an entry offers work to a leaving endpoint       | LEAVING       | dossier-9   |
@@ -47,6 +49,7 @@
       | a question expires inside a quantum              |
       | a question is refused as a dossier starts        |
       | an answer is cut as its entry process is killed  |
+      | an answer is said to be cut as its endpoint is killed |
       | an entry offers work soon after the word         |
       | an endpoint returns after leaving                |
 
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -167,6 +167,15 @@
     )
 
 
+def cut_at_endpoint(context, *, outcome, is_graceful):
+    """Have an answer cut while its endpoint process is out."""
+    record = request("mark-9", "cut", outcome=outcome, request_id="r.0.endpoint-0")
+    context.history.requests.append(record)
+    context.history.outages.append(
+        Outage(process="endpoint-0", url="", start=9, end=20, is_graceful=is_graceful)
+    )
+
+
 def fleet_refusal(time):
     """Return the events of a request that another endpoint refused."""
     return [
@@ -253,6 +262,15 @@
     ],
     "an answer belongs to another request": [seen(request("mark-9", "wrong"))],
     "an answer is cut": [seen(request("mark-9", "cut"))],
+    "an answer is cut as its endpoint shuts down": [
+        lambda context: cut_at_endpoint(context, outcome="unknown", is_graceful=True)
+    ],
+    "an answer is cut unsaid as its endpoint is killed": [
+        lambda context: cut_at_endpoint(context, outcome="", is_graceful=False)
+    ],
+    "an answer is said to be cut as its endpoint is killed": [
+        lambda context: cut_at_endpoint(context, outcome="unknown", is_graceful=False)
+    ],
     "a request ran after it was told not-run": [
         seen(request("mark-9", "refused", not_run_answers=1), "engine-0")
     ],
--- a/zinniaramp/experiments/fleet_faults.py
+++ b/zinniaramp/experiments/fleet_faults.py
@@ -110,7 +110,7 @@
     return True
 
 
-async def _wait_until(condition: Callable[[], bool], seconds: float, what: str) -> None:
+async def _wait_until(condition: Callable[[], bool], seconds: float) -> None:
     async with asyncio.timeout(seconds):
         while not await asyncio.to_thread(condition):
             await asyncio.sleep(POLL_SECONDS)
@@ -127,14 +127,14 @@
         )
     process.pid = started.pid
     process.created = psutil.Process(started.pid).create_time()
-    await _wait_until(lambda: _is_ready(process), READY_SECONDS, "ready")
+    await _wait_until(lambda: _is_ready(process), READY_SECONDS)
 
 
 async def kill(fleet: FaultyFleet, process: FleetProcess, hold_s: float) -> None:
     """Kill a process and start it again."""
     start = fleet.now()
     os.kill(process.pid, signal.SIGKILL)
-    await _wait_until(lambda: not is_alive(process), DRAIN_SECONDS, "ended")
+    await _wait_until(lambda: not is_alive(process), DRAIN_SECONDS)
     await asyncio.sleep(hold_s)
     await _start_again(process)
     fleet.note_outage(process, start)
@@ -144,7 +144,7 @@
     """Have a process shut down gracefully and start it again."""
     start = fleet.now()
     os.kill(process.pid, signal.SIGTERM)
-    await _wait_until(lambda: not is_alive(process), DRAIN_SECONDS, "ended")
+    await _wait_until(lambda: not is_alive(process), DRAIN_SECONDS)
     await asyncio.sleep(hold_s)
     await _start_again(process)
     fleet.note_outage(process, start, is_graceful=True)
@@ -190,7 +190,7 @@
         await _set_faults(process, **healed)
         if is_outage and process.role in ("engine", "service"):
             fleet.note_outage(fleet.endpoint_of(process), start)
-        elif is_outage:
+        elif is_outage and process.role == "configuration":
             fleet.note_outage(None, start)
 
     return inject
--- a/zinniaramp/history/answers.py
+++ b/zinniaramp/history/answers.py
@@ -38,13 +38,14 @@
     host = request.request_id.rpartition(".")[2]
     return any(
         _overlaps(one, request)
-        and (one.url == request.entry or (one.process == host and _is_told(request)))
+        and (one.url == request.entry or _is_told_of(one, host, request))
         for one in history.outages
     )
 
 
-def _is_told(request: RequestRecord) -> bool:
-    return request.outcome == UNKNOWN
+def _is_told_of(outage: Outage, host: str, request: RequestRecord) -> bool:
+    is_failure = outage.process == host and not outage.is_graceful
+    return is_failure and request.outcome == UNKNOWN
 
 
 def _overlaps(outage: Outage, request: RequestRecord) -> bool:
