Ask for a revision in time after an outage too

Cause: an outage that overlapped the time in which a revision was due excused its process for good. It now puts the time off, to as long after its end as the revision may take.

--- a/features/history/checker.feature
+++ b/features/history/checker.feature
@@ -35,6 +35,7 @@
       | a shutdown leaves an answer unfinished           | SHUTDOWN      | entry-0     |
       | a process goes back to a lower revision          | CONFIGURATION | entry-0     |
       | a process does not take a newer revision         | CONFIGURATION | entry-0     |
+      | a process learns late after an outage            | CONFIGURATION | endpoint-0  |
       | a process is ready under an older revision       | CONFIGURATION | entry-1     |
 
   Scenario Outline: What is allowed is no breach
@@ -50,6 +51,7 @@
       | a question is refused as a dossier starts        |
       | an answer is cut as its entry process is killed  |
       | an answer is said to be cut as its endpoint is killed |
+      | a process learns in time after an outage         |
       | an entry offers work soon after the word         |
       | an endpoint returns after leaving                |
 
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -176,6 +176,15 @@
     )
 
 
+def learn_late(context, outage_end):
+    """Have the endpoint take revision 3, the entry's of 30 s, at 50 s."""
+    add(context, "entry-0", line("entry-0", 30, "revision-accepted", index=3))
+    add(context, "endpoint-0", line("endpoint-0", 50, "revision-accepted", index=3))
+    context.history.outages.append(
+        Outage(process="endpoint-0", url="", start=29, end=outage_end)
+    )
+
+
 def fleet_refusal(time):
     """Return the events of a request that another endpoint refused."""
     return [
@@ -291,6 +300,10 @@
     "a process does not take a newer revision": [
         at_endpoint(line("endpoint-0", 40, "revision-accepted", index=3))
     ],
+    "a process learns late after an outage": [lambda context: learn_late(context, 36)],
+    "a process learns in time after an outage": [
+        lambda context: learn_late(context, 46)
+    ],
     "a process is ready under an older revision": [
         lambda context: add(
             context,
--- a/zinniaramp/history/revisions.py
+++ b/zinniaramp/history/revisions.py
@@ -89,9 +89,9 @@
     limits: Limits,
 ) -> Iterator[Breach]:
     """Yield a breach if a start had a lower revision when it was to have this one."""
-    due = accepted + limits.in_force_s
+    due = _due(history, start, accepted, limits.in_force_s)
     judged = max(due, start.settled or start.start + limits.in_force_s)
-    if judged > start.end or _was_out(history, start, accepted, judged):
+    if judged > start.end:
         return
     found = start.index_at(judged)
     if found < index:
@@ -100,16 +100,16 @@
         yield _breach(start, evidence)
 
 
-def _was_out(
-    history: History, start: ProcessStart, accepted: float, judged: float
-) -> bool:
-    """Tell whether this start of a process was kept from hearing of a revision."""
-    return any(
-        one.process in (start.process, EVERY_PROCESS)
-        and start.start <= one.start <= judged
-        and one.end >= accepted
-        for one in history.outages
-    )
+def _due(
+    history: History, start: ProcessStart, accepted: float, in_force_s: float
+) -> float:
+    """Return when a revision is due: later if this start was kept from hearing."""
+    due = accepted + in_force_s
+    for one in sorted(history.outages, key=lambda outage: outage.start):
+        is_kept = one.process in (start.process, EVERY_PROCESS)
+        if is_kept and start.start <= one.start <= due and one.end >= accepted:
+            due = max(due, one.end + in_force_s)
+    return due
 
 
 def _breach(start: ProcessStart, evidence: str) -> Breach:
