--- a/zinniaramp/experiments/__main__.py
+++ b/zinniaramp/experiments/__main__.py
@@ -2,11 +2,17 @@
 
 import fire
 
+from .changes import measure_changes
+from .control import measure_control
+from .in_force import measure_in_force
 from .overhead import measure_overhead
 from .passing import measure_passing
 from .soak import measure_soak
 
 EXPERIMENTS = {
+    "in_force": measure_in_force,
+    "changes": measure_changes,
+    "control": measure_control,
     "overhead": measure_overhead,
     "passing": measure_passing,
     "soak": measure_soak,
