--- a/features/promises/starvation.feature
+++ b/features/promises/starvation.feature
@@ -5,5 +5,5 @@
     And the bound on waits that a floor of 0.2 sets if slots are released every 0.5 s
     When its plan is run
     Then the checker names no breach in its history
-    And more questions arrived than started in each of the seconds 1 to 10
+    And more questions arrived than started in each of the seconds 1 to 9
     And every dossier was admitted, was paused and came whole
