--- a/zinniaramp/standins/forwarder.py
+++ b/zinniaramp/standins/forwarder.py
@@ -9,7 +9,7 @@
 from tornado.tcpserver import TCPServer
 from tornado.testing import bind_unused_port
 
-__all__ = ["Forwarder", "ForwarderServer"]
+__all__ = ["READ_BYTES", "Forwarder", "ForwarderServer"]
 
 READ_BYTES = 64 * 1024
 """Bytes that are read at a time."""
