--- a/features/endpoint/rig.py
+++ b/features/endpoint/rig.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 from datetime import timedelta
 
 from loguru import logger
@@ -28,6 +27,7 @@
 from zinniaramp.standins.engine.core import Engine
 from zinniaramp.standins.engine.handlers import ROUTES
 from zinniaramp.standins.engine.prefix import PrefixCache
+from zinniaramp.standins.fleet import free_port
 from zinniaramp.standins.service import CallHandler, Service
 from zinniaramp.standins.serving import Controls, serve
 
@@ -48,13 +48,6 @@
 """
 
 
-def free_port():
-    """Return a port of loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class RawEngine:
     """Takes connections, counts requests, and either hangs up or says nothing."""
 
--- a/zinniaramp/endpoint/placement.py
+++ b/zinniaramp/endpoint/placement.py
@@ -220,6 +220,13 @@
         attempt = self.executor.take(offer, job, serial=serial)
         return Placed(attempt=attempt, is_new=True, wait=admission.wait)
 
+    def declaration_of(self, offer: Offer) -> ClassDeclaration | None:
+        """Return the declaration of an offer's class as it is scheduled by."""
+        entry = self.executor.scheduler.entries.get(offer.attempt_id)
+        if entry is not None:
+            return entry.declaration
+        return self.class_of(offer)
+
     def class_name_of(self, offer: Offer) -> str:
         """Return the class of an offer; the fleet's default if it names none."""
         declarations = self.declarations(offer.revision_index)
--- a/zinniaramp/experiments/__main__.py
+++ b/zinniaramp/experiments/__main__.py
@@ -8,6 +8,7 @@
 from .overhead import measure_overhead
 from .passing import measure_passing
 from .policy import measure_policy
+from .soak import measure_soak
 
 EXPERIMENTS = {
     "in_force": measure_in_force,
@@ -16,6 +17,7 @@
     "overhead": measure_overhead,
     "passing": measure_passing,
     "policy": measure_policy,
+    "soak": measure_soak,
 }
 
 fire.Fire(EXPERIMENTS, name="measure")
