Exempt what a process loads at start from garbage collection

Cause: the tail of added first-token time. Of 500 routed requests those above the 95th percentile came together, with 22 to 25 ms lost in one step of one process (23 ms before the entry logged its choice, or 24 ms before the endpoint placed the offer): full passes of the collector over the modules loaded at start. Ruled out: a fresh connection to the engine for each attempt (with reuse the tail stayed, 59 ms at most); the engine's step, which the direct way meets alike. Change: collect once and freeze when the process has started.

--- a/zinniaramp/daemon/core.py
+++ b/zinniaramp/daemon/core.py
@@ -1,6 +1,7 @@
 """Entry point of the daemon."""
 
 import asyncio
+import gc
 import secrets
 import sys
 from pathlib import Path
@@ -111,6 +112,7 @@
     )
     followers.start()
     _listen(process, view)
+    _exempt_from_collection()
     emit(PROCESS_STARTED, role=identity.role, incarnation=identity.incarnation)
     settling = asyncio.create_task(_settle(followers, revisions), name="settling")
     code = await shutdown.drain(process, limit=settings.fleet.drain_limit)
@@ -118,6 +120,18 @@
     return code
 
 
+def _exempt_from_collection() -> None:
+    """Keep what was loaded at start out of the garbage collector's passes.
+
+    Notes
+    -----
+    A full pass over the modules and their schemas stops the event loop for some
+    20 ms, and nothing of them is ever garbage.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def _settle(followers: Followers, revisions: RevisionStore) -> None:
     await followers.settle()
     revision = revisions.revision()
