Read server-sent events in one place

Cause: three modules read events; two of them used assel's parser bare, whose decoder is shared, so that a split character could spoil another answer's text. Found by reading: the endpoint process had its own reader with the remedy. Change: EventReader stands in answers and all three use it; the forwarder is imported from the stand-ins, and the module that only passed its name on is gone.

--- a/features/steps/endpoint_steps.py
+++ b/features/steps/endpoint_steps.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from features.endpoint.rig import KEY, MODEL, Rig
+from zinniaramp.answers import EventReader
 from zinniaramp.answers.retention import AnswerStore, Piece
 from zinniaramp.contracts import (
     Cancel,
@@ -34,7 +35,6 @@
     TicketIssued,
     TicketRequest,
 )
-from zinniaramp.endpoint.engine import EventReader
 from zinniaramp.endpoint.streams import MOVED_DETAIL
 from zinniaramp.hosts import Host, HostState
 from zinniaramp.standins import expected_text
--- a/features/steps/promises_whole_steps.py
+++ b/features/steps/promises_whole_steps.py
@@ -12,7 +12,7 @@
 
 from features.support.crossing import CrossingForwarder
 from features.support.fleets import Answer, Bench, ask, is_ready, wait_until
-from features.support.forwarder import Forwarder
+from zinniaramp.standins.forwarder import Forwarder
 from zinniaramp.standins.processes import is_alive
 
 LEAVING_SECONDS = 3
--- a/features/support/crossing.py
+++ b/features/support/crossing.py
@@ -3,8 +3,7 @@
 from tornado.iostream import StreamClosedError
 
 from zinniaramp.contracts import Chunk, Decoder, encode
-
-from .forwarder import READ_BYTES, Forwarder, ForwarderServer
+from zinniaramp.standins.forwarder import READ_BYTES, Forwarder, ForwarderServer
 
 
 class CrossingServer(ForwarderServer):
--- a/features/support/fleets.py
+++ b/features/support/fleets.py
@@ -11,12 +11,11 @@
 
 from zinniaramp.standins import expected_text
 from zinniaramp.standins.fleet import MODEL, bring_up, is_alive, read_fleet
+from zinniaramp.standins.forwarder import Forwarder
 from zinniaramp.standins.options import FleetOptions
 from zinniaramp.standins.processes import Fleet
 from zinniaramp.standins.service import expected_reply
 
-from .forwarder import Forwarder
-
 BOUND_SECONDS = 20
 POLL_SECONDS = 0.01
 REFUSED = "refused"
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -12,8 +12,8 @@
 import urllib.request
 from urllib.parse import urlsplit
 
-from features.support.forwarder import Forwarder
 from zinniaramp.standins.fleet import MODEL, FleetOptions, bring_up
+from zinniaramp.standins.forwarder import Forwarder
 
 BOUND_SECONDS = 10
 POLL_SECONDS = 0.01
--- a/features/support/running_fleet.py
+++ b/features/support/running_fleet.py
@@ -5,8 +5,8 @@
 import urllib.request
 from pathlib import Path
 
-from features.support.forwarder import Forwarder
 from zinniaramp.standins.fleet import FleetOptions, bring_up
+from zinniaramp.standins.forwarder import Forwarder
 from zinniaramp.standins.processes import Fleet, end_processes
 
 POLL_SECONDS = 0.05
--- a/zinniaramp/commands/callers.py
+++ b/zinniaramp/commands/callers.py
@@ -4,8 +4,7 @@
 import sys
 from dataclasses import dataclass
 
-import assel
-
+from ..answers import EventReader
 from .operators import Answer, base_url, exchange
 from .output import EXIT_NOT_RUN, EXIT_UNKNOWN, EXIT_USAGE, fail, print_json, verb
 
@@ -82,7 +81,7 @@
 class StreamPrinter:
     """Prints the text of a streamed answer as it arrives."""
 
-    parser: assel.Parser
+    events: EventReader
     raw: bytearray
     outcome: str = ""
     finish_reason: str = ""
@@ -90,8 +89,8 @@
     def receive(self, data: bytes) -> None:
         """Print what a piece of the body completes."""
         self.raw += data[: max(0, MAX_KEPT_BYTES - len(self.raw))]
-        for event in self.parser.receive_bytes(data):
-            self.show(event.data)
+        for event in self.events.read(data).unwrap_or([]):
+            self.show(event)
 
     def show(self, data: str) -> None:
         """Print the text of one event."""
@@ -169,7 +168,7 @@
     }
     if max_tokens:
         body["max_tokens"] = int(max_tokens)
-    printer = StreamPrinter(parser=assel.Parser(), raw=bytearray())
+    printer = StreamPrinter(events=EventReader(), raw=bytearray())
     answer = exchange(
         f"{base_url(url)}/v1/chat/completions",
         method="POST",
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -1,12 +1,9 @@
 """Client of the engine or plain service beside the endpoint process."""
 
 import asyncio
-import codecs
-from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 
-import assel
 import pycurl
 from result import Err, Ok, Result
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -22,7 +19,6 @@
     "EngineClient",
     "EngineError",
     "EngineOrder",
-    "EventReader",
     "Received",
     "ResponseHead",
     "Transfer",
@@ -41,9 +37,6 @@
 MAX_PAUSED_TRANSFERS = 256
 """Transfers that may be open beyond the engine's slots: paused requests."""
 
-MAX_EVENT_CHARS = 1024 * 1024
-"""Longest server-sent event that is read, in characters."""
-
 NEVER_SENT_ERRORS = {
     pycurl.E_COULDNT_RESOLVE_HOST,
     pycurl.E_COULDNT_CONNECT,
@@ -344,23 +337,3 @@
 
 def _empty_body(method: str) -> bytes | None:
     return b"" if method in ("POST", "PUT", "PATCH") else None
-
-
-class EventReader:
-    """Reads server-sent events from the bytes of one response."""
-
-    __slots__ = ("parser",)
-
-    def __init__(self, *, parser_class: Callable[[], assel.Parser] = assel.Parser):
-        self.parser = parser_class()
-        # assel 1.0 shares one UTF-8 decoder among all parsers: a character that
-        # is split between two reads of one response would spoil another's.
-        decoder = codecs.getincrementaldecoder("utf-8")("replace")
-        self.parser.line_decoder.utf8dec = decoder
-
-    def read(self, data: bytes) -> Result[list[str], EngineError]:
-        """Return the data of each event that the bytes complete, on one line each."""
-        events = self.parser.receive_bytes(data)
-        if len(self.parser.line_decoder.buffer) > MAX_EVENT_CHARS:
-            return Err(EngineError(f"event is longer than {MAX_EVENT_CHARS}"))
-        return Ok([event.data.replace("\n", " ") for event in events])
--- a/zinniaramp/endpoint/responses.py
+++ b/zinniaramp/endpoint/responses.py
@@ -7,12 +7,12 @@
 
 from result import Err, Ok, Result
 
+from ..answers import EventReader
 from ..answers.retention import Piece
 from ..contracts import Offer, Outcome
 from .engine import (
     EngineCall,
     EngineError,
-    EventReader,
     Received,
     ResponseHead,
     TransferEnd,
--- a/zinniaramp/load/answers.py
+++ b/zinniaramp/load/answers.py
@@ -4,8 +4,7 @@
 from dataclasses import asdict
 from datetime import datetime
 
-import assel
-
+from ..answers import EventReader
 from ..standins import expected_text
 from ..standins.service import expected_reply
 from .arrivals import PlannedRequest
@@ -28,11 +27,11 @@
         Whether server-sent events are expected.
     """
 
-    __slots__ = ("is_events", "parser", "body", "texts", "times", "outcome", "is_ended")
+    __slots__ = ("is_events", "events", "body", "texts", "times", "outcome", "is_ended")
 
     def __init__(self, *, is_events: bool):
         self.is_events = is_events
-        self.parser = assel.Parser()
+        self.events = EventReader()
         self.body = bytearray()
         self.texts: list[str] = []
         self.times: list[datetime] = []
@@ -44,8 +43,8 @@
         self.body += data
         if not self.is_events:
             return
-        for event in self.parser.receive_bytes(data):
-            self.take_event(event.data, now)
+        for event in self.events.read(data).unwrap_or([]):
+            self.take_event(event, now)
 
     def take_event(self, data: str, now: datetime) -> None:
         """Take one server-sent event."""
