--- a/zinniaramp/load/report.py
+++ b/zinniaramp/load/report.py
@@ -110,6 +110,10 @@
     untrue_not_run: list[str]
     all_whole: bool
 
+    def keeps_promises(self) -> bool:
+        """Tell whether all was whole, nothing ran twice, and not-run was true."""
+        return self.all_whole and not self.doubled_marks and not self.untrue_not_run
+
 
 def _percentiles(values: list[timedelta]) -> Percentiles:
     histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS)
