Finish a chat answer that has begun past its deadline

The entry had already stopped ending begun answers at their deadline; the endpoint process had not. Ruled out: loss on a stream, and the engine (its silence has an event; none was logged).

--- a/features/endpoint/endpoint.feature
+++ b/features/endpoint/endpoint.feature
@@ -148,6 +148,11 @@
     Then "b" is confirmed as run
     And "c" is confirmed as run
 
+  Scenario: An answer that has begun is not cut off at its deadline
+    Given an endpoint process with 1 slot
+    When attempt "a" of class "question" for 100 tokens is offered without a ticket and 0.5 seconds left
+    Then "a" brings its whole text
+
   Scenario: An attempt whose time runs out while it waits is answered at once
     Given an endpoint process with 1 slot
     When 10 attempts of class "question" for 4 tokens have ended
--- a/features/steps/endpoint_steps.py
+++ b/features/steps/endpoint_steps.py
@@ -142,6 +142,14 @@
     rig.offer(name, class_name, tokens, ticket=context.ticket, deadline_s=seconds)
 
 
+@when(
+    'attempt "{name}" of class "{class_name}" for {tokens:d} tokens is offered '
+    "without a ticket and {seconds:g} seconds left"
+)
+def offer_without_ticket(context, name, class_name, tokens, seconds):
+    context.rig.offer(name, class_name, tokens, deadline_s=seconds)
+
+
 @when('{count:d} attempts of class "{class_name}" for {tokens:d} tokens have ended')
 def learn_lengths(context, count, class_name, tokens):
     for number in range(count):
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from datetime import datetime, timedelta
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from ..answers.retention import AnswerStore
 from ..clock import Clock
@@ -25,7 +25,7 @@
 )
 from ..tickets.tombstones import Tombstones
 from .attempts import Attempt
-from .engine import EngineClient, EngineOrder, Transfer
+from .engine import EngineCall, EngineClient, EngineError, EngineOrder, Transfer
 from .events import (
     ATTEMPT_ENDED,
     ATTEMPT_SCHEDULED,
@@ -47,6 +47,9 @@
 NEVER_SENT_PAUSE = timedelta(seconds=1)
 """How long offers are refused after the engine could not be connected to."""
 
+LONGEST_ANSWER = timedelta(days=1)
+"""Longest time of one chat answer at the engine."""
+
 CANCELLED_DETAIL = "cancelled"
 """Detail of the end of an attempt that was cancelled."""
 
@@ -270,19 +273,25 @@
                 attempt.drop_body()
                 self.spawn(self.run_attempt(attempt, attempt.transfer))
 
-    def call_of(self, attempt: Attempt):
-        """Return the call that runs an attempt."""
+    def call_of(self, attempt: Attempt) -> Result[EngineCall, EngineError]:
+        """Return the call that runs an attempt.
+
+        Notes
+        -----
+        A chat answer that has begun is worth finishing after its deadline, so only
+        the engine's silence, its caller or `LONGEST_ANSWER` ends it.
+        """
         offer = attempt.offer
+        if self.is_chat:
+            entry = self.scheduler.entries.get(attempt.attempt_id)
+            priority = entry.tier if entry else 0
+            return chat_call(offer, priority=priority, timeout=LONGEST_ANSWER)
         timeout = attempt.job.deadline - self.clock()
         if not attempt.is_repeatable:
             timeout += self.answers.retention
-        if not self.is_chat:
-            service = self.scheduler.declarations.services.get(offer.target)
-            limit = service.timeout if service else timeout
-            return plain_call(offer, timeout=min(timeout, limit))
-        entry = self.scheduler.entries.get(attempt.attempt_id)
-        priority = entry.tier if entry else 0
-        return chat_call(offer, priority=priority, timeout=timeout)
+        service = self.scheduler.declarations.services.get(offer.target)
+        limit = service.timeout if service else timeout
+        return plain_call(offer, timeout=min(timeout, limit))
 
     async def run_attempt(self, attempt: Attempt, transfer: Transfer) -> None:
         """Take the engine's answer until it ends."""
