Count goodput by class

Change: zinniaramp_good_tokens_total, the tokens of whole answers that met their first-token and finish targets.

--- a/features/entry/requests.feature
+++ b/features/entry/requests.feature
@@ -81,6 +81,7 @@
       | zinniaramp_requests_total{class="question",outcome="done",reason=""}         | 1.0   |
       | zinniaramp_first_token_seconds_count{class="question"}                       | 1.0   |
       | zinniaramp_tokens_delivered_total{class="question"}                          | 3.0   |
+      | zinniaramp_good_tokens_total{class="question"}                               | 3.0   |
       | zinniaramp_target_total{attained="true",class="question",target="finish"}    | 1.0   |
 
   Scenario: A caller that does not read stalls only itself
--- a/zinniaramp/entry/metrics.py
+++ b/zinniaramp/entry/metrics.py
@@ -35,6 +35,11 @@
     "Tokens that were handed to callers.",
     ["class"],
 )
+GOOD_TOKENS = Counter(
+    "zinniaramp_good_tokens",
+    "Tokens of whole answers that met their first-token and finish targets.",
+    ["class"],
+)
 
 
 class Timeline:
@@ -91,11 +96,13 @@
             FIRST_TOKEN.labels(name).observe(self.first_s)
         target_s = self.declared.first_token.total_seconds()
         is_first = self.first_s is not None and self.first_s <= target_s
+        is_in_time = is_done and took <= self.declared.finish
         self._count("first_token", is_first, 1)
-        self._count("finish", is_done and took <= self.declared.finish, 1)
+        self._count("finish", is_in_time, 1)
         self._count("between_tokens", True, self.gaps - self.late_gaps)
         self._count("between_tokens", False, self.late_gaps)
         TOKENS_DELIVERED.labels(name).inc(self.tokens)
+        GOOD_TOKENS.labels(name).inc(self.tokens if is_first and is_in_time else 0)
 
     def _count(self, target: str, is_attained: bool, number: int) -> None:
         attained = "true" if is_attained else "false"
