Serve the platform's thin path: adapter, routes, registry, gateway

Cause: nothing in the product spoke the users' platform. The bounded reader moved from platform/ to reads/, so that platform/ holds the adapter alone.

--- a/features/platform_bench.py
+++ b/features/platform_bench.py
@@ -21,7 +21,7 @@
 from zinniaramp.contracts import RevisionId
 from zinniaramp.declarations import read_declarations
 from zinniaramp.hosts import HostListFollower, HostView
-from zinniaramp.platform import make_reader
+from zinniaramp.reads import make_reader
 from zinniaramp.standins import configuration, hosts
 from zinniaramp.standins.serving import Controls, Faults
 
--- a/zinniaramp/configuration/follower.py
+++ b/zinniaramp/configuration/follower.py
@@ -12,7 +12,7 @@
 from ..clock import Clock
 from ..hosts import Host, HostState, HostView
 from ..observability import emit
-from ..platform import Backoff, ReadJson, interval_for
+from ..reads import Backoff, ReadJson, interval_for
 from .core import RevisionStore
 from .events import CONFIGURATION_UNREACHABLE, SECTIONS_UNUSABLE
 from .exchange import take_revision
--- a/zinniaramp/daemon/__init__.py
+++ b/zinniaramp/daemon/__init__.py
@@ -1,5 +1,3 @@
-"""The daemon ``zinniarampd``."""
+"""The daemons: ``zinniarampd`` and the gateway of a platform's entry hosts."""
 
-from .core import main
-
-__all__ = ["main"]
+__all__: list[str] = []
--- a/zinniaramp/daemon/followers.py
+++ b/zinniaramp/daemon/followers.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..configuration import ConfigurationFollower, RevisionStore
 from ..hosts import HostListFollower, HostView
-from ..platform import make_reader
+from ..reads import make_reader
 from ..settings import Settings
 from .tasks import supervise
 
--- /dev/null
+++ b/zinniaramp/daemon/gateway.py
@@ -0,0 +1,138 @@
+"""Entry point of the gateway daemon on the platform."""
+
+import asyncio
+import gc
+import signal
+import sys
+from random import Random, SystemRandom
+
+from result import Err, Ok
+
+from ..clock import monotonic_clock
+from ..gateway import Gateway, GatewaySettings
+from ..gateway.events import SETTINGS_REFUSED, SETTINGS_RELOADED
+from ..observability import configure_logging, emit
+from ..platform import (
+    HostSettings,
+    decode_item,
+    make_store,
+    make_wire,
+    read_host_settings,
+)
+from ..registry import Registry, StoreFollower
+from .tasks import log_library_messages, log_uncaught, supervise
+
+__all__ = ["main"]
+
+EXIT_USAGE = 2
+"""Exit code for settings that can't be used."""
+
+SETTINGS_CHECK_SECONDS = 1.0
+"""Time between looks at the settings file, which may change without a signal."""
+
+
+def _gateway_settings(settings: HostSettings) -> GatewaySettings:
+    return GatewaySettings(
+        host=settings.name,
+        data_center=settings.data_center,
+        callers=settings.callers,
+        readiness=settings.readiness,
+        grace=settings.bounds.grace,
+        retry_share=settings.bounds.retry_share,
+        retry_slack=settings.bounds.retry_slack,
+    )
+
+
+class Daemon:
+    """The gateway with the adapter that it runs on.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings of the host.
+    """
+
+    __slots__ = ("settings", "clock", "registry", "follower", "gateway", "stopped")
+
+    def __init__(self, *, settings: HostSettings):
+        self.settings = settings
+        self.clock = monotonic_clock()
+        random = Random(SystemRandom().getrandbits(64))
+        self.registry = Registry(
+            decode=decode_item,
+            missing_hold=settings.bounds.endpoints_return,
+            clock=self.clock,
+        )
+        self.follower = StoreFollower(
+            source=make_store(settings.store),
+            registry=self.registry,
+            clock=self.clock,
+            random=random,
+        )
+        self.gateway = Gateway(
+            settings=_gateway_settings(settings),
+            registry=self.registry,
+            wire=make_wire(),
+            clock=self.clock,
+            random=random,
+        )
+        self.stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run until the signal to stop has been obeyed."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.gateway.start()
+        tasks = [
+            asyncio.create_task(supervise("store", self.follower.run)),
+            asyncio.create_task(supervise("settings", self._check_settings)),
+        ]
+        await self.stopped.wait()
+        await self.gateway.stop()
+        for task in tasks:
+            task.cancel()
+
+    def reload(self) -> None:
+        """Read the settings file again; keep the old settings if it is wrong."""
+        match read_host_settings():
+            case Err(problem):
+                emit(SETTINGS_REFUSED, problem=str(problem))
+            case Ok(settings):
+                changed = settings != self.settings
+                self.settings = settings
+                self.gateway.settings = _gateway_settings(settings)
+                self.registry.missing_hold = settings.bounds.endpoints_return
+                emit(SETTINGS_RELOADED, changed=changed)
+
+    async def _check_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+            read = read_host_settings()
+            if isinstance(read, Ok) and read.ok_value != self.settings:
+                self.reload()
+
+
+async def _run(settings: HostSettings) -> None:
+    log_uncaught(asyncio.get_running_loop())
+    daemon = Daemon(settings=settings)
+    gc.collect()
+    gc.freeze()
+    await daemon.run()
+
+
+def main() -> None:
+    """Run the gateway with the settings that the platform names."""
+    configure_logging(sink=sys.stdout)
+    log_library_messages()
+    match read_host_settings():
+        case Err(problem):
+            emit(SETTINGS_REFUSED, problem=str(problem))
+            sys.exit(EXIT_USAGE)
+        case Ok(settings):
+            asyncio.run(_run(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/zinniaramp/gateway/core.py
@@ -0,0 +1,136 @@
+"""The gateway process: listeners, readiness and shutdown."""
+
+import asyncio
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+
+from ..clock import Clock
+from ..observability import emit
+from ..registry import Registry
+from ..sockets import Address
+from .events import GATEWAY_STARTED, GATEWAY_STOPPED, GATEWAY_STOPPING
+from .messages import Wire
+from .readiness import make_readiness
+from .server import CallerServer
+from .services import RetryLimits, ServiceShelf
+
+__all__ = ["Gateway", "GatewaySettings"]
+
+LISTEN_ON = timedelta(seconds=3)
+"""Time after the signal to stop in which new connections are still served: the
+balancer takes two misses, a second apart, until it sends no more."""
+
+EXIT_MARGIN = timedelta(milliseconds=400)
+"""Time before the end of the grace period at which the process exits."""
+
+ENTRIES_ASSUMED = 8
+"""Entries that share the retry budget, where nothing else is known; deployments
+have five, and spare hosts for three more."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class GatewaySettings:
+    """Settings of the gateway.
+
+    Parameters
+    ----------
+    host, data_center : str
+        Names of the host and its data centre.
+    callers, readiness : Address
+        Listeners.
+    grace : timedelta
+        Time from the signal to stop until the process is killed.
+    retry_share, retry_slack : float
+        Repeats that all entries together may make in a window: a share of the
+        requests, and a number beside it.
+    """
+
+    host: str
+    data_center: str
+    callers: Address
+    readiness: Address
+    grace: timedelta
+    retry_share: float
+    retry_slack: float
+
+
+class Gateway:
+    """One entry process.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+        Settings; replaced when they are read again.
+    registry : Registry
+        Endpoints and configuration.
+    wire : Wire
+        The platform's headers.
+    clock : Clock
+        The process's clock.
+    random : Random
+        Source of jitter.
+    """
+
+    __slots__ = ("settings", "registry", "clock", "shelf", "callers", "is_stopping")
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        registry: Registry,
+        wire: Wire,
+        clock: Clock,
+        random: Random,
+    ):
+        self.settings = settings
+        self.registry = registry
+        self.clock = clock
+        self.is_stopping = False
+        self.shelf = ServiceShelf(
+            registry=registry,
+            wire=wire,
+            limits=self._retry_limits,
+            data_center=settings.data_center,
+            clock=clock,
+            random=random,
+        )
+        self.callers = CallerServer(shelf=self.shelf, clock=clock)
+
+    def start(self) -> None:
+        """Open the listeners."""
+        callers, readiness = self.settings.callers, self.settings.readiness
+        self.callers.listen(callers.ip, callers.port)
+        make_readiness(self.why_not_ready).listen(readiness.port, readiness.ip)
+        emit(
+            GATEWAY_STARTED,
+            host=self.settings.host,
+            data_center=self.settings.data_center,
+            callers=str(callers),
+        )
+
+    def why_not_ready(self) -> str:
+        """Return what keeps the process from being ready; empty if nothing does."""
+        if self.is_stopping:
+            return "stopping"
+        if self.registry.configuration is None:
+            return "no configuration yet"
+        return ""
+
+    async def stop(self) -> None:
+        """Finish what is in flight, at most for the grace period."""
+        began = self.clock()
+        self.is_stopping = True
+        emit(GATEWAY_STOPPING, in_flight=len(self.callers.tasks))
+        self.callers.close_after_answers()
+        await asyncio.sleep(LISTEN_ON.total_seconds())
+        self.callers.http.stop()
+        left = self.settings.grace - EXIT_MARGIN - (self.clock() - began)
+        remaining = await self.callers.finish(left)
+        after = (self.clock() - began).total_seconds()
+        emit(GATEWAY_STOPPED, left=remaining, after_s=after)
+        await self.callers.close()
+
+    def _retry_limits(self) -> RetryLimits:
+        slack = self.settings.retry_slack / ENTRIES_ASSUMED
+        return RetryLimits(share=self.settings.retry_share, most_at_once=slack)
--- /dev/null
+++ b/zinniaramp/gateway/events.py
@@ -0,0 +1,101 @@
+"""Log events of the gateway, 2000 to 2099."""
+
+from ..observability import declare_event
+
+__all__ = [
+    "ANSWERED",
+    "CALLER_LEFT",
+    "ENDPOINT_CHOSEN",
+    "REQUEST_REFUSED",
+    "SEND_ENDED",
+    "GATEWAY_STARTED",
+    "GATEWAY_STOPPED",
+    "GATEWAY_STOPPING",
+    "SETTINGS_RELOADED",
+    "SETTINGS_REFUSED",
+]
+
+ENDPOINT_CHOSEN = declare_event(
+    number=2000,
+    name="endpoint-chosen",
+    level="INFO",
+    meaning="A request is about to be sent to an endpoint; `wait_ms` and `to_read` "
+    "are the model's predictions for a prompt, `version` the configuration, "
+    "`revision` that of the endpoints, `ready` how many could be chosen from.",
+    fields=(
+        "request",
+        "route",
+        "endpoint",
+        "send",
+        "version",
+        "revision",
+        "ready",
+        "left_ms",
+        "wait_ms",
+        "to_read",
+    ),
+)
+SEND_ENDED = declare_event(
+    number=2001,
+    name="send-ended",
+    level="INFO",
+    meaning="One send of a request ended; `fate` says whether it has run.",
+    fields=("request", "endpoint", "send", "fate", "status", "after_ms", "problem"),
+)
+ANSWERED = declare_event(
+    number=2002,
+    name="answered",
+    level="INFO",
+    meaning="An endpoint's answer was passed on; `whole` is false if it broke off.",
+    fields=("request", "route", "status", "whole", "sends", "after_ms", "first_ms"),
+)
+REQUEST_REFUSED = declare_event(
+    number=2003,
+    name="request-refused",
+    level="INFO",
+    meaning="The request got an answer of our own.",
+    fields=("request", "route", "status", "reason", "sends", "after_ms", "retry_after"),
+)
+CALLER_LEFT = declare_event(
+    number=2004,
+    name="caller-left",
+    level="INFO",
+    meaning="The caller closed its connection before the answer was complete; what "
+    "was under way at an endpoint has been ended.",
+    fields=("request", "route", "sends", "after_ms"),
+)
+GATEWAY_STARTED = declare_event(
+    number=2005,
+    name="gateway-started",
+    level="INFO",
+    meaning="The process listens; it is ready once it knows a configuration.",
+    fields=("host", "data_center", "callers"),
+)
+GATEWAY_STOPPING = declare_event(
+    number=2006,
+    name="gateway-stopping",
+    level="INFO",
+    meaning="The process was told to stop and says that it isn't ready.",
+    fields=("in_flight",),
+)
+GATEWAY_STOPPED = declare_event(
+    number=2007,
+    name="gateway-stopped",
+    level="INFO",
+    meaning="The process exits; `left` requests were still in flight.",
+    fields=("left", "after_s"),
+)
+SETTINGS_RELOADED = declare_event(
+    number=2008,
+    name="settings-reloaded",
+    level="INFO",
+    meaning="The settings file was read again and is in force.",
+    fields=("changed",),
+)
+SETTINGS_REFUSED = declare_event(
+    number=2009,
+    name="settings-refused",
+    level="ERROR",
+    meaning="The settings file can't be used; the settings in force stay.",
+    fields=("problem",),
+)
--- /dev/null
+++ b/zinniaramp/gateway/server.py
@@ -0,0 +1,138 @@
+"""Listener for callers: reads whole requests and runs a handler for each."""
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    RequestStartLine,
+)
+
+from ..clock import Clock
+from ..routes import ClientLimits
+from .caller import CallerConnection
+from .handling import Incoming, RequestHandler
+from .services import ServiceShelf
+
+__all__ = ["CallerServer"]
+
+
+class _RequestReader(HTTPMessageDelegate):
+    """Collects one request and starts its handler."""
+
+    def __init__(self, *, server: "CallerServer", connection: HTTP1Connection):
+        self.server = server
+        self.connection = connection
+        self.start_line: RequestStartLine | None = None
+        self.headers = HTTPHeaders()
+        self.received = server.clock()
+        self.body = bytearray()
+
+    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders):
+        self.start_line = start_line
+        self.headers = headers
+        self.received = self.server.clock()
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        incoming = Incoming(
+            start_line=self.start_line,
+            headers=self.headers,
+            body=bytes(self.body),
+            received=self.received,
+        )
+        self.server.handle(incoming, self.connection)
+
+
+class _Delegate(HTTPServerConnectionDelegate):
+    def __init__(self, server: "CallerServer"):
+        self.server = server
+
+    def start_request(self, server_conn, request_conn: HTTP1Connection):
+        return _RequestReader(server=self.server, connection=request_conn)
+
+
+class CallerServer:
+    """Takes callers' requests.
+
+    Parameters
+    ----------
+    shelf : ServiceShelf
+        What handlers share.
+    clock : Clock
+        The process's clock.
+
+    Attributes
+    ----------
+    tasks : set of asyncio.Task
+        Requests in flight.
+    is_closing : bool
+        Whether connections are closed after the answer under way.
+    """
+
+    __slots__ = ("shelf", "clock", "http", "tasks", "is_closing", "limits")
+
+    def __init__(self, *, shelf: ServiceShelf, clock: Clock):
+        self.shelf = shelf
+        self.clock = clock
+        self.tasks: set[asyncio.Task] = set()
+        self.is_closing = False
+        self.http = HTTPServer(_Delegate(self))
+        self.limits: ClientLimits | None = None
+
+    def listen(self, ip: str, port: int) -> None:
+        """Open the listener."""
+        self.http.listen(port, ip)
+
+    def apply_limits(self, limits: ClientLimits) -> None:
+        """Put a configuration's limits in force for what is read from now on."""
+        if limits == self.limits:
+            return
+        self.limits = limits
+        parameters = self.http.conn_params
+        parameters.max_header_size = limits.header_bytes
+        parameters.max_body_size = limits.body_bytes
+        parameters.header_timeout = limits.idle_timeout.total_seconds()
+
+    def handle(self, incoming: Incoming, connection: HTTP1Connection) -> None:
+        """Start the handler of a request."""
+        if self.shelf.registry.configuration is not None:
+            self.apply_limits(self.shelf.registry.configuration.limits)
+        caller = CallerConnection(
+            connection=connection, is_closing=lambda: self.is_closing
+        )
+        handler = RequestHandler(shelf=self.shelf, incoming=incoming, caller=caller)
+        task = asyncio.create_task(handler.run())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        connection.set_close_callback(_cancel(task))
+
+    def close_after_answers(self) -> None:
+        """Close each connection after its answer from now on."""
+        self.is_closing = True
+        self.http.conn_params.no_keep_alive = True
+
+    async def finish(self, limit: timedelta) -> int:
+        """Wait for requests in flight and return how many are left."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=limit.total_seconds())
+        return len(self.tasks)
+
+    async def close(self) -> None:
+        """Close the listener and all connections."""
+        self.http.stop()
+        await self.http.close_all_connections()
+
+
+def _cancel(task: asyncio.Task) -> Callable[[], None]:
+    def cancel() -> None:
+        task.cancel()
+
+    return cancel
--- a/zinniaramp/hosts/follower.py
+++ b/zinniaramp/hosts/follower.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from ..observability import emit
-from ..platform import Backoff, ReadJson, interval_for
+from ..reads import Backoff, ReadJson, interval_for
 from .core import HostState, HostView
 from .events import (
     HOST_DUPLICATE,
--- a/zinniaramp/hosts/listing.py
+++ b/zinniaramp/hosts/listing.py
@@ -5,7 +5,7 @@
 from pydantic import TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
-from ..platform import PlatformError
+from ..reads import ReadError
 from .core import Host, HostState
 
 __all__ = ["HostList", "MalformedEntry", "read_list"]
@@ -56,7 +56,7 @@
         self.hosts[host.name] = host
 
 
-def read_list(answer) -> Result[HostList, PlatformError]:
+def read_list(answer) -> Result[HostList, ReadError]:
     """Check an answer of the host list.
 
     Parameters
@@ -67,14 +67,14 @@
     Returns
     -------
     Result
-        The list, without entries that are no hosts; or `PlatformError`.
+        The list, without entries that are no hosts; or `ReadError`.
     """
     try:
         index, entries = answer["index"], answer["hosts"]
     except (KeyError, TypeError, IndexError) as error:
-        return Err(PlatformError(f"answer lacks a field: {error!r}"))
+        return Err(ReadError(f"answer lacks a field: {error!r}"))
     if type(index) is not int or not isinstance(entries, list):
-        return Err(PlatformError("answer has a field of the wrong type"))
+        return Err(ReadError("answer has a field of the wrong type"))
     listed = HostList(index=index)
     for entry in entries:
         try:
--- a/zinniaramp/platform/__init__.py
+++ b/zinniaramp/platform/__init__.py
@@ -1,5 +1,19 @@
-"""Reads of the platform's services: bounded, spaced and backed off."""
+"""The users' platform: its settings file, store, documents and headers.
 
-from .core import Backoff, PlatformError, ReadJson, interval_for, make_reader
+Nothing here decides, and nothing outside knows a name of the platform.
+"""
 
-__all__ = ["Backoff", "PlatformError", "ReadJson", "interval_for", "make_reader"]
+from .documents import decode_item
+from .headers import make_wire
+from .settings import HostBounds, HostSettings, SettingsError, read_host_settings
+from .store import make_store
+
+__all__ = [
+    "HostBounds",
+    "HostSettings",
+    "SettingsError",
+    "decode_item",
+    "make_store",
+    "make_wire",
+    "read_host_settings",
+]
--- a/zinniaramp/platform/core.py
+++ b/zinniaramp/reads/core.py
@@ -7,10 +7,11 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPError
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httputil import HTTPInputError
+from tornado.iostream import StreamClosedError
 
-__all__ = ["Backoff", "PlatformError", "ReadJson", "interval_for", "make_reader"]
+__all__ = ["Backoff", "ReadError", "ReadJson", "interval_for", "make_reader"]
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Largest answer that is parsed: a megabyte of content in JSON and its digests."""
@@ -19,24 +20,34 @@
 """Longest wait for a connection."""
 
 
-class PlatformError(Exception):
-    """A service of the platform gave no usable answer."""
+class ReadError(Exception):
+    """A service of the platform gave no usable answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status of the answer; 0 if there was none.
+    """
+
+    def __init__(self, message: str, *, status: int = 0):
+        super().__init__(message)
+        self.status = status
 
 
-ReadJson = Callable[[str, timedelta], Awaitable[Result[Any, PlatformError]]]
+ReadJson = Callable[[str, timedelta], Awaitable[Result[Any, ReadError]]]
 """Reads a URL within a time and returns the JSON that it answered."""
 
 
-def make_reader(client: CurlAsyncHTTPClient) -> ReadJson:
+def make_reader(client: AsyncHTTPClient) -> ReadJson:
     """Return a function that reads JSON by GET, without a retry.
 
     Parameters
     ----------
-    client : CurlAsyncHTTPClient
+    client : AsyncHTTPClient
         Client of the task that reads.
     """
 
-    async def read_json(url: str, timeout: timedelta) -> Result[Any, PlatformError]:
+    async def read_json(url: str, timeout: timedelta) -> Result[Any, ReadError]:
         try:
             response = await client.fetch(
                 url,
@@ -44,14 +55,16 @@
                 request_timeout=timeout.total_seconds(),
                 follow_redirects=False,
             )
-        except (HTTPError, OSError) as error:
-            return Err(PlatformError(f"{url}: {error}"))
+        except HTTPError as error:
+            return Err(ReadError(f"{url}: {error}", status=error.code))
+        except (OSError, HTTPInputError, StreamClosedError) as error:
+            return Err(ReadError(f"{url}: {error!r}"))
         if len(response.body) > MAX_ANSWER_BYTES:
-            return Err(PlatformError(f"{url}: more than {MAX_ANSWER_BYTES} bytes"))
+            return Err(ReadError(f"{url}: more than {MAX_ANSWER_BYTES} bytes"))
         try:
             return Ok(json.loads(response.body))
         except (ValueError, RecursionError) as error:
-            return Err(PlatformError(f"{url}: not JSON: {error}"))
+            return Err(ReadError(f"{url}: not JSON: {error}"))
 
     return read_json
 
--- /dev/null
+++ b/zinniaramp/registry/__init__.py
@@ -0,0 +1,16 @@
+"""Endpoints and configuration as the process believes them."""
+
+from .core import Endpoint, EndpointState, Registry
+from .follower import Source, StoreFollower
+from .items import Item, ItemCache, Snapshot
+
+__all__ = [
+    "Endpoint",
+    "EndpointState",
+    "Item",
+    "ItemCache",
+    "Registry",
+    "Snapshot",
+    "Source",
+    "StoreFollower",
+]
--- a/zinniaramp/routing/budget.py
+++ b/zinniaramp/routing/budget.py
@@ -9,20 +9,26 @@
 class RetryBudget:
     """Token bucket that each request fills and each retry empties.
 
+    Parameters
+    ----------
+    limit : float
+        Retries that may be made at once after a quiet time.
+
     Attributes
     ----------
     balance : float
         Retries that may be made now.
     """
 
-    __slots__ = ("balance",)
+    __slots__ = ("limit", "balance")
 
-    def __init__(self):
-        self.balance = MAX_BALANCE
+    def __init__(self, *, limit: float = MAX_BALANCE):
+        self.limit = limit
+        self.balance = limit
 
     def deposit(self, share: float) -> None:
         """Add the share of one retry that a request earns."""
-        self.balance = min(MAX_BALANCE, self.balance + share)
+        self.balance = min(self.limit, self.balance + share)
 
     def withdraw(self) -> bool:
         """Take one retry; return whether there was one."""
