Give the plain scheduler of the differential test the documented tie-break

Cause: choose_victim pauses, of two jobs alike in tier and tokens, the one that started last, as its page says; the plain scheduler took the first. Two dossiers that start half a second apart show it. Ruled out: a change of the scheduler, which has none since it was written.

The plain scheduler now checks one more thing, and the history found is a step of its own.

--- a/features/scheduling/scheduling.feature
+++ b/features/scheduling/scheduling.feature
@@ -4,6 +4,7 @@
     Given any history of offers, tokens, ends and waits, too short for a floor
     When a scheduler and a plain one are driven through it
     Then both return the same actions
+    And two equal jobs that started apart are paused in the same order by both
 
   Scenario: Each job passes through its states as it may
     Given any history of offers, tokens, ends and waits
--- a/features/steps/scheduling_steps.py
+++ b/features/steps/scheduling_steps.py
@@ -177,6 +177,11 @@
     return (declaration.tier, due, finish, int(job.attempt_id))
 
 
+def plain_victim_key(bench, got_slot, job):
+    """Order victims: highest tier, fewest tokens, started last."""
+    return (bench.tier_of(job), -job.tokens, got_slot[job.attempt_id])
+
+
 def plain_actions(bench):
     """Return the actions of a plain scheduler for the state of a bench."""
     width, now = bench.scheduler.width, bench.now
@@ -198,7 +203,9 @@
             ]
             if not victims:
                 break
-            victim = max(victims, key=lambda job: (bench.tier_of(job), -job.tokens))
+            victim = max(
+                victims, key=lambda job: plain_victim_key(bench, got_slot, job)
+            )
             actions.append(("PauseJob", victim.attempt_id))
             queued[victim.attempt_id] = running.pop(victim.attempt_id)
         name = best.attempt_id
@@ -248,6 +255,13 @@
     context.check = check
 
 
+@then("two equal jobs that started apart are paused in the same order by both")
+def equal_jobs_started_apart(context):
+    offer = ("offer", "dossier", "a", 500)
+    events = [offer, ("wait", 5), offer, ("wait", 5), ("offer", "question", "a", 500)]
+    check_same_actions(events, 2)
+
+
 @when("a scheduler with few places is driven through it")
 def drive_with_few_places(context):
     text = "[defaults]\nfloor = 0.15\nqueue_limit = 5" + KINDS
