Answer or refuse every request that arrives around a stop

Cause: stop() waited for the tasks of one moment only, so requests that came later on kept connections were cut; an idle connection was closed while the head of a request waited to be parsed, and the request was then sent on a connection already closed. Ruled out: the grace period's length (the process had ended 3.5 s early).

Now idle connections are closed only when nothing has come on them, a request that was parsed after its connection closed isn't sent, and what comes later than 2.9 s after the signal is refused as not run.

--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -17,9 +17,16 @@
 
 __all__ = ["Gateway", "GatewaySettings"]
 
-LISTEN_ON = timedelta(seconds=3)
-"""Time after the signal to stop in which new connections are still served: the
-balancer takes two misses, a second apart, until it sends no more."""
+LISTEN_ON = timedelta(seconds=2.5)
+"""Time after the signal to stop until idle connections are closed: the balancer takes
+two misses, a second apart, until it sends no new ones."""
+
+SERVE_ON = timedelta(milliseconds=400)
+"""Time after idle connections were closed in which requests are still served; one
+that comes later than 3 s after the signal could not be finished."""
+
+LAST_ANSWERS = timedelta(milliseconds=50)
+"""Time for the last answers to leave the host."""
 
 EXIT_MARGIN = timedelta(milliseconds=400)
 """Time before the end of the grace period at which the process exits."""
@@ -124,9 +131,14 @@
         emit(GATEWAY_STOPPING, in_flight=len(self.callers.tasks))
         self.callers.close_after_answers()
         await asyncio.sleep(LISTEN_ON.total_seconds())
-        self.callers.http.stop()
+        self.callers.close_idle()
+        await asyncio.sleep(SERVE_ON.total_seconds())
+        self.callers.refuse_from_now_on()
+        self.callers.close_idle()
         left = self.settings.grace - EXIT_MARGIN - (self.clock() - began)
         remaining = await self.callers.finish(left)
+        self.callers.close_idle()
+        await asyncio.sleep(LAST_ANSWERS.total_seconds())
         after = (self.clock() - began).total_seconds()
         emit(GATEWAY_STOPPED, left=remaining, after_s=after)
         await self.callers.close()
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -160,6 +160,8 @@
             self._end_send()
 
     def _match(self) -> Matched:
+        if self.shelf.is_refusing:
+            raise RefusalError(503, "stopping")
         configuration = self.shelf.registry.configuration
         if configuration is None:
             raise RefusalError(503, "no-configuration")
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -1,6 +1,7 @@
 """Listener for callers: reads whole requests and runs a handler for each."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from datetime import timedelta
 
@@ -28,12 +29,14 @@
     def __init__(self, *, server: "CallerServer", connection: HTTP1Connection):
         self.server = server
         self.connection = connection
+        server.idle.add(connection)
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.received = server.clock()
         self.body = bytearray()
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders):
+        self.server.idle.discard(self.connection)
         self.start_line = start_line
         self.headers = headers
         self.received = self.server.clock()
@@ -42,6 +45,10 @@
         self.body += chunk
 
     def finish(self) -> None:
+        if self.connection.stream.closed():
+            # Closed while its head waited to be parsed: the caller has been told
+            # that nothing was read, so nothing may be sent.
+            return
         incoming = Incoming(
             start_line=self.start_line,
             headers=self.headers,
@@ -58,6 +65,9 @@
     def start_request(self, server_conn, request_conn: HTTP1Connection):
         return _RequestReader(server=self.server, connection=request_conn)
 
+    def on_close(self, server_conn) -> None:
+        self.server.drop_closed()
+
 
 class CallerServer:
     """Takes callers' requests.
@@ -73,16 +83,19 @@
     ----------
     tasks : set of asyncio.Task
         Requests in flight.
+    idle : set of HTTP1Connection
+        Connections on which no request has begun.
     is_closing : bool
         Whether connections are closed after the answer under way.
     """
 
-    __slots__ = ("shelf", "clock", "http", "tasks", "is_closing", "limits")
+    __slots__ = ("shelf", "clock", "http", "tasks", "idle", "is_closing", "limits")
 
     def __init__(self, *, shelf: ServiceShelf, clock: Clock):
         self.shelf = shelf
         self.clock = clock
         self.tasks: set[asyncio.Task] = set()
+        self.idle: set[HTTP1Connection] = set()
         self.is_closing = False
         self.http = HTTPServer(_Delegate(self))
         self.limits: ClientLimits | None = None
@@ -119,10 +132,27 @@
         self.is_closing = True
         self.http.conn_params.no_keep_alive = True
 
+    def refuse_from_now_on(self) -> None:
+        """Refuse what comes; it could not be finished before the process ends."""
+        self.shelf.is_refusing = True
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun."""
+        self.drop_closed()
+        for connection in [one for one in self.idle if _is_quiet(one)]:
+            self.idle.discard(connection)
+            connection.close()
+
+    def drop_closed(self) -> None:
+        """Forget connections that have been closed."""
+        self.idle = {one for one in self.idle if not one.stream.closed()}
+
     async def finish(self, limit: timedelta) -> int:
-        """Wait for requests in flight and return how many are left."""
-        if self.tasks:
-            await asyncio.wait(self.tasks, timeout=limit.total_seconds())
+        """Wait for requests in flight, later ones too; return how many are left."""
+        until = self.clock() + limit
+        while self.tasks and self.clock() < until:
+            left = until - self.clock()
+            await asyncio.wait(self.tasks, timeout=left.total_seconds())
         return len(self.tasks)
 
     async def close(self) -> None:
@@ -131,6 +161,18 @@
         await self.http.close_all_connections()
 
 
+def _is_quiet(connection: HTTP1Connection) -> bool:
+    """Whether nothing has come on a connection that waits for a request."""
+    if not connection.stream.reading():
+        return False
+    try:
+        return not connection.stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+
+
 def _cancel(task: asyncio.Task) -> Callable[[], None]:
     def cancel() -> None:
         task.cancel()
--- a/zinniaramp/gateway/services.py
+++ b/zinniaramp/gateway/services.py
@@ -83,6 +83,7 @@
         "budgets",
         "in_flight",
         "numbers",
+        "is_refusing",
     )
 
     def __init__(
@@ -106,6 +107,7 @@
         self.budgets: dict[str, RetryBudget] = {}
         self.in_flight: dict[str, int] = {}
         self.numbers = count()
+        self.is_refusing = False
 
     def pick(
         self, *, service: str, route: Route, facts: RequestFacts, tried: set[str]
