Test the gateway against stand-ins of the platform; keep what is asked for

Cause of the fault found: a caller could name its request id in Connection, and the id was then dropped on the way; the headers that say what is asked for are kept now.

Ruled out while it was flaky: the gateway; the rig listed arrivals by server and not by time, and a torn stream was closed before its events were read.

--- /dev/null
+++ b/features/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of the gateway on the platform, and their rig."""
--- /dev/null
+++ b/features/gateway/outcomes.feature
@@ -0,0 +1,90 @@
+Feature: Outcomes of requests on the platform
+
+  Background:
+    Given a store with the usual configuration
+    And the servers "s-1 s-2" are listed
+    And a gateway that is ready
+
+  Scenario: A plain call gets the server's whole answer and signature
+    When "GET /read/x?y=1" is sent
+    Then the reply is 200 with the server's body and signature
+    And one server got it with its method, path, query and id unchanged
+
+  Scenario Outline: An answer that can't be trusted is never passed on as a success
+    Given every server will "<conduct>"
+    When "POST /book/x" is sent
+    Then the reply is 502 without a signature
+    And it reached 1 server
+
+    Examples:
+      | conduct   |
+      | close     |
+      | tear      |
+      | foreign   |
+      | unsigned  |
+      | encoded   |
+      | garbage   |
+
+  Scenario: Bytes after a complete answer belong to nobody
+    Given every server will "extra"
+    When "GET /read/x" is sent
+    Then the reply is 200 with the server's body and signature
+    When "GET /read/x" is sent
+    Then the reply is 200 with the server's body and signature
+
+  Scenario: An answer without a length ends with its connection
+    Given every server will "unframed"
+    When "GET /read/x" is sent
+    Then the reply is 200 with the server's body and signature
+
+  Scenario: A call that is rejected is said not to have run, with a time to come back
+    Given every server will "shed"
+    When "POST /book/x" is sent
+    Then the reply is 503 without a signature
+    And it says when to come back
+    And no server has run it
+
+  Scenario: A status that promises not-run is passed on only with the server's word
+    Given every server will "unavailable"
+    When "POST /book/x" is sent
+    Then the reply is 502 without a signature
+
+  Scenario: A call that may be repeated is sent to a second server
+    Given the first send will "fail"
+    When "GET /read/x" is sent
+    Then the reply is 200 with the server's body and signature
+    And it reached 2 servers
+
+  Scenario: A server's own failure is passed on unchanged when nothing is left to try
+    Given every server will "fail"
+    When "GET /read/x" is sent
+    Then the reply is 500 with a signature
+    And it reached 2 servers
+
+  Scenario: A call that may not be repeated is never sent twice
+    Given every server will "fail"
+    When "POST /book/x" is sent
+    Then the reply is 500 with a signature
+    And it reached 1 server
+
+  Scenario: A server that can't be reached was sent nothing
+    Given the server "s-1" is down but still listed
+    And the server "s-2" is down but still listed
+    When "POST /book/x" is sent
+    Then the reply is 503 without a signature
+    And it says when to come back
+
+  Scenario: The deadline ends a request and its run
+    Given every server will "hold"
+    When "POST /book/x" is sent with 300 ms left
+    Then the reply is 504 without a signature
+    And the run was cut
+
+  Scenario: A caller that leaves ends the run at the server
+    Given every server will "hold"
+    When "GET /read/x" is sent and its caller leaves
+    Then the run was cut
+
+  Scenario: The time left is passed on, and what a caller may not set is replaced
+    When "POST /book/x" is sent with forged headers
+    Then the server saw none of them, and what the system sets
--- /dev/null
+++ b/features/gateway/rig.py
@@ -0,0 +1,300 @@
+"""A gateway daemon with stand-ins of the platform, in one event loop."""
+
+import asyncio
+from dataclasses import dataclass, field, replace
+from datetime import timedelta
+
+from loguru import logger
+from tornado.testing import bind_unused_port
+
+from zinniaramp.daemon.gateway import Daemon
+from zinniaramp.platform import HostBounds, HostSettings
+from zinniaramp.sockets import Address
+from zinniaramp.standins.platform import ServerStandin, StoreStandin
+
+LOOPBACK = "127.0.0.1"
+LIMIT_SECONDS = 20
+"""Bound on every wait for a condition."""
+POLL_SECONDS = 0.005
+
+BOUNDS = HostBounds(
+    drain=timedelta(seconds=2),
+    grace=timedelta(seconds=8),
+    configuration=timedelta(seconds=2),
+    endpoints_return=timedelta(seconds=2),
+    retry_share=0.2,
+    retry_slack=56,
+    retry_window=timedelta(seconds=10),
+)
+
+KEY = "key-1"
+HOST = "films.example"
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 1_000_000,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def route(name, kind, *, service="plain", attempts=1, timeout_ms=5000, **fields):
+    """Return a route below a prefix of its own name."""
+    return {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": service,
+        "max_attempts": attempts,
+        **fields,
+    }
+
+
+def configuration(version=7, *, routes=None, keys=(KEY,), **fields):
+    """Return a configuration with the routes that most scenarios use."""
+    return {
+        "version": version,
+        "routes": routes
+        or [
+            route("read", "safe", attempts=2),
+            route("book", "unsafe"),
+            route("tell", "streaming", target_gap_ms=400),
+            route("resume", "streaming", attempts=2, resumable=True),
+            route("open", "safe", public=True),
+        ],
+        "services": [{"name": "plain", "health_path": "/healthz"}],
+        "limits": LIMITS,
+        "tenants": [{"name": "workshop", "api_keys": list(keys)}],
+        **fields,
+    }
+
+
+@dataclass(slots=True, kw_only=True)
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+
+@dataclass(slots=True, kw_only=True)
+class Rig:
+    """The stand-ins, the daemons and what they log."""
+
+    runner: asyncio.Runner = field(default_factory=asyncio.Runner)
+    store: StoreStandin = field(default_factory=StoreStandin)
+    servers: dict[str, ServerStandin] = field(default_factory=dict)
+    daemons: list[Daemon] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    events: list = field(default_factory=list)
+    sink: int | None = None
+
+    def run(self, coroutine):
+        """Run a coroutine of a step, within the bound on waits."""
+
+        async def bounded():
+            async with asyncio.timeout(LIMIT_SECONDS):
+                return await coroutine
+
+        return self.runner.run(bounded())
+
+    def note(self, message):
+        """Keep an event that was logged."""
+        extra = message.record["extra"]
+        if "event" in extra:
+            self.events.append((extra["event"].name, extra["values"]))
+
+    async def start(self):
+        """Start the store."""
+        self.sink = logger.add(self.note, level="DEBUG")
+        self.store.listen()
+
+    async def add_server(self, name, *, service="plain", publish=True):
+        """Start a server and list it."""
+        server = ServerStandin(id=name)
+        server.listen()
+        self.servers[name] = server
+        if publish:
+            self.publish(name, service=service)
+        return server
+
+    def publish(self, name, *, state="ready", service="plain", born=1000, **fields):
+        """List a server in the store."""
+        entry = {
+            "service": service,
+            "address": f"{LOOPBACK}:{self.servers[name].port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": born,
+            **fields,
+        }
+        self.store.put(f"servers/{name}", entry)
+
+    async def add_daemon(self, *, seeds=(), wait=True, bounds=BOUNDS):
+        """Start a gateway and wait until it is ready."""
+        ports = [self.free_port() for _ in range(4)]
+        callers, readiness, peers, metrics = ports
+        settings = HostSettings(
+            name=f"entry-{len(self.daemons) + 1}",
+            data_center="a",
+            ip=LOOPBACK,
+            callers=Address(ip=LOOPBACK, port=callers),
+            readiness=Address(ip=LOOPBACK, port=readiness),
+            peers=Address(ip=LOOPBACK, port=peers),
+            metrics_port=metrics,
+            store=Address(ip=LOOPBACK, port=self.store.port),
+            seeds=tuple(seeds),
+            bounds=bounds,
+        )
+        daemon = Daemon(settings=settings)
+        self.daemons.append(daemon)
+        self.tasks.append(asyncio.create_task(daemon.run()))
+        if wait:
+            await self.until(lambda: not daemon.gateway.why_not_ready())
+            await self.until(
+                lambda: len(daemon.registry.endpoints) == len(self.listed())
+            )
+        return daemon
+
+    def listed(self):
+        """Return the keys of servers in the store."""
+        return [key for key in self.store.items if key.startswith("servers/")]
+
+    def set_bounds(self, daemon, **fields):
+        """Change some of a daemon's bounds."""
+        bounds = replace(daemon.settings.bounds, **fields)
+        daemon.settings = replace(daemon.settings, bounds=bounds)
+
+    @staticmethod
+    def free_port():
+        """Return a port that nothing listens on."""
+        unused, port = bind_unused_port()
+        unused.close()
+        return port
+
+    @staticmethod
+    async def until(condition):
+        """Wait until a condition holds."""
+        while not condition():
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def ready_status(self, daemon=None):
+        """Return the status of a daemon's health check."""
+        daemon = daemon or self.daemons[0]
+        address = daemon.settings.readiness
+        reply = await self.exchange(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", address)
+        return reply.status
+
+    async def connect(self, daemon=None, address=None):
+        """Open a connection to a daemon."""
+        daemon = daemon or self.daemons[0]
+        address = address or daemon.settings.callers
+        return await asyncio.open_connection(address.ip, address.port)
+
+    async def exchange(self, data, address=None):
+        """Send bytes on a new connection and return the reply."""
+        reader, writer = await self.connect(address=address)
+        writer.write(data)
+        reply = await read_reply(reader, on_head=self.note_reader)
+        writer.close()
+        return reply
+
+    def note_reader(self):
+        """Tell servers that a caller has the beginning of an answer."""
+        for server in self.servers.values():
+            server.has_reader.set()
+
+    async def call(self, path, *, name="r-1", **fields):
+        """Send one request and return the reply."""
+        return await self.exchange(request(path, name=name, **fields))
+
+    def arrivals(self):
+        """Return all requests that reached servers, in order."""
+        every = {id(server): server for server in self.servers.values()}
+        arrivals = [one for server in every.values() for one in server.arrivals]
+        return sorted(arrivals, key=lambda one: one.at)
+
+    def logged(self, name):
+        """Return the fields of the events of a name."""
+        return [values for found, values in self.events if found == name]
+
+    def close(self):
+        """End everything."""
+        self.runner.run(self._end())
+        self.runner.close()
+        logger.remove(self.sink)
+
+    async def _end(self):
+        for server in self.servers.values():
+            server.released.set()
+        self.store.is_silent = False
+        self.store.wake()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for daemon in self.daemons:
+            await daemon.gateway.callers.close()
+        for server in self.servers.values():
+            server.server.stop()
+            await server.server.close_all_connections()
+        self.store.server.stop()
+        await self.store.server.close_all_connections()
+
+
+def request(
+    path, *, name="r-1", method="GET", body=b"", deadline_ms=5000, key=KEY, lines=()
+):
+    """Return the bytes of one request."""
+    head = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Zinniaramp-Request-Id: {name}",
+        f"Zinniaramp-Deadline-Ms: {deadline_ms}",
+    ]
+    if key:
+        head.append(f"Authorization: Bearer {key}")
+    if body or method != "GET":
+        head.append(f"Content-Length: {len(body)}")
+    if path.startswith(("/tell/", "/resume/")):
+        head.append("Accept: text/event-stream")
+    head.extend(lines)
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
+
+
+async def read_reply(reader, on_head=lambda: None):
+    """Read one reply; a body that breaks off is marked."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return Reply(status=0, headers={}, body=b"", is_whole=False)
+    on_head()
+    start, *lines = head.decode().split("\r\n")
+    pairs = (line.partition(": ") for line in lines if line)
+    headers = {name.lower(): value for name, _, value in pairs}
+    status = int(start.split()[1])
+    body, is_whole = await _read_body(reader, headers)
+    return Reply(status=status, headers=headers, body=body, is_whole=is_whole)
+
+
+async def _read_body(reader, headers):
+    body = b""
+    try:
+        if "content-length" in headers:
+            return await reader.readexactly(int(headers["content-length"])), True
+        while "transfer-encoding" in headers:
+            size = int(await reader.readuntil(b"\r\n"), 16)
+            body += (await reader.readexactly(size + 2))[:-2]
+            if not size:
+                return body, True
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return body, False
+    return body, "content-length" in headers
--- /dev/null
+++ b/features/gateway/streams.feature
@@ -0,0 +1,23 @@
+Feature: Streams on the platform
+
+  Background:
+    Given a store with the usual configuration
+    And the servers "s-1 s-2" are listed
+    And a gateway that is ready
+
+  Scenario: A stream is passed on whole
+    When "GET /tell/x" is sent
+    Then the reply is 200 with every event once and in order
+
+  Scenario: A stream that breaks off and may not be resumed does not look complete
+    Given every server will "tear"
+    When "GET /tell/x" is sent
+    Then the reply breaks off after whole events
+    And it reached 1 server
+
+  Scenario: A stream that may be resumed is joined without a piece missing or twice
+    Given the first send will "tear"
+    When "GET /resume/x" is sent
+    Then the reply is 200 with every event once and in order
+    And it reached 2 servers
+    And the second send named the last event that the caller has
--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,497 @@
+"""Steps about the gateway on the platform."""
+
+import asyncio
+import os
+from datetime import timedelta
+from pathlib import Path
+from unittest import mock
+
+from behave import given, then, when
+
+from features.gateway.rig import (
+    KEY,
+    Rig,
+    configuration,
+    read_reply,
+    request,
+    route,
+)
+from zinniaramp.sockets import Address
+from zinniaramp.standins.platform import Conduct, expected_body, expected_events
+
+FORGED = (
+    "Zinniaramp-Tenant: other",
+    "Zinniaramp-Expect-Instance: i-0",
+    "Zinniaramp-Urgency-Level: 0",
+    "Zinniaramp-Pin-Ms: 4000",
+    "Zinniaramp-Kv-Hold: h",
+    "Zinniaramp-Kv-Backup: 10.0.0.1:1",
+    "Kv-From: 10.0.0.1:1/h",
+    "X-Kept: yes",
+    "X-Dropped: no",
+    "Connection: X-Dropped",
+    "TE: trailers",
+)
+MISSING_HOLD = timedelta(seconds=3)
+
+
+def new_rig(context):
+    rig = context.rig = Rig()
+    context.end_fleet = rig.close
+    rig.run(rig.start())
+    return rig
+
+
+@given("an empty store")
+def empty_store(context):
+    new_rig(context)
+
+
+@given("a store with the usual configuration")
+def usual_store(context):
+    new_rig(context).store.put("op/config", configuration())
+
+
+@given("a store with the usual configuration and pages of one item")
+def paged_store(context):
+    usual_store(context)
+    context.rig.store.page_items = 1
+
+
+@given('the servers "{names}" are listed')
+def servers_listed(context, names):
+    for name in names.split():
+        context.rig.run(context.rig.add_server(name))
+
+
+@given('the server "{name}" is listed at the address of "{other}"')
+def listed_at_other(context, name, other):
+    rig = context.rig
+    rig.run(rig.add_server(other, publish=False))
+    rig.servers[name] = rig.servers[other]
+    rig.publish(name)
+
+
+@given('the server "{name}" is down but still listed')
+def server_down(context, name):
+    context.rig.servers[name].server.stop()
+
+
+@given("a gateway that is ready")
+def gateway_ready(context):
+    context.rig.run(context.rig.add_daemon())
+
+
+@given("a gateway that has started")
+def gateway_started(context):
+    context.rig.run(context.rig.add_daemon(wait=False))
+    context.rig.run(asyncio.sleep(0))
+
+
+@given('every server will "{conduct}"')
+def every_server_will(context, conduct):
+    for server in context.rig.servers.values():
+        server.conducts.extend([Conduct(conduct)] * 10)
+
+
+@given('the first send will "{conduct}"')
+def first_send_will(context, conduct):
+    shared = context.rig.servers["s-1"].conducts
+    shared.append(Conduct(conduct))
+    for server in context.rig.servers.values():
+        server.conducts = shared
+
+
+def send(context, text, **fields):
+    method, path = text.split()
+    context.name = f"r-{len(context.rig.events)}"
+    call = context.rig.call(path, name=context.name, method=method, **fields)
+    context.reply = context.rig.run(call)
+
+
+@when('"{text}" is sent')
+def is_sent(context, text):
+    send(context, text)
+
+
+@when('"{text}" is sent with {milliseconds:d} ms left')
+def is_sent_with_deadline(context, text, milliseconds):
+    send(context, text, deadline_ms=milliseconds)
+
+
+@when('"{text}" is sent with the key "{key}"')
+@when('"{text}" is sent with the key ""')
+def is_sent_with_key(context, text, key=""):
+    send(context, text, key=key)
+
+
+@when('"{text}" is sent with the line "{line}"')
+def is_sent_with_line(context, text, line):
+    send(context, text, lines=(line,))
+
+
+@when('"{text}" is sent with forged headers')
+def is_sent_forged(context, text):
+    send(context, text, lines=FORGED)
+
+
+@when('"{text}" is sent and its caller leaves')
+def caller_leaves(context, text):
+    rig = context.rig
+    method, path = text.split()
+
+    async def leave():
+        _, writer = await rig.connect()
+        writer.write(request(path, method=method))
+        await rig.until(lambda: rig.arrivals())
+        writer.close()
+
+    rig.run(leave())
+
+
+@when("{count:d} calls are sent")
+def calls_sent(context, count):
+    for number in range(count):
+        name = f"many-{number}"
+        reply = context.rig.run(context.rig.call("/read/x", name=name))
+        assert reply.status == 200, reply
+
+
+@when("a call with a body in chunks is sent")
+def chunked_call(context):
+    context.name = "chunked"
+    data = request(
+        "/book/x",
+        name=context.name,
+        method="GET",
+        lines=("Transfer-Encoding: chunked",),
+    ).replace(b"GET ", b"POST ", 1)
+    data += b"4\r\nfour\r\n3\r\nend\r\n0\r\n\r\n"
+    context.reply = context.rig.run(context.rig.exchange(data))
+
+
+@when('a request with "{lines}" is sent')
+def ambiguous_request(context, lines):
+    data = request("/book/x", method="GET", lines=lines.split("; "))
+    data = data.replace(b"GET ", b"POST ", 1) + b"abc"
+    context.reply = context.rig.run(context.rig.exchange(data))
+
+
+@then("the reply is {status:d} with the server's body and signature")
+def reply_whole(context, status):
+    reply = context.reply
+    assert reply.status == status, reply
+    assert reply.body == expected_body(context.name), reply
+    assert reply.is_whole
+    assert reply.headers["zinniaramp-request-id"] == context.name
+    assert reply.headers["zinniaramp-server-stamp"].startswith("stamp.")
+
+
+@then("the reply is {status:d} without a signature")
+def reply_unsigned(context, status):
+    assert context.reply.status == status, context.reply
+    assert "zinniaramp-server-stamp" not in context.reply.headers
+
+
+@then("the reply is {status:d} with a signature")
+def reply_signed(context, status):
+    assert context.reply.status == status, context.reply
+    assert "zinniaramp-server-stamp" in context.reply.headers
+
+
+@then("the reply is 200 with every event once and in order")
+def reply_events(context):
+    assert context.reply.status == 200, context.reply
+    assert context.reply.is_whole
+    assert context.reply.body == expected_events(context.name, 1, 4), context.reply
+
+
+@then("the reply breaks off after whole events")
+def reply_breaks_off(context):
+    assert not context.reply.is_whole
+    assert context.reply.body == expected_events(context.name, 1, 2), context.reply
+
+
+@then("it reached {count:d} server")
+@then("it reached {count:d} servers")
+def reached(context, count):
+    assert len(context.rig.arrivals()) == count, context.rig.arrivals()
+
+
+@then("no server has run it")
+def none_ran(context):
+    assert not any(arrival.ran for arrival in context.rig.arrivals())
+
+
+@then("it says when to come back")
+def says_when(context):
+    assert float(context.reply.headers["retry-after"]) > 0
+
+
+@then("one server got it with its method, path, query and id unchanged")
+def got_unchanged(context):
+    (arrival,) = context.rig.arrivals()
+    assert (arrival.method, arrival.target) == ("GET", "/read/x?y=1")
+    assert arrival.headers["Zinniaramp-Request-Id"] == context.name
+
+
+@then("the server got the body whole")
+def got_body(context):
+    (arrival,) = context.rig.arrivals()
+    assert arrival.body == b"fourend"
+
+
+@then("the run was cut")
+def run_cut(context):
+    rig = context.rig
+    rig.run(rig.until(lambda: any(one.was_cut for one in rig.arrivals())))
+
+
+@then("the second send named the last event that the caller has")
+def named_last_event(context):
+    first, second = context.rig.arrivals()
+    assert "Last-Event-Id" not in first.headers
+    assert second.headers["Last-Event-Id"] == "2"
+
+
+@then("the server saw none of them, and what the system sets")
+def forged_replaced(context):
+    (arrival,) = context.rig.arrivals()
+    headers = arrival.headers
+    assert headers["Zinniaramp-Tenant"] == "workshop"
+    assert headers["Zinniaramp-Expect-Instance"] in context.rig.servers
+    assert 0 < int(headers["Zinniaramp-Deadline-Ms"]) <= 5000
+    assert headers["X-Kept"] == "yes"
+    dropped = ("Authorization", "X-Dropped", "Te", "Kv-From")
+    absent = ("Zinniaramp-Pin-Ms", "Zinniaramp-Kv-Hold", "Zinniaramp-Kv-Backup")
+    for name in dropped + absent + ("Zinniaramp-Urgency-Level",):
+        assert name not in headers, name
+
+
+@then("it is refused or cut, and reached no server")
+def refused_or_cut(context):
+    assert context.reply.status in (0, 400, 413), context.reply
+    assert not context.rig.arrivals()
+
+
+@then("its health check answers {status:d}")
+def health_check(context, status):
+    assert context.rig.run(context.rig.ready_status()) == status
+
+
+def in_force(context, version):
+    registry = context.rig.daemons[0].registry
+    return registry.configuration.version == version
+
+
+def known_revision(context):
+    """Wait until the gateway has seen the store's newest revision."""
+    rig = context.rig
+    cache = rig.daemons[0].registry.cache
+    rig.run(rig.until(lambda: cache.revision >= rig.store.revision))
+
+
+@when('version {version:d} takes the key "{key}" away')
+def key_taken(context, version, key):
+    context.rig.store.put("op/config", configuration(version, keys=["other-key"]))
+    context.rig.run(context.rig.until(lambda: in_force(context, version)))
+
+
+@when("version {version:d} gives it back")
+def key_given_back(context, version):
+    context.rig.store.put("op/config", configuration(version, keys=[KEY]))
+    known_revision(context)
+
+
+@when("version {version:d} has a route without a kind")
+def broken_version(context, version):
+    broken = route("read", "safe")
+    del broken["route_type"]
+    document = configuration(version, routes=[broken])
+    context.rig.store.put("op/config", document)
+    known_revision(context)
+
+
+@then("the log names the field and the remedy")
+def log_names_field(context):
+    (refused,) = context.rig.logged("item-refused")
+    assert "routes[0].route_type = 'None'" in refused["problem"]
+    assert "correct it" in refused["problem"]
+
+
+@when('the server "{name}" says that it leaves, and then that it is ready')
+def leaves_then_ready(context, name):
+    context.rig.publish(name, state="draining")
+    known_revision(context)
+    context.rig.publish(name, state="ready")
+    known_revision(context)
+
+
+@then('none reached "{name}"')
+def none_reached(context, name):
+    assert not context.rig.servers[name].arrivals
+
+
+@when('the server "{name}" leaves and is born again')
+def born_again(context, name):
+    context.rig.publish(name, state="draining")
+    known_revision(context)
+    context.rig.publish(name, born=2000)
+    known_revision(context)
+
+
+@when("entries that can't be read are written")
+def unreadable_entries(context):
+    rig = context.rig
+    rig.store.put_bytes("servers/x-1", b"\xff\x00")
+    rig.store.put("servers/x-2", {"service": "plain"})
+    rig.publish("s-1", state="resting")
+    rig.publish("s-1", slots="6")
+    rig.publish("s-1", born=1.5)
+    rig.publish("s-1", address="nowhere")
+    known_revision(context)
+    assert not rig.daemons[0].registry.endpoints
+    rig.publish("s-1")
+    known_revision(context)
+
+
+@when('the store drops its history while it is away and "{name}" leaves')
+def history_dropped(context, name):
+    rig = context.rig
+    rig.store.refuses = True
+    rig.store.wake()
+    follower = rig.daemons[0].follower
+    rig.store.put("unrelated", {})
+    rig.run(rig.until(lambda: follower.lost_at is not None))
+    rig.store.remove(f"servers/{name}")
+    rig.store.compact()
+    rig.store.refuses = False
+    known_revision(context)
+
+
+@then('the gateway knows only "{name}"')
+def knows_only(context, name):
+    endpoints = context.rig.daemons[0].registry.endpoints.values()
+    assert [one.id for one in endpoints] == [name]
+
+
+def move_clock(daemon, step):
+    """Move the clocks by which a daemon judges an outage."""
+    now = daemon.registry.clock
+
+    def later():
+        return now() + step
+
+    daemon.registry.clock = later
+    daemon.follower.clock = later
+
+
+@when('the store returns after an outage in which "{name}" lapsed')
+def returns_after_outage(context, name):
+    rig = context.rig
+    daemon = rig.daemons[0]
+    rig.store.refuses = True
+    rig.store.put("unrelated", {})
+    rig.run(rig.until(lambda: daemon.follower.lost_at is not None))
+    rig.store.remove(f"servers/{name}")
+    move_clock(daemon, MISSING_HOLD)
+    rig.store.refuses = False
+    known_revision(context)
+
+
+@when("the time in which entries are back is over")
+def hold_is_over(context):
+    move_clock(context.rig.daemons[0], MISSING_HOLD)
+
+
+@when("the gateway is told to stop")
+def told_to_stop(context):
+    rig = context.rig
+
+    async def stop():
+        context.connection = await rig.connect()
+        context.connection[1].write(request("/open/x", name="before"))
+        await rig.until(lambda: rig.arrivals())
+        for server in rig.servers.values():
+            server.released.set()
+        reply = await read_reply(context.connection[0])
+        assert reply.status == 200, reply
+        for server in rig.servers.values():
+            server.released.clear()
+        rig.daemons[0].stopped.set()
+        await rig.until(lambda: rig.daemons[0].gateway.is_stopping)
+
+    rig.run(stop())
+
+
+@when("a request comes on a connection that was open, and the process finishes")
+def late_request(context):
+    rig = context.rig
+    reader, writer = context.connection
+
+    async def finish():
+        writer.write(request("/read/x", name="late"))
+        await rig.until(lambda: len(rig.arrivals()) == 2)
+        reading = asyncio.create_task(read_reply(reader))
+        await rig.until(lambda: rig.daemons[0].gateway.shelf.is_refusing)
+        refused = await rig.call("/read/x", name="too-late")
+        assert refused.status == 503, refused
+        for server in rig.servers.values():
+            server.released.set()
+        context.reply = await reading
+        await rig.tasks[0]
+
+    rig.run(finish())
+
+
+@then("the held request got its whole answer")
+def held_got_answer(context):
+    assert context.reply.status == 200, context.reply
+    assert context.reply.body == expected_body("late")
+    assert context.reply.headers["connection"] == "close"
+
+
+@when("a connection is closed as idle while a request waits on it")
+def closed_as_idle(context):
+    rig = context.rig
+
+    async def race():
+        callers = rig.daemons[0].gateway.callers
+        reader, writer = await rig.connect()
+        await rig.until(lambda: callers.idle)
+        (connection,) = callers.idle
+        writer.write(request("/read/x"))
+        # Not yet seen by the event loop, and then seen but not yet parsed.
+        callers.close_idle()
+        await rig.until(lambda: not connection.stream.reading())
+        connection.close()
+        context.reply = await read_reply(reader)
+
+    rig.run(race())
+
+
+@then("the request was answered, or reached no server")
+def answered_or_unsent(context):
+    assert context.reply.status == 200 or not context.rig.arrivals()
+
+
+@when("the settings are read again from a wrong file")
+def wrong_settings(context):
+    path = Path(context.directory) / "node.toml"
+    path.write_text('node_name = "x"\nzone = 3\n')
+    daemon = context.rig.daemons[0]
+    before = daemon.settings
+    with mock.patch.dict(os.environ, ZINNIARAMP_NODE_FILE=str(path)):
+        daemon.reload()
+    assert daemon.settings is before
+
+
+@then("the log says which field of the settings is wrong")
+def log_names_setting(context):
+    (refused,) = context.rig.logged("settings-refused")
+    assert "listen" in refused["problem"], refused
+
+
+def address_of(daemon):
+    """Return where other entries reach a daemon."""
+    return Address(ip=daemon.settings.ip, port=daemon.settings.peers.port)
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -45,9 +45,6 @@
 MAX_CONNECT_FAILURES = 3
 """Endpoints that are tried for one request while connections fail."""
 
-KEPT_HEADERS = frozenset(("host", "authorization"))
-"""Headers that a caller's ``Connection`` can't take out."""
-
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of the times in the log."""
 
@@ -283,7 +280,7 @@
             urgency=matched.urgency if is_engine else None,
             last_event=self.relay.last_event if self.relay else None,
         )
-        passed = end_to_end(self.incoming.headers, keep=KEPT_HEADERS)
+        passed = end_to_end(self.incoming.headers, keep=self.shelf.wire.kept_headers)
         headers = self.shelf.wire.write_request(passed, orders)
         if self.incoming.body or self.incoming.start_line.method != "GET":
             headers["Content-Length"] = str(len(self.incoming.body))
--- a/zinniaramp/gateway/messages.py
+++ b/zinniaramp/gateway/messages.py
@@ -102,11 +102,11 @@
         Returns the headers of one send, from the caller's.
     read_answer : callable
         Reads an endpoint's status and headers.
-    signature_header : str
-        Header that only an endpoint's answer may carry.
+    kept_headers : frozenset of str
+        Names in lower case that a caller's ``Connection`` can't take out.
     """
 
     read_request: Callable[[HTTPHeaders], RequestFacts]
     write_request: Callable[[HTTPHeaders, SendOrders], HTTPHeaders]
     read_answer: Callable[[int, HTTPHeaders], AnswerFacts]
-    signature_header: str
+    kept_headers: frozenset[str]
--- a/zinniaramp/platform/headers.py
+++ b/zinniaramp/platform/headers.py
@@ -19,6 +19,7 @@
 DEADLINE = "Zinniaramp-Deadline-Ms"
 PREFIX = "Zinniaramp-Prefix-Hash"
 TOKENS = "Zinniaramp-Token-Usage"
+MODEL = "Zinniaramp-Model"
 LENGTH_HINT = "Zinniaramp-Length-Hint"
 LAST_EVENT = "Last-Event-Id"
 STAMP = "Zinniaramp-Server-Stamp"
@@ -63,6 +64,13 @@
 """Headers of a caller that endpoints must not see: the system sets them."""
 
 
+KEPT = frozenset(
+    name.lower()
+    for name in (REQUEST_ID, PREFIX, TOKENS, MODEL, LENGTH_HINT, LAST_EVENT, "Host")
+)
+"""Headers that say what is asked for; a caller can't have them left out on the way."""
+
+
 def _number(text: str | None) -> int | None:
     if not text or not text.isascii() or not text.isdigit() or len(text) > MAX_DIGITS:
         return None
@@ -147,5 +155,5 @@
         read_request=_read_request,
         write_request=_write_request,
         read_answer=_read_answer,
-        signature_header=STAMP,
+        kept_headers=KEPT,
     )
--- /dev/null
+++ b/zinniaramp/standins/platform/server.py
@@ -0,0 +1,224 @@
+"""Stand-in of a server: plain calls and streams, and ways to misbehave."""
+
+import asyncio
+import time
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+__all__ = ["Conduct", "ServerStandin", "expected_body", "expected_events"]
+
+LOOPBACK = "127.0.0.1"
+"""Address on which the stand-in listens."""
+
+LARGEST_BODY = 64 * 1024 * 1024
+"""Bytes of a request's body that are read."""
+
+
+class Conduct(Enum):
+    """What a server does with one request."""
+
+    ANSWER = "answer"
+    FAIL = "fail"
+    SHED = "shed"
+    UNAVAILABLE = "unavailable"
+    CLOSE = "close"
+    TEAR = "tear"
+    FOREIGN = "foreign"
+    UNSIGNED = "unsigned"
+    ENCODED = "encoded"
+    GARBAGE = "garbage"
+    EXTRA = "extra"
+    UNFRAMED = "unframed"
+    HOLD = "hold"
+
+
+@dataclass(slots=True, kw_only=True)
+class Arrival:
+    """One request that reached the server; `at` is monotonic, in seconds."""
+
+    at: float
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    ran: bool = False
+    ended: bool = False
+    was_cut: bool = False
+
+
+def expected_body(request_id: str) -> bytes:
+    """Return the body of a plain answer to a request."""
+    return f"result of {request_id}\n".encode()
+
+
+def expected_events(request_id: str, first: int, count: int) -> bytes:
+    """Return the events of a stream from one number on."""
+    return b"".join(
+        f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
+        for number in range(first, count + 1)
+    )
+
+
+@dataclass(slots=True, kw_only=True)
+class ServerStandin:
+    """One server.
+
+    Attributes
+    ----------
+    id : str
+        Its id; another one that a request expects is answered 421.
+    conducts : deque of Conduct
+        What it does with the next requests; `Conduct.ANSWER` after them.
+    events : int
+        Events of a stream.
+    tear_after : int
+        Events of a stream that is torn.
+    released : asyncio.Event
+        Set to let held requests go on.
+    has_reader : asyncio.Event
+        Set when the caller of a stream that is to be torn has its first events.
+    arrivals : list of Arrival
+        Requests that reached it.
+    """
+
+    id: str
+    conducts: deque[Conduct] = field(default_factory=deque)
+    events: int = 4
+    tear_after: int = 2
+    released: asyncio.Event = field(default_factory=asyncio.Event)
+    has_reader: asyncio.Event = field(default_factory=asyncio.Event)
+    arrivals: list[Arrival] = field(default_factory=list)
+    server: HTTPServer | None = None
+    port: int = 0
+
+    def listen(self) -> None:
+        """Listen on a free port of loopback."""
+        sockets = bind_sockets(0, LOOPBACK)
+        self.port = sockets[0].getsockname()[1]
+        application = Application([("/.*", ServerHandler, {"standin": self})])
+        self.server = HTTPServer(application, max_body_size=LARGEST_BODY)
+        self.server.add_sockets(sockets)
+
+    @property
+    def runs(self) -> list[Arrival]:
+        """Requests that have run."""
+        return [arrival for arrival in self.arrivals if arrival.ran]
+
+
+class ServerHandler(RequestHandler):
+    """Answers requests of clients, passed on by an entry."""
+
+    def initialize(self, standin: ServerStandin) -> None:
+        """Take the server."""
+        self.standin = standin
+        self.arrival: Arrival | None = None
+
+    async def handle(self) -> None:
+        """Answer by the next conduct."""
+        self.arrival = Arrival(
+            at=time.monotonic(),
+            method=self.request.method,
+            target=self.request.uri,
+            headers=dict(self.request.headers),
+            body=self.request.body,
+        )
+        self.standin.arrivals.append(self.arrival)
+        expected = self.request.headers.get("Zinniaramp-Expect-Instance")
+        if expected not in (None, self.standin.id):
+            self.set_status(421)
+            self.set_header("Zinniaramp-Instance-Id", self.standin.id)
+            return
+        conducts = self.standin.conducts
+        conduct = conducts.popleft() if conducts else Conduct.ANSWER
+        if conduct is Conduct.SHED:
+            self.set_status(503)
+            self.set_header("Zinniaramp-Not-Executed", "1")
+            return
+        self.arrival.ran = True
+        if conduct is Conduct.HOLD:
+            await self.standin.released.wait()
+        await self.run(conduct)
+        self.arrival.ended = True
+
+    get = post = put = delete = patch = handle
+
+    def on_connection_close(self) -> None:
+        """Note that the caller has left."""
+        if self.arrival is not None and not self.arrival.ended:
+            self.arrival.was_cut = True
+
+    async def run(self, conduct: Conduct) -> None:
+        """Answer a request that runs."""
+        if conduct is Conduct.CLOSE:
+            self.detach().close()
+        elif conduct is Conduct.GARBAGE:
+            await self._write_raw(b"\x00\x01 not an answer\r\n\r\n")
+        elif conduct in (Conduct.FAIL, Conduct.UNAVAILABLE):
+            self.set_status(500 if conduct is Conduct.FAIL else 503)
+            self._sign()
+        elif self.request.headers.get("Accept") == "text/event-stream":
+            await self._stream(conduct)
+        else:
+            await self._answer(conduct)
+
+    def _sign(self) -> None:
+        self.set_header("Zinniaramp-Request-Id", self._request_id())
+        self.set_header("Zinniaramp-Server-Stamp", f"stamp.{self.standin.id}")
+
+    def _request_id(self) -> str:
+        return self.request.headers.get("Zinniaramp-Request-Id", "")
+
+    async def _answer(self, conduct: Conduct) -> None:
+        self._sign()
+        if conduct is Conduct.FOREIGN:
+            self.set_header("Zinniaramp-Request-Id", "another")
+        if conduct is Conduct.UNSIGNED:
+            self.clear_header("Zinniaramp-Server-Stamp")
+        if conduct is Conduct.ENCODED:
+            self.set_header("Content-Encoding", "gzip")
+        body = expected_body(self._request_id())
+        if conduct in (Conduct.TEAR, Conduct.EXTRA, Conduct.UNFRAMED):
+            await self._write_raw(self._raw_answer(conduct, body))
+        else:
+            self.finish(body)
+
+    def _raw_answer(self, conduct: Conduct, body: bytes) -> bytes:
+        head = (
+            f"HTTP/1.1 200 OK\r\nZinniaramp-Request-Id: {self._request_id()}\r\n"
+            f"Zinniaramp-Server-Stamp: stamp.{self.standin.id}\r\n"
+        ).encode()
+        length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+        if conduct is Conduct.UNFRAMED:
+            return head + b"\r\n" + body
+        if conduct is Conduct.TEAR:
+            return head + length + body[:-3]
+        return (head + length + body) * 2
+
+    async def _stream(self, conduct: Conduct) -> None:
+        self._sign()
+        self.set_header("Content-Type", "text/event-stream")
+        last = self.request.headers.get("Last-Event-Id", "0")
+        first = int(last) + 1
+        if conduct is not Conduct.TEAR:
+            events = expected_events(self._request_id(), first, self.standin.events)
+            self.finish(events)
+            return
+        events = expected_events(self._request_id(), first, self.standin.tear_after)
+        self.write(events + b"id: 99\ndata: to")
+        await self.flush()
+        await self.standin.has_reader.wait()
+        self.detach().close()
+
+    async def _write_raw(self, data: bytes) -> None:
+        stream = self.detach()
+        try:
+            await stream.write(data)
+        except StreamClosedError:
+            self.arrival.was_cut = True
+        stream.close()
