--- a/zinniaramp/daemon/gateway.py
+++ b/zinniaramp/daemon/gateway.py
@@ -15,6 +15,8 @@
 from ..platform import (
     HostSettings,
     decode_item,
+    make_direct_reader,
+    make_holdings_reader,
     make_store,
     make_wire,
     read_host_settings,
@@ -77,6 +79,7 @@
             wire=make_wire(),
             clock=self.clock,
             random=random,
+            read_held=make_holdings_reader(make_direct_reader()),
         )
         self.stopped = asyncio.Event()
 
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -11,6 +11,7 @@
 from ..registry import Registry
 from ..sockets import Address
 from .events import GATEWAY_STARTED, GATEWAY_STOPPED, GATEWAY_STOPPING
+from .holdings import HoldingsLearner, ReadHeld
 from .messages import Wire
 from .readiness import make_readiness
 from .server import CallerServer
@@ -82,6 +83,8 @@
         The process's clock.
     random : Random
         Source of jitter.
+    read_held : callable
+        Asks an engine what it holds.
     """
 
     __slots__ = (
@@ -91,6 +94,7 @@
         "shelf",
         "callers",
         "mesh",
+        "holdings",
         "is_stopping",
     )
 
@@ -102,6 +106,7 @@
         wire: Wire,
         clock: Clock,
         random: Random,
+        read_held: ReadHeld,
     ):
         self.settings = settings
         self.registry = registry
@@ -124,6 +129,7 @@
             random=random,
         )
         self.shelf.tell = self.mesh.tell
+        self.holdings = HoldingsLearner(shelf=self.shelf, read_held=read_held)
         registry.on_change.append(self._note_registry)
 
     def start(self) -> None:
@@ -170,6 +176,7 @@
     def _note_registry(self) -> None:
         self.shelf.placement.keep(self.registry.incarnations)
         self.mesh.announce()
+        self.holdings.look()
 
     def _retry_limits(self) -> RetryLimits:
         slack = self.settings.retry_slack / ENTRIES_ASSUMED
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -6,6 +6,8 @@
     "ANSWERED",
     "CALLER_LEFT",
     "ENDPOINT_CHOSEN",
+    "HOLDINGS_READ",
+    "HOLDINGS_UNKNOWN",
     "REQUEST_REFUSED",
     "SEND_ENDED",
     "GATEWAY_STARTED",
@@ -99,3 +101,17 @@
     meaning="The settings file can't be used; the settings in force stay.",
     fields=("problem",),
 )
+HOLDINGS_READ = declare_event(
+    number=2010,
+    name="holdings-read",
+    level="INFO",
+    meaning="An engine that was there before this process said what it holds.",
+    fields=("endpoint", "parts"),
+)
+HOLDINGS_UNKNOWN = declare_event(
+    number=2011,
+    name="holdings-unknown",
+    level="WARNING",
+    meaning="An engine did not say what it holds; it is taken to hold nothing.",
+    fields=("endpoint", "problem"),
+)
--- /dev/null
+++ b/zinniaramp/gateway/holdings.py
@@ -0,0 +1,71 @@
+"""Asking the engines what they hold, after a start."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import datetime, timedelta
+
+from result import Err, Ok, Result
+
+from ..observability import emit
+from ..placement import PromptPart
+from ..reads import ReadError
+from ..registry import Endpoint
+from ..sockets import Address
+from .events import HOLDINGS_READ, HOLDINGS_UNKNOWN
+from .services import ServiceShelf
+
+__all__ = ["HoldingsLearner", "ReadHeld"]
+
+ASKED_AFTER_START = timedelta(seconds=3)
+"""Time after the start in which engines that are found are asked; one that is listed
+later has just started and holds nothing."""
+
+ReadHeld = Callable[[Address], Awaitable[Result[tuple[PromptPart, ...], ReadError]]]
+"""Asks the engine at an address for the parts that it holds."""
+
+
+class HoldingsLearner:
+    """Asks each engine that was there before the process, once.
+
+    Parameters
+    ----------
+    shelf : ServiceShelf
+        Where the answers go.
+    read_held : callable
+        Asks an engine.
+
+    Attributes
+    ----------
+    asked : set of str
+        Engines that have been asked.
+    """
+
+    __slots__ = ("shelf", "read_held", "asked", "tasks", "started_at")
+
+    def __init__(self, *, shelf: ServiceShelf, read_held: ReadHeld):
+        self.shelf = shelf
+        self.read_held = read_held
+        self.asked: set[str] = set()
+        self.tasks: set[asyncio.Task] = set()
+        self.started_at: datetime = shelf.clock()
+
+    def look(self) -> None:
+        """Ask the engines that are listed and have not been asked."""
+        if self.shelf.clock() > self.started_at + ASKED_AFTER_START:
+            return
+        for endpoint in self.shelf.registry.endpoints.values():
+            memory = self.shelf.memory_tokens(endpoint.service)
+            if memory and endpoint.incarnation not in self.asked:
+                self.asked.add(endpoint.incarnation)
+                task = asyncio.create_task(self._ask(endpoint, memory))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+
+    async def _ask(self, endpoint: Endpoint, memory: int) -> None:
+        name = endpoint.incarnation
+        match await self.read_held(endpoint.address):
+            case Ok(parts):
+                self.shelf.placement.hold(name, parts, memory_tokens=memory)
+                emit(HOLDINGS_READ, endpoint=name, parts=len(parts))
+            case Err(error):
+                emit(HOLDINGS_UNKNOWN, endpoint=name, problem=str(error))
--- a/zinniaramp/gateway/services.py
+++ b/zinniaramp/gateway/services.py
@@ -128,7 +128,7 @@
         if not names:
             return None
         number = next(self.numbers)
-        if facts.demand is not None and self._memory_tokens(service):
+        if facts.demand is not None and self.memory_tokens(service):
             picked = self._place(service, facts, names, by_name, number)
         else:
             picked = self._least_loaded(facts, names, by_name, number)
@@ -136,14 +136,15 @@
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return picked
 
-    def _memory_tokens(self, service: str) -> int:
+    def memory_tokens(self, service: str) -> int:
+        """Return the tokens that an engine of a service holds; 0 for plain ones."""
         configuration = self.registry.configuration
         described = configuration and configuration.services.get(service)
         return described.memory_tokens if described else 0
 
     def _place(self, service, facts, names, by_name, number) -> Picked:
         now = self.clock()
-        memory = self._memory_tokens(service)
+        memory = self.memory_tokens(service)
         candidates = [
             Candidate(name=one, is_far=by_name[one].data_center != self.data_center)
             for one in names
@@ -232,7 +233,7 @@
             key,
             event.engine,
             demand,
-            memory_tokens=self._memory_tokens(endpoint.service),
+            memory_tokens=self.memory_tokens(endpoint.service),
             now=self.clock(),
         )
 
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -6,7 +6,7 @@
 
 from ..routing.rendezvous import rank
 from .engine import READ_TOKENS_PER_MS, EngineModel
-from .prompts import Demand
+from .prompts import Demand, PromptPart
 from .split import SplitSizer, is_short
 
 __all__ = ["Candidate", "Choice", "Placement"]
@@ -133,6 +133,12 @@
         model.add(key, demand, now)
         self.engine_of[key] = engine
 
+    def hold(
+        self, engine: str, parts: Iterable[PromptPart], *, memory_tokens: int
+    ) -> None:
+        """Note what an engine says that it holds."""
+        self._model(engine, memory_tokens).hold(parts)
+
     def note_begun(self, key: object, now: datetime) -> None:
         """Note that the first event of a send has come."""
         model = self.engines.get(self.engine_of.get(key, ""))
--- a/zinniaramp/placement/engine.py
+++ b/zinniaramp/placement/engine.py
@@ -56,8 +56,7 @@
     sends : dict of Send
         Requests in flight, in the order in which they were sent.
     held : OrderedDict of int
-        Tokens of each held part by the names of it and all before it, the least
-        recently used one first.
+        Tokens of each held part, the least recently used one first.
     progress_at : datetime or None
         When the engine last finished a prompt, or got one while it had none.
     """
@@ -88,8 +87,9 @@
     def tokens_to_read(self, demand: Demand) -> int:
         """Return the prompt tokens that the engine does not hold."""
         held = 0
-        for name, part in _chain(demand.parts):
-            if name not in self.held:
+        for part in demand.parts:
+            # A part counts only if all parts before it are held too.
+            if part.name not in self.held:
                 break
             held += part.tokens
         return max(1, demand.prompt_tokens - held)
@@ -100,11 +100,15 @@
             self.progress_at = now
         to_read = self.tokens_to_read(demand)
         self.sends[key] = Send(to_read=to_read, output=demand.output_guess)
-        for name, part in _chain(demand.parts):
-            if name in self.held:
-                self.held.move_to_end(name)
+        self.hold(demand.parts)
+
+    def hold(self, parts: Iterable[PromptPart]) -> None:
+        """Note parts that the engine holds, the most recently used one last."""
+        for part in parts:
+            if part.name in self.held:
+                self.held.move_to_end(part.name)
                 continue
-            self.held[name] = part.tokens
+            self.held[part.name] = part.tokens
             self.held_tokens += part.tokens
         self._yield_parts()
 
@@ -123,13 +127,3 @@
         while self.held_tokens > limit and self.held:
             _, tokens = self.held.popitem(last=False)
             self.held_tokens -= tokens
-
-
-def _chain(parts: Iterable[PromptPart]) -> list[tuple[str, PromptPart]]:
-    """Name each part by itself and all before it: only a whole beginning counts."""
-    chain = []
-    name = ""
-    for part in parts:
-        name = f"{name}/{part.name}"
-        chain.append((name, part))
-    return chain
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -15,7 +15,7 @@
 from ..registry.items import Item, Snapshot
 from ..sockets import Address, open_stream
 
-__all__ = ["make_store"]
+__all__ = ["make_direct_reader", "make_store"]
 
 CONNECT_TIMEOUT = timedelta(milliseconds=500)
 """Longest wait for a connection; the store answers in some 4 ms."""
@@ -29,6 +29,9 @@
 MAX_PAGES = 100
 """Pages of one range; each holds up to 500 items."""
 
+MAX_CALLS = 64
+"""Calls at a time; a watch holds one of them."""
+
 EVERYTHING = ""
 """Prefix of all keys: one watch then serves configuration and endpoints."""
 
@@ -77,11 +80,16 @@
     return Snapshot(revision=revision, items=items, is_complete=False)
 
 
+def make_direct_reader() -> ReadJson:
+    """Return the reader of JSON from the store and from servers, by IP address."""
+    client = SimpleAsyncHTTPClient(force_instance=True, max_clients=MAX_CALLS)
+    client.tcp_client = _DirectConnections()
+    return make_reader(client)
+
+
 def make_store(address: Address) -> Source:
     """Return the calls to the store at an address."""
-    client = SimpleAsyncHTTPClient(force_instance=True)
-    client.tcp_client = _DirectConnections()
-    read = make_reader(client)
+    read = make_direct_reader()
     base = f"http://{address}"
 
     async def read_all() -> Result[Snapshot, ReadError]:
