--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -11,7 +11,7 @@
 
 __all__ = ["Candidate", "Choice", "Placement"]
 
-READ_WEIGHT = 2.0
+READ_WEIGHT = 3.5
 """Weight of reading against waiting: while an engine reads, all its streams pause, and
 a part that some engine held already is priced."""
 
