Keep the retry budget in every sliding window; name refused items in the health check

Cause: the bucket gave each start of a process its whole part of the slack again, so a roll of all entries could spend twice the slack in one window. A property over any histories of three processes and a restart each checks it.

New scenarios: mesh, early answer, reset without length, budget.

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -88,3 +88,18 @@
   Scenario: The time left is passed on, and what a caller may not set is replaced
     When "POST /book/x" is sent with forged headers
     Then the server saw none of them, and what the system sets
+
+  Scenario: An answer without a length that is reset is not complete
+    Given the first answer without a length is reset
+    When "GET /read/x" is sent
+    Then the reply is 200 with the server's body and signature
+    And it reached 2 servers
+
+  Scenario: A server may answer before it has read a long body
+    Given every server will "early"
+    When a call with a long body is answered before it is read
+    Then the reply is 500 with a signature
+
+  Scenario: All processes together keep the retry budget in every window
+    When retries are asked for at any times, around restarts of some processes
+    Then in no window are there more than the processes may make together
--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -1,16 +1,17 @@
 """A gateway daemon with stand-ins of the platform, in one event loop."""
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from loguru import logger
-from tornado.testing import bind_unused_port
+from result import Ok
 
 from zinniaramp.daemon.gateway import Daemon
 from zinniaramp.platform import HostBounds, HostSettings
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import ServerStandin, StoreStandin
+from zinniaramp.standins.processes import free_port
 
 LOOPBACK = "127.0.0.1"
 LIMIT_SECONDS = 20
@@ -141,7 +142,7 @@
 
     async def add_daemon(self, *, seeds=(), wait=True, bounds=BOUNDS):
         """Start a gateway and wait until it is ready."""
-        ports = [self.free_port() for _ in range(4)]
+        ports = [free_port() for _ in range(4)]
         callers, readiness, peers, metrics = ports
         settings = HostSettings(
             name=f"entry-{len(self.daemons) + 1}",
@@ -155,11 +156,13 @@
             seeds=tuple(seeds),
             bounds=bounds,
         )
-        daemon = Daemon(settings=settings)
+        daemon = Daemon(settings=settings, read_settings=lambda: Ok(settings))
         self.daemons.append(daemon)
-        self.tasks.append(asyncio.create_task(daemon.run()))
+        task = asyncio.create_task(daemon.run())
+        self.tasks.append(task)
         if wait:
-            await self.until(lambda: not daemon.gateway.why_not_ready())
+            await self.until(lambda: task.done() or not daemon.gateway.why_not_ready())
+            assert not task.done(), task.exception()
             await self.until(
                 lambda: len(daemon.registry.endpoints) == len(self.listed())
             )
@@ -169,30 +172,21 @@
         """Return the keys of servers in the store."""
         return [key for key in self.store.items if key.startswith("servers/")]
 
-    def set_bounds(self, daemon, **fields):
-        """Change some of a daemon's bounds."""
-        bounds = replace(daemon.settings.bounds, **fields)
-        daemon.settings = replace(daemon.settings, bounds=bounds)
-
-    @staticmethod
-    def free_port():
-        """Return a port that nothing listens on."""
-        unused, port = bind_unused_port()
-        unused.close()
-        return port
-
     @staticmethod
     async def until(condition):
         """Wait until a condition holds."""
         while not condition():
             await asyncio.sleep(POLL_SECONDS)
 
-    async def ready_status(self, daemon=None):
-        """Return the status of a daemon's health check."""
+    async def ready_reply(self, daemon=None):
+        """Return the reply of a daemon's health check."""
         daemon = daemon or self.daemons[0]
         address = daemon.settings.readiness
-        reply = await self.exchange(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", address)
-        return reply.status
+        return await self.exchange(b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n", address)
+
+    async def ready_status(self):
+        """Return the status of the first daemon's health check."""
+        return (await self.ready_reply()).status
 
     async def connect(self, daemon=None, address=None):
         """Open a connection to a daemon."""
--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -19,3 +19,6 @@
   Scenario: A wrong settings file is refused, and the old settings stay
     When the settings are read again from a wrong file
     Then the log says which field of the settings is wrong
+    And the health check names it
+    When it is read again from the right file
+    Then the health check names nothing
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -1,12 +1,14 @@
 """Steps about the gateway on the platform."""
 
 import asyncio
-import os
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 from pathlib import Path
-from unittest import mock
 
 from behave import given, then, when
+from hypothesis import given as for_any
+from hypothesis import settings
+from hypothesis import strategies as st
+from result import Err, Ok
 
 from features.gateway.rig import (
     KEY,
@@ -16,7 +18,10 @@
     request,
     route,
 )
-from zinniaramp.sockets import Address
+from zinniaramp.platform import read_host_settings
+from zinniaramp.reads import ReadError
+from zinniaramp.registry import Source
+from zinniaramp.routing.budget import WindowRetryBudget
 from zinniaramp.standins.platform import Conduct, expected_body, expected_events
 
 FORGED = (
@@ -32,6 +37,7 @@
     "Connection: X-Dropped",
     "TE: trailers",
 )
+START = datetime(2026, 1, 1, tzinfo=UTC)
 MISSING_HOLD = timedelta(seconds=3)
 
 
@@ -481,8 +487,8 @@
     path.write_text('node_name = "x"\nzone = 3\n')
     daemon = context.rig.daemons[0]
     before = daemon.settings
-    with mock.patch.dict(os.environ, ZINNIARAMP_NODE_FILE=str(path)):
-        daemon.reload()
+    daemon.read_settings = lambda: read_host_settings(path)
+    daemon.reload()
     assert daemon.settings is before
 
 
@@ -492,6 +498,184 @@
     assert "listen" in refused["problem"], refused
 
 
-def address_of(daemon):
-    """Return where other entries reach a daemon."""
-    return Address(ip=daemon.settings.ip, port=daemon.settings.peers.port)
+@then("the health check names it")
+def health_check_names_it(context):
+    reply = context.rig.run(context.rig.ready_reply())
+    assert b"listen" in reply.body, reply
+
+
+@when("it is read again from the right file")
+def right_settings(context):
+    daemon = context.rig.daemons[0]
+    daemon.read_settings = lambda: Ok(daemon.settings)
+    daemon.reload()
+
+
+@then("the health check names nothing")
+def health_check_names_nothing(context):
+    reply = context.rig.run(context.rig.ready_reply())
+    assert b'"problems": []' in reply.body, reply
+
+
+@given("{count:d} gateways that know each other")
+def gateways_that_meet(context, count):
+    rig = context.rig
+
+    async def meet():
+        first = await rig.add_daemon()
+        for _ in range(count - 1):
+            await rig.add_daemon(seeds=[first.settings.peers])
+        for daemon in rig.daemons:
+            mesh = daemon.gateway.mesh
+            await rig.until(lambda mesh=mesh: len(mesh.queues) == count - 1)
+
+    rig.run(meet())
+
+
+@given("the store is {state} for the first gateway")
+@when("the store is {state} for the first gateway")
+def store_away_for_first(context, state):
+    rig = context.rig
+    follower = rig.daemons[0].follower
+
+    async def refuse(*_):
+        if state == "silent":
+            await asyncio.Event().wait()
+        return Err(ReadError("refused"))
+
+    follower.source = Source(read_all=refuse, watch=refuse)
+    rig.store.put("unrelated", {})
+    known = rig.daemons[0].registry.cache
+    rig.run(rig.until(lambda: known.revision >= rig.store.revision))
+
+
+@then("every gateway has version {version:d} in force")
+def all_in_force(context, version):
+    rig = context.rig
+    for daemon in rig.daemons:
+        registry = daemon.registry
+        rig.run(rig.until(lambda one=registry: one.configuration.version == version))
+
+
+@when("version {version:d} is published")
+def version_published(context, version):
+    context.rig.store.put("op/config", configuration(version))
+
+
+@then('the first gateway does not use "{name}"')
+def first_does_not_use(context, name):
+    rig = context.rig
+    registry = rig.daemons[0].registry
+
+    def names():
+        return [one.id for one in registry.ready("plain")]
+
+    rig.run(rig.until(lambda: name not in names()))
+
+
+@when('the server "{name}" says that it leaves')
+def says_that_it_leaves(context, name):
+    context.rig.publish(name, state="draining")
+
+
+@given("a gateway that starts while the store refuses it")
+def starts_while_refused(context):
+    rig = context.rig
+
+    async def start():
+        first = await rig.add_daemon()
+        rig.store.refuses = True
+        await rig.add_daemon(seeds=[first.settings.peers])
+
+    rig.run(start())
+
+
+@then("both gateways are ready")
+def both_ready(context):
+    for daemon in context.rig.daemons:
+        assert not daemon.gateway.why_not_ready()
+
+
+@when("a stranger sends the first gateway bytes that are not messages")
+def stranger_speaks(context):
+    rig = context.rig
+    peers = rig.daemons[0].settings.peers
+
+    async def speak():
+        for data in (b"\xc1\xff", b"\x92\x63\x01", b"GET / HTTP/1.1\r\n\r\n"):
+            reader, writer = await rig.connect(address=peers)
+            writer.write(data)
+            assert await reader.read() == b""
+            writer.close()
+
+    rig.run(speak())
+
+
+@then("each connection was closed with a line in the log")
+def strangers_logged(context):
+    assert len(context.rig.logged("peer-spoke-wrong")) == 3
+
+
+@when("a call with a long body is answered before it is read")
+def early_answer(context):
+    context.name = "early"
+    body = b"x" * 900_000
+    call = context.rig.call("/book/x", name="early", method="POST", body=body)
+    context.reply = context.rig.run(call)
+
+
+@given("the first answer without a length is reset")
+def unframed_reset(context):
+    first_send_will(context, "reset")
+
+
+@when("retries are asked for at any times, around restarts of some processes")
+def any_retries(context):
+    context.check = check_window_budget
+
+
+@then("in no window are there more than the processes may make together")
+def within_window(context):
+    context.check()
+
+
+def check_window_budget():
+    """Drive budgets of several processes through any history."""
+
+    @settings(max_examples=100)
+    @for_any(
+        st.lists(
+            st.tuples(
+                st.integers(0, 2),
+                st.sampled_from(["request", "retry", "retry", "restart"]),
+                st.integers(0, 900),
+            ),
+            max_size=200,
+        )
+    )
+    def check(history):
+        drive_budgets(history)
+
+    check()
+
+
+def drive_budgets(history):
+    """Check each window that ends with a retry; a process restarts once at most."""
+    window, now = timedelta(seconds=10), START
+    restarted = set()
+    budgets = [WindowRetryBudget(window=window, now=now) for _ in range(3)]
+    requests, retries = [], []
+    for process, what, step_ms in history:
+        now += timedelta(milliseconds=step_ms)
+        budget = budgets[process]
+        if what == "restart" and process not in restarted:
+            restarted.add(process)
+            budgets[process] = WindowRetryBudget(window=window, now=now)
+        elif what != "retry":
+            budget.note_request(now)
+            requests.append(now)
+        elif budget.withdraw(share=0.2, slack=4, now=now):
+            retries.append(now)
+            made = sum(at > now - window for at in retries)
+            asked = sum(at > now - window for at in requests)
+            assert made <= 0.2 * asked + 3 * 4, (made, asked)
--- a/zinniaramp/daemon/gateway.py
+++ b/zinniaramp/daemon/gateway.py
@@ -4,9 +4,10 @@
 import gc
 import signal
 import sys
+from collections.abc import Callable
 from random import Random, SystemRandom
 
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from ..clock import monotonic_clock
 from ..gateway import Gateway, GatewaySettings
@@ -14,6 +15,7 @@
 from ..observability import configure_logging, emit
 from ..platform import (
     HostSettings,
+    SettingsError,
     decode_item,
     make_direct_reader,
     make_holdings_reader,
@@ -33,6 +35,10 @@
 """Time between looks at the settings file, which may change without a signal."""
 
 
+ReadSettings = Callable[[], Result[HostSettings, SettingsError]]
+"""Reads the settings file."""
+
+
 def _gateway_settings(settings: HostSettings) -> GatewaySettings:
     return GatewaySettings(
         host=settings.name,
@@ -44,6 +50,7 @@
         grace=settings.bounds.grace,
         retry_share=settings.bounds.retry_share,
         retry_slack=settings.bounds.retry_slack,
+        retry_window=settings.bounds.retry_window,
     )
 
 
@@ -54,12 +61,23 @@
     ----------
     settings : HostSettings
         Settings of the host.
+    read_settings : callable
+        Reads them again.
     """
 
-    __slots__ = ("settings", "clock", "registry", "follower", "gateway", "stopped")
+    __slots__ = (
+        "settings",
+        "read_settings",
+        "clock",
+        "registry",
+        "follower",
+        "gateway",
+        "stopped",
+    )
 
-    def __init__(self, *, settings: HostSettings):
+    def __init__(self, *, settings: HostSettings, read_settings: ReadSettings):
         self.settings = settings
+        self.read_settings = read_settings
         self.clock = monotonic_clock()
         random = Random(SystemRandom().getrandbits(64))
         self.registry = Registry(
@@ -101,10 +119,12 @@
 
     def reload(self) -> None:
         """Read the settings file again; keep the old settings if it is wrong."""
-        match read_host_settings():
+        match self.read_settings():
             case Err(problem):
                 emit(SETTINGS_REFUSED, problem=str(problem))
+                self.gateway.settings_problem = str(problem)
             case Ok(settings):
+                self.gateway.settings_problem = ""
                 changed = settings != self.settings
                 self.settings = settings
                 self.gateway.settings = _gateway_settings(settings)
@@ -114,14 +134,15 @@
     async def _check_settings(self) -> None:
         while True:
             await asyncio.sleep(SETTINGS_CHECK_SECONDS)
-            read = read_host_settings()
-            if isinstance(read, Ok) and read.ok_value != self.settings:
+            read = self.read_settings()
+            is_known = isinstance(read, Err) and self.gateway.settings_problem
+            if not is_known and read != Ok(self.settings):
                 self.reload()
 
 
 async def _run(settings: HostSettings) -> None:
     log_uncaught(asyncio.get_running_loop())
-    daemon = Daemon(settings=settings)
+    daemon = Daemon(settings=settings, read_settings=read_host_settings)
     gc.collect()
     gc.freeze()
     await daemon.run()
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -34,8 +34,8 @@
 """Time before the end of the grace period at which the process exits."""
 
 ENTRIES_ASSUMED = 8
-"""Entries that share the retry budget, where nothing else is known; deployments
-have five, and spare hosts for three more."""
+"""Entries that share the slack for repeats at least; deployments have five, and spare
+hosts for three more, which a cut may hide."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -55,6 +55,8 @@
     retry_share, retry_slack : float
         Repeats that all entries together may make in a window: a share of the
         requests, and a number beside it.
+    retry_window : timedelta
+        Length of that window.
     """
 
     host: str
@@ -66,6 +68,7 @@
     grace: timedelta
     retry_share: float
     retry_slack: float
+    retry_window: timedelta
 
 
 class Gateway:
@@ -85,6 +88,11 @@
         Source of jitter.
     read_held : callable
         Asks an engine what it holds.
+
+    Attributes
+    ----------
+    settings_problem : str
+        What is wrong with the settings file, while older settings are in force.
     """
 
     __slots__ = (
@@ -96,6 +104,7 @@
         "mesh",
         "holdings",
         "is_stopping",
+        "settings_problem",
     )
 
     def __init__(
@@ -112,6 +121,7 @@
         self.registry = registry
         self.clock = clock
         self.is_stopping = False
+        self.settings_problem = ""
         self.shelf = ServiceShelf(
             registry=registry,
             wire=wire,
@@ -136,7 +146,8 @@
         """Open the listeners."""
         callers, readiness = self.settings.callers, self.settings.readiness
         self.callers.listen(callers.ip, callers.port)
-        make_readiness(self.why_not_ready).listen(readiness.port, readiness.ip)
+        checks = make_readiness(self.why_not_ready, self.list_problems)
+        checks.listen(readiness.port, readiness.ip)
         self.mesh.start()
         emit(
             GATEWAY_STARTED,
@@ -153,6 +164,11 @@
             return "no configuration yet"
         return ""
 
+    def list_problems(self) -> list[str]:
+        """Return what was refused: the settings file, or published items."""
+        settings = [self.settings_problem] if self.settings_problem else []
+        return settings + list(self.registry.refused.values())
+
     async def stop(self) -> None:
         """Finish what is in flight, at most for the grace period."""
         began = self.clock()
@@ -179,5 +195,9 @@
         self.holdings.look()
 
     def _retry_limits(self) -> RetryLimits:
-        slack = self.settings.retry_slack / ENTRIES_ASSUMED
-        return RetryLimits(share=self.settings.retry_share, most_at_once=slack)
+        entries = max(ENTRIES_ASSUMED, self.mesh.known)
+        return RetryLimits(
+            share=self.settings.retry_share,
+            slack=self.settings.retry_slack / entries,
+            window=self.settings.retry_window,
+        )
--- a/zinniaramp/gateway/services.py
+++ b/zinniaramp/gateway/services.py
@@ -10,7 +10,7 @@
 from ..peers import LoadEvent, SendBegun, SendEnded, SendStarted
 from ..placement import Candidate, Demand, Placement
 from ..registry import Endpoint, Registry
-from ..routing.budget import RetryBudget
+from ..routing.budget import WindowRetryBudget
 from ..routing.ejection import Ejections
 from .fates import Fate, SendResult
 from .messages import RequestFacts, Wire
@@ -31,13 +31,16 @@
     Parameters
     ----------
     share : float
-        Repeats that each request earns.
-    most_at_once : float
-        Repeats after a quiet time.
+        Repeats that each request of a window allows.
+    slack : float
+        Repeats beside them in a window.
+    window : timedelta
+        Length of the window.
     """
 
     share: float
-    most_at_once: float
+    slack: float
+    window: timedelta
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -87,6 +90,7 @@
         "budgets",
         "in_flight",
         "numbers",
+        "started_at",
         "is_refusing",
         "tell",
         "peer_sends",
@@ -110,9 +114,10 @@
         self.random = random
         self.placement = Placement()
         self.ejections = Ejections(clock=clock, random_source=random)
-        self.budgets: dict[str, RetryBudget] = {}
+        self.budgets: dict[str, WindowRetryBudget] = {}
         self.in_flight: dict[str, int] = {}
         self.numbers = count()
+        self.started_at = clock()
         self.is_refusing = False
         self.tell: Callable[[LoadEvent], None] = _tell_nobody
         self.peer_sends: dict[str, set] = {}
@@ -246,18 +251,23 @@
             self.ejections.record_success(name)
 
     def note_request(self, service: str) -> None:
-        """Count a request, which earns a share of a repeat."""
-        self._budget(service).deposit(self.limits().share)
+        """Count a request, which allows a share of a repeat."""
+        self._budget(service).note_request(self.clock())
 
     def take_repeat(self, service: str) -> bool:
         """Whether one more repeat may be sent now; takes it from the budget."""
-        return self._budget(service).withdraw()
+        limits = self.limits()
+        return self._budget(service).withdraw(
+            share=limits.share, slack=limits.slack, now=self.clock()
+        )
 
     def retry_after(self) -> float:
         """Return the seconds after which a refused caller may come back."""
         return self.random.uniform(RETRY_AFTER_SHORTEST, RETRY_AFTER_LONGEST)
 
-    def _budget(self, service: str) -> RetryBudget:
+    def _budget(self, service: str) -> WindowRetryBudget:
         if service not in self.budgets:
-            self.budgets[service] = RetryBudget(limit=self.limits().most_at_once)
+            self.budgets[service] = WindowRetryBudget(
+                window=self.limits().window, now=self.started_at
+            )
         return self.budgets[service]
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -139,9 +139,9 @@
             task.cancel()
 
     @property
-    def size(self) -> int:
-        """Entries that are known to live, this one included."""
-        return 1 + len(set(self.speakers.values()) | set(self.queues))
+    def known(self) -> int:
+        """Entries that this one has heard of, itself included; some may be gone."""
+        return 1 + len(self.dialled)
 
     def meet(self, address: str) -> None:
         """Begin to reach a peer, if it is new."""
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -97,6 +97,8 @@
         Listed endpoints by the key of their item.
     on_change : list of callable
         Called after each change.
+    refused : dict of str
+        What is wrong with items that can't be read, by key.
     """
 
     __slots__ = (
@@ -112,6 +114,7 @@
         "by_service",
         "incarnations",
         "on_change",
+        "refused",
     )
 
     def __init__(self, *, decode: DecodeItem, missing_hold: timedelta, clock: Clock):
@@ -127,6 +130,7 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.incarnations: dict[str, Endpoint] = {}
         self.on_change: list[Callable[[], None]] = []
+        self.refused: dict[str, str] = {}
 
     def apply(self, snapshot: Snapshot) -> None:
         """Take in what a source gave."""
@@ -156,6 +160,7 @@
         return endpoint in self.ready(endpoint.service)
 
     def _decode(self, item: Item) -> None:
+        self.refused.pop(item.key, None)
         match self.decode(item):
             case Ok(Endpoint() as endpoint):
                 self._list(item.key, endpoint)
@@ -171,6 +176,7 @@
                     problem=str(error),
                 )
                 self.endpoints.pop(item.key, None)
+                self.refused[item.key] = str(error)
 
     def _list(self, key: str, endpoint: Endpoint) -> None:
         self.missing.pop(key, None)
@@ -200,6 +206,7 @@
         emit(CONFIGURATION_IN_FORCE, version=configuration.version)
 
     def _remove(self, item: Item) -> None:
+        self.refused.pop(item.key, None)
         endpoint = self.endpoints.get(item.key)
         if endpoint is None:
             return
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -1,6 +1,8 @@
 """Stand-in of a server: plain calls and streams, and ways to misbehave."""
 
 import asyncio
+import socket
+import struct
 import time
 from collections import deque
 from dataclasses import dataclass, field
@@ -9,7 +11,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
+from tornado.web import Application, RequestHandler, stream_request_body
 
 __all__ = ["Conduct", "ServerStandin", "expected_body", "expected_events"]
 
@@ -35,6 +37,8 @@
     GARBAGE = "garbage"
     EXTRA = "extra"
     UNFRAMED = "unframed"
+    RESET = "reset"
+    EARLY = "early"
     HOLD = "hold"
 
 
@@ -111,6 +115,7 @@
         return [arrival for arrival in self.arrivals if arrival.ran]
 
 
+@stream_request_body
 class ServerHandler(RequestHandler):
     """Answers requests of clients, passed on by an entry."""
 
@@ -118,6 +123,21 @@
         """Take the server."""
         self.standin = standin
         self.arrival: Arrival | None = None
+        self.body = bytearray()
+
+    async def prepare(self) -> None:
+        """Answer before the body is read, if that is the next conduct."""
+        conducts = self.standin.conducts
+        if not conducts or conducts[0] is not Conduct.EARLY:
+            return
+        conducts.popleft()
+        self._sign()
+        self.set_status(500)
+        self.finish()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body."""
+        self.body += chunk
 
     async def handle(self) -> None:
         """Answer by the next conduct."""
@@ -126,7 +146,7 @@
             method=self.request.method,
             target=self.request.uri,
             headers=dict(self.request.headers),
-            body=self.request.body,
+            body=bytes(self.body),
         )
         self.standin.arrivals.append(self.arrival)
         expected = self.request.headers.get("Zinniaramp-Expect-Instance")
@@ -159,6 +179,8 @@
             self.detach().close()
         elif conduct is Conduct.GARBAGE:
             await self._write_raw(b"\x00\x01 not an answer\r\n\r\n")
+        elif conduct is Conduct.RESET:
+            await self._reset()
         elif conduct in (Conduct.FAIL, Conduct.UNAVAILABLE):
             self.set_status(500 if conduct is Conduct.FAIL else 503)
             self._sign()
@@ -215,6 +237,14 @@
         await self.standin.has_reader.wait()
         self.detach().close()
 
+    async def _reset(self) -> None:
+        stream = self.detach()
+        body = expected_body(self._request_id())
+        await stream.write(self._raw_answer(Conduct.UNFRAMED, body[:-3]))
+        linger = struct.pack("ii", 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.close()
+
     async def _write_raw(self, data: bytes) -> None:
         stream = self.detach()
         try:
