--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -22,3 +22,7 @@
     And the health check names it
     When it is read again from the right file
     Then the health check names nothing
+
+  Scenario: The metrics address counts answers, sends and what the process believes
+    When "GET /read/x" is sent
+    Then the metrics count it under its route and status
--- a/zinniaramp/commands/explain.py
+++ b/zinniaramp/commands/explain.py
@@ -3,6 +3,7 @@
 import json as json_library
 import sys
 from collections.abc import Iterable, Iterator
+from contextlib import nullcontext
 from dataclasses import dataclass, field
 from datetime import datetime
 from pathlib import Path
@@ -15,6 +16,9 @@
 COMMON_FIELDS = ("time", "level", "event", "name")
 """Fields that every line of a log has."""
 
+STDIN = Path("-")
+"""Name that stands for standard input."""
+
 REQUEST_FIELDS = ("attempt", "attempts", "request", "request_id", "joined", "victim")
 """Fields that may name a request or an attempt of it."""
 
@@ -59,22 +63,35 @@
     return False
 
 
+def _line_of(text: str, source: str, request: str) -> StoryLine | None:
+    """Read one line; what collectors put before it names its source."""
+    before, brace, rest = text.partition("{")
+    try:
+        line = json_library.loads(brace + rest)
+        time = datetime.fromisoformat(line["time"])
+        event, name = line["event"], line["name"]
+    except (ValueError, KeyError, TypeError):
+        return None
+    if not any(_names(line.get(key), request) for key in REQUEST_FIELDS):
+        return None
+    fields = {k: v for k, v in line.items() if k not in COMMON_FIELDS}
+    words = before.split()
+    return StoryLine(
+        time=time,
+        source=words[-1] if words else source,
+        event=event,
+        name=name,
+        fields=fields,
+    )
+
+
 def _lines_of(path: Path, request: str) -> Iterator[StoryLine]:
-    with path.open(errors="replace") as lines:
+    opened = nullcontext(sys.stdin) if path == STDIN else path.open(errors="replace")
+    with opened as lines:
         for text in lines:
-            if request not in text:
-                continue
-            try:
-                line = json_library.loads(text)
-                time = datetime.fromisoformat(line["time"])
-                event, name = line["event"], line["name"]
-            except (ValueError, KeyError, TypeError):
-                continue
-            if any(_names(line.get(key), request) for key in REQUEST_FIELDS):
-                fields = {k: v for k, v in line.items() if k not in COMMON_FIELDS}
-                yield StoryLine(
-                    time=time, source=path.stem, event=event, name=name, fields=fields
-                )
+            line = _line_of(text, path.stem, request) if request in text else None
+            if line is not None:
+                yield line
 
 
 def read_story(request: str, logs: Iterable[Path]) -> list[StoryLine]:
@@ -105,7 +122,7 @@
     request : str
         Identity of the request, as in ``Zinniaramp-Request-Id``.
     *logs : str
-        Log files.
+        Log files; ``-`` is standard input.
     json : bool
         Print JSON.
     """
--- a/zinniaramp/daemon/gateway.py
+++ b/zinniaramp/daemon/gateway.py
@@ -12,7 +12,8 @@
 from ..clock import monotonic_clock
 from ..gateway import Gateway, GatewaySettings
 from ..gateway.events import SETTINGS_REFUSED, SETTINGS_RELOADED
-from ..observability import configure_logging, emit
+from ..gateway.metrics import STORE_LOST
+from ..observability import LogWriter, configure_logging, emit
 from ..platform import (
     HostSettings,
     SettingsError,
@@ -24,6 +25,7 @@
     read_host_settings,
 )
 from ..registry import Registry, StoreFollower
+from ..sockets import Address
 from .tasks import log_library_messages, log_uncaught, supervise
 
 __all__ = ["main"]
@@ -46,6 +48,7 @@
         callers=settings.callers,
         readiness=settings.readiness,
         peers=settings.peers,
+        metrics=Address(ip=settings.ip, port=settings.metrics_port),
         seeds=settings.seeds,
         grace=settings.bounds.grace,
         retry_share=settings.bounds.retry_share,
@@ -91,6 +94,7 @@
             clock=self.clock,
             random=random,
         )
+        STORE_LOST.set_function(lambda: float(self.follower.lost_at is not None))
         self.gateway = Gateway(
             settings=_gateway_settings(settings),
             registry=self.registry,
@@ -150,7 +154,7 @@
 
 def main() -> None:
     """Run the gateway with the settings that the platform names."""
-    configure_logging(sink=sys.stdout)
+    configure_logging(sink=LogWriter(descriptor=sys.stdout.fileno()))
     log_library_messages()
     match read_host_settings():
         case Err(problem):
--- a/zinniaramp/daemon/operators.py
+++ b/zinniaramp/daemon/operators.py
@@ -3,8 +3,8 @@
 import json
 
 import tornado.web
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from ..observability.metrics import MetricsHandler
 from .view import ProcessView
 
 __all__ = ["make_application"]
@@ -55,15 +55,6 @@
         self.write({"leaving": True})
 
 
-class MetricsHandler(tornado.web.RequestHandler):
-    """``/metrics``, for Prometheus."""
-
-    def get(self):
-        """Answer with every metric."""
-        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(generate_latest())
-
-
 def make_application(view: ProcessView) -> tornado.web.Application:
     """Return the HTTP application for operators."""
     given = {"view": view}
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -13,6 +13,7 @@
 from .events import GATEWAY_STARTED, GATEWAY_STOPPED, GATEWAY_STOPPING
 from .holdings import HoldingsLearner, ReadHeld
 from .messages import Wire
+from .metrics import CONFIGURATION, IN_FLIGHT, make_metrics
 from .readiness import make_readiness
 from .server import CallerServer
 from .services import RetryLimits, ServiceShelf
@@ -46,7 +47,7 @@
     ----------
     host, data_center : str
         Names of the host and its data centre.
-    callers, readiness, peers : Address
+    callers, readiness, peers, metrics : Address
         Listeners.
     seeds : tuple of Address
         Other entries to begin with.
@@ -64,6 +65,7 @@
     callers: Address
     readiness: Address
     peers: Address
+    metrics: Address
     seeds: tuple[Address, ...]
     grace: timedelta
     retry_share: float
@@ -148,6 +150,9 @@
         self.callers.listen(callers.ip, callers.port)
         checks = make_readiness(self.why_not_ready, self.list_problems)
         checks.listen(readiness.port, readiness.ip)
+        metrics = self.settings.metrics
+        make_metrics().listen(metrics.port, metrics.ip)
+        IN_FLIGHT.set_function(lambda: len(self.callers.tasks))
         self.mesh.start()
         emit(
             GATEWAY_STARTED,
@@ -192,6 +197,8 @@
     def _note_registry(self) -> None:
         self.shelf.placement.keep(self.registry.incarnations)
         self.mesh.announce()
+        if self.registry.configuration is not None:
+            CONFIGURATION.set(self.registry.configuration.version)
         self.holdings.look()
 
     def _retry_limits(self) -> RetryLimits:
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -29,6 +29,7 @@
 from .fates import Fate, SendResult, judge
 from .hops import end_to_end
 from .messages import RequestFacts, SendOrders
+from .metrics import ADDED, ANSWERS, FIRST, SENDS
 from .services import Picked, ServiceShelf
 from .streams import EventRelay
 from .upstream import Answer, AnswerEnd, AnswerHead, AnswerPart, Outgoing, start_send
@@ -215,6 +216,7 @@
         finally:
             self._end_send()
         self.shelf.note_result(picked, result)
+        SENDS.labels(result.fate.value).inc()
         emit(
             SEND_ENDED,
             request=self.matched.facts.id,
@@ -260,6 +262,9 @@
             return SendResult(fate=Fate.NOT_SENT, problem=str(sending.err_value))
         self.answer = sending.ok_value
         self.sends += 1
+        if self.sends == 1:
+            waited = self.shelf.clock() - self.incoming.received
+            ADDED.observe(waited.total_seconds())
         was_known = self.may_have_run
         self.may_have_run = True
         result = await self._receive(self.answer)
@@ -392,6 +397,8 @@
         retry_after = None
         if status == 503:
             retry_after = self.shelf.retry_after()
+        route = self.matched.route.name if self.matched else ""
+        ANSWERS.labels(route, status, "gateway").inc()
         emit(
             REQUEST_REFUSED,
             status=status,
@@ -406,6 +413,10 @@
 
     def _log_answer(self, status: int, *, is_whole: bool) -> None:
         first = self.first_at
+        route = self.matched.route.name
+        ANSWERS.labels(route, status, "endpoint").inc()
+        waited = (first or self.shelf.clock()) - self.incoming.received
+        FIRST.labels(route).observe(waited.total_seconds())
         emit(
             ANSWERED,
             status=status,
--- a/zinniaramp/gateway/services.py
+++ b/zinniaramp/gateway/services.py
@@ -14,6 +14,7 @@
 from ..routing.ejection import Ejections
 from .fates import Fate, SendResult
 from .messages import RequestFacts, Wire
+from .metrics import REPEATS
 
 __all__ = ["Picked", "RetryLimits", "ServiceShelf"]
 
@@ -257,9 +258,11 @@
     def take_repeat(self, service: str) -> bool:
         """Whether one more repeat may be sent now; takes it from the budget."""
         limits = self.limits()
-        return self._budget(service).withdraw(
+        is_allowed = self._budget(service).withdraw(
             share=limits.share, slack=limits.slack, now=self.clock()
         )
+        REPEATS.labels("yes" if is_allowed else "no").inc()
+        return is_allowed
 
     def retry_after(self) -> float:
         """Return the seconds after which a refused caller may come back."""
