--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -51,4 +51,6 @@
 for name in kilometerwerk tsurugaya; do
   run_deployment "$name" || verdict=1
 done
+echo "== platform: one gateway before stand-ins of the users' platform"
+run python -m zinniaramp.standins.platform || verdict=1
 exit "$verdict"
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -32,6 +32,7 @@
         "version",
         "revision",
         "ready",
+        "waited_ms",
         "left_ms",
         "wait_ms",
         "to_read",
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -245,6 +245,7 @@
             version=matched.configuration.version,
             revision=self.shelf.registry.cache.revision,
             ready=picked.ready,
+            waited_ms=(self.shelf.clock() - self.incoming.received) // MILLISECOND,
             left_ms=(matched.until - self.shelf.clock()) // MILLISECOND,
             wait_ms=picked.wait // MILLISECOND,
             to_read=picked.to_read,
--- /dev/null
+++ b/zinniaramp/standins/platform/__main__.py
@@ -0,0 +1,211 @@
+"""Run ``python -m zinniaramp.standins.platform``: the gateway end to end on loopback.
+
+Starts the store and two servers in this process and one gateway daemon beside it,
+sends a plain call, a stream and a call that its server rejects, and prints what came
+of each.  Exits with 0 if every answer was as it should be.
+"""
+
+import asyncio
+import os
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from ..processes import free_port
+from .server import Conduct, ServerStandin, expected_body, expected_events
+from .store import StoreStandin
+
+HOST = "films.example"
+KEY = "key-of-the-workshop"
+SERVICE = "desk"
+
+READY_SECONDS = 20
+"""Longest wait until the gateway is ready."""
+
+POLL_SECONDS = 0.05
+"""Time between two looks whether it is."""
+
+SETTINGS = """\
+node_name = "entry-1"
+zone = "a"
+ip = "127.0.0.1"
+internal_ports = [{metrics}, {metrics}]
+seeds = []
+[listen]
+frontend = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+control_plane = "127.0.0.1:{peers}"
+[platform]
+address = "127.0.0.1:{store}"
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_apply_ms = 2000
+reuse_after_s = 2
+retry_budget_ratio = 0.2
+retry_budget_slack = 56
+budget_window_s = 10
+"""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Call:
+    """One call and what should come of it."""
+
+    title: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    status: int
+    body: bytes | None
+
+
+def _route(name: str, kind: str) -> dict:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "route_type": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "service": SERVICE,
+        "max_attempts": 1,
+    }
+
+
+def _publish(store: StoreStandin, servers: list[ServerStandin]) -> None:
+    kinds = {"read": "safe", "book": "unsafe", "tell": "streaming"}
+    document = {
+        "version": 1,
+        "routes": [_route(name, kind) for name, kind in kinds.items()],
+        "services": [{"name": SERVICE, "health_path": "/healthz"}],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 4194304,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [{"name": "workshop", "api_keys": [KEY]}],
+    }
+    store.put("op/config", document)
+    for server in servers:
+        entry = {
+            "service": SERVICE,
+            "address": f"127.0.0.1:{server.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+        store.put(f"servers/{server.id}", entry)
+
+
+def _calls() -> list[Call]:
+    events = {"Accept": "text/event-stream"}
+    return [
+        Call(
+            title="plain call",
+            method="GET",
+            path="/read/x",
+            headers={},
+            status=200,
+            body=expected_body("call-1"),
+        ),
+        Call(
+            title="stream",
+            method="GET",
+            path="/tell/x",
+            headers=events,
+            status=200,
+            body=expected_events("call-2", 1, 4),
+        ),
+        Call(
+            title="call that its server rejects",
+            method="POST",
+            path="/book/x",
+            headers={},
+            status=503,
+            body=None,
+        ),
+    ]
+
+
+async def _wait_until_ready(client: AsyncHTTPClient, port: int) -> None:
+    async with asyncio.timeout(READY_SECONDS):
+        while True:
+            try:
+                await client.fetch(f"http://127.0.0.1:{port}/readyz")
+                return
+            except (HTTPClientError, OSError):
+                await asyncio.sleep(POLL_SECONDS)
+
+
+async def _send(client: AsyncHTTPClient, port: int, call: Call, number: int) -> bool:
+    headers = {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        "Zinniaramp-Request-Id": f"call-{number}",
+        "Zinniaramp-Deadline-Ms": "5000",
+        **call.headers,
+    }
+    request = HTTPRequest(
+        f"http://127.0.0.1:{port}{call.path}",
+        method=call.method,
+        headers=headers,
+        body=b"" if call.method == "POST" else None,
+    )
+    response = await client.fetch(request, raise_error=False)
+    is_right = response.code == call.status and call.body in (None, response.body)
+    wait = response.headers.get("Retry-After", "")
+    suffix = f", come back after {wait} s" if wait else ""
+    print(f"{call.title}: {response.code}{suffix}{'' if is_right else ' (WRONG)'}")
+    return is_right
+
+
+async def run() -> int:
+    """Play the calls and return the exit code."""
+    store = StoreStandin()
+    store.listen()
+    servers = [ServerStandin(id="server-1"), ServerStandin(id="server-2")]
+    for server in servers:
+        server.listen()
+    _publish(store, servers)
+    ports = {name: free_port() for name in ("callers", "ready", "peers", "metrics")}
+    client = AsyncHTTPClient()
+    with tempfile.TemporaryDirectory(prefix="zinniaramp-platform-") as directory:
+        path = Path(directory) / "node.toml"
+        path.write_text(SETTINGS.format(store=store.port, **ports))
+        log = Path(directory) / "entry.log"
+        with log.open("wb") as output:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "zinniaramp.daemon.gateway",
+                env={**os.environ, "ZINNIARAMP_NODE_FILE": str(path)},
+                stdout=output,
+            )
+        try:
+            await _wait_until_ready(client, ports["ready"])
+            results = []
+            for number, call in enumerate(_calls(), start=1):
+                if call.status == 503:
+                    for server in servers:
+                        server.conducts.append(Conduct.SHED)
+                results.append(await _send(client, ports["callers"], call, number))
+        finally:
+            process.terminate()
+            code = await process.wait()
+        lines = len(log.read_text().splitlines())
+    print(f"gateway ended with {code} after {lines} lines of log")
+    return 0 if all(results) and code == 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run()))
