--- a/zinniaramp/commands/explain.py
+++ b/zinniaramp/commands/explain.py
@@ -17,7 +17,7 @@
 """Fields that every line of a log has."""
 
 STDIN = Path("-")
-"""Name that stands for standard input."""
+"""Stands for standard input."""
 
 REQUEST_FIELDS = ("attempt", "attempts", "request", "request_id", "joined", "victim")
 """Fields that may name a request or an attempt of it."""
@@ -122,14 +122,14 @@
     request : str
         Identity of the request, as in ``Zinniaramp-Request-Id``.
     *logs : str
-        Log files; ``-`` is standard input.
+        Log files; standard input if there are none.
     json : bool
         Print JSON.
     """
-    if not logs:
-        fail("name at least one log file", EXIT_USAGE)
+    if not logs and sys.stdin.isatty():
+        fail("name at least one log file, or pipe the lines in", EXIT_USAGE)
     try:
-        story = read_story(request, map(Path, logs))
+        story = read_story(request, [Path(log) for log in logs] or [STDIN])
     except OSError as error:
         fail(f"{error}; give the paths of log files", EXIT_USAGE)
     if json:
@@ -149,5 +149,5 @@
         for line in story:
             print(line)
     if not story:
-        print(f"{request}: in none of {len(logs)} logs", file=sys.stderr)
+        print(f"{request}: in none of {len(logs) or 1} logs", file=sys.stderr)
         sys.exit(EXIT_WRONG)
