--- a/zinniaramp/commands/explain.py
+++ b/zinniaramp/commands/explain.py
@@ -113,8 +113,8 @@
     return sorted(found, key=lambda line: line.time)
 
 
-@verb(flags=("json",))
-def explain(request: str, *logs: str, json: bool = False) -> None:
+@verb(flags=("json", "stdin"))
+def explain(request: str, *logs: str, json: bool = False, stdin: bool = False) -> None:
     """Print what happened to one request, from the logs of several processes.
 
     Parameters
@@ -122,14 +122,17 @@
     request : str
         Identity of the request, as in ``Zinniaramp-Request-Id``.
     *logs : str
-        Log files; standard input if there are none.
+        Log files.
     json : bool
         Print JSON.
+    stdin : bool
+        Read standard input as well.
     """
-    if not logs and sys.stdin.isatty():
-        fail("name at least one log file, or pipe the lines in", EXIT_USAGE)
+    paths = [Path(log) for log in logs] + [STDIN] * stdin
+    if not paths:
+        fail("name at least one log file, or give --stdin", EXIT_USAGE)
     try:
-        story = read_story(request, [Path(log) for log in logs] or [STDIN])
+        story = read_story(request, paths)
     except OSError as error:
         fail(f"{error}; give the paths of log files", EXIT_USAGE)
     if json:
@@ -149,5 +152,5 @@
         for line in story:
             print(line)
     if not story:
-        print(f"{request}: in none of {len(logs) or 1} logs", file=sys.stderr)
+        print(f"{request}: in none of {len(paths)} logs", file=sys.stderr)
         sys.exit(EXIT_WRONG)
