Rank requests by workspace and then by route; cap Retry-After by the time left

A caller was also asked to wait up to 0.9 s with a time limit of 1.5 s, of which it honours a third.

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -44,6 +44,12 @@
     And it says when to come back
     And no server has run it
 
+  Scenario: A caller is never asked to wait longer than it will
+    Given every server will "shed"
+    When "POST /book/x" is sent with 600 ms left
+    Then the reply is 503 without a signature
+    And it says to come back within 200 ms
+
   Scenario: A status that promises not-run is passed on only with the server's word
     Given every server will "unavailable"
     When "POST /book/x" is sent
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -21,3 +21,8 @@
     Then the reply is 200 with every event once and in order
     And it reached 2 servers
     And the second send named the last event that the caller has
+
+  Scenario: Requests of workspaces alike are ranked by their routes' priorities
+    When version 9 has the workspaces "first=0 second=1 third=1" and routes of priority "0 1 2"
+    Then the engine is told the ranks "0 1 2" for the workspace "first"
+    And the engine is told the ranks "3 4 5" for the workspace "third"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -241,6 +241,11 @@
     assert float(context.reply.headers["retry-after"]) > 0
 
 
+@then("it says to come back within {milliseconds:d} ms")
+def says_within(context, milliseconds):
+    assert 0 < float(context.reply.headers["retry-after"]) <= milliseconds / 1000
+
+
 @then("one server got it with its method, path, query and id unchanged")
 def got_unchanged(context):
     (arrival,) = context.rig.arrivals()
@@ -754,3 +759,31 @@
     sends = ["endpoint-chosen", "send-ended"]
     assert names == sends + sends + ["answered"], names
     assert {line.source for line in story} == {"edge-1"}
+
+
+@when(
+    'version {version:d} has the workspaces "{pairs}" and routes of priority "{ranks}"'
+)
+def ranked_version(context, version, pairs, ranks):
+    tenants = [
+        {"name": name, "api_keys": [f"key-{name}"], "priority": int(priority)}
+        for name, priority in (pair.split("=") for pair in pairs.split())
+    ]
+    routes = [
+        route(f"tell-{rank}", "streaming", priority=int(rank), service="plain")
+        for rank in ranks.split()
+    ]
+    document = configuration(version, routes=routes, tenants=tenants)
+    context.rig.store.put("op/config", document)
+    context.rig.run(context.rig.until(lambda: in_force(context, version)))
+
+
+@then('the engine is told the ranks "{ranks}" for the workspace "{name}"')
+def told_ranks(context, ranks, name):
+    rig = context.rig
+    for number, expected in enumerate(ranks.split()):
+        lines = ("Accept: text/event-stream", "Zinniaramp-Token-Usage: 100,50")
+        call = rig.call(f"/tell-{number}/x", key=f"key-{name}", lines=lines)
+        assert rig.run(call).status == 200
+        arrival = rig.arrivals()[-1]
+        assert arrival.headers["Zinniaramp-Urgency-Level"] == expected, arrival
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -17,6 +17,8 @@
     find_route,
     find_workspace,
     pick_service,
+    rank_of,
+    rank_pair,
 )
 from .caller import CallerConnection, CallerGoneError
 from .events import (
@@ -88,13 +90,6 @@
     service: str
     until: datetime
 
-    @property
-    def urgency(self) -> int:
-        """Rank; a workspace's goes before the route's."""
-        if self.workspace is not None and self.workspace.priority is not None:
-            return self.workspace.priority
-        return self.route.priority
-
 
 class RequestHandler:
     """Sees one request to its answer.
@@ -280,7 +275,7 @@
             endpoint_id=endpoint.id,
             time_left=left,
             workspace=matched.workspace.name if matched.workspace else "",
-            urgency=matched.urgency if is_engine else None,
+            urgency=self._urgency() if is_engine else None,
             last_event=self.relay.last_event if self.relay else None,
         )
         passed = end_to_end(self.incoming.headers, keep=self.shelf.wire.kept_headers)
@@ -294,6 +289,11 @@
             body=self.incoming.body,
         )
 
+    def _urgency(self) -> int:
+        matched = self.matched
+        own = rank_pair(matched.route, matched.workspace)
+        return rank_of(matched.configuration.ranks, own)
+
     async def _receive(self, answer: Answer) -> SendResult:
         message = await answer.next()
         if not isinstance(message, AnswerHead):
@@ -397,7 +397,8 @@
     async def _refuse(self, status: int, reason: str) -> None:
         retry_after = None
         if status == 503:
-            retry_after = self.shelf.retry_after()
+            left = self.matched.until - self.shelf.clock() if self.matched else None
+            retry_after = self.shelf.retry_after(left)
         route = self.matched.route.name if self.matched else ""
         ANSWERS.labels(route, status, "gateway").inc()
         emit(
--- a/zinniaramp/gateway/services.py
+++ b/zinniaramp/gateway/services.py
@@ -25,6 +25,11 @@
 """Seconds; spreads returns over a time in which an engine reads some prompts."""
 
 
+RETRY_AFTER_SHARE = 0.3
+"""Share of the time left that a caller is asked to wait at most; callers honour a
+third of it."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryLimits:
     """Repeats that one process may make.
@@ -264,9 +269,18 @@
         REPEATS.labels("yes" if is_allowed else "no").inc()
         return is_allowed
 
-    def retry_after(self) -> float:
-        """Return the seconds after which a refused caller may come back."""
-        return self.random.uniform(RETRY_AFTER_SHORTEST, RETRY_AFTER_LONGEST)
+    def retry_after(self, left: timedelta | None) -> float:
+        """Return the seconds after which a refused caller may come back.
+
+        Parameters
+        ----------
+        left : timedelta or None
+            Time that the caller has left, if it is known.
+        """
+        wait = self.random.uniform(RETRY_AFTER_SHORTEST, RETRY_AFTER_LONGEST)
+        if left is None:
+            return wait
+        return max(0.0, min(wait, left.total_seconds() * RETRY_AFTER_SHARE))
 
     def _budget(self, service: str) -> WindowRetryBudget:
         if service not in self.budgets:
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -15,6 +15,7 @@
     Service,
     ServiceShare,
     Workspace,
+    rank_pairs,
 )
 from ..sockets import parse_address
 
@@ -179,11 +180,15 @@
 
 def _configuration(document: _Document) -> Configuration:
     services = [_service(part) for part in document.parts("services")]
+    routes = _routes(document)
+    workspaces = _workspaces(document)
+    every_route = [route for one in routes.values() for route in one]
     return Configuration(
         version=document.whole("version"),
-        routes=_routes(document),
+        routes=routes,
         services={service.name: service for service in services},
-        workspaces=_workspaces(document),
+        workspaces=workspaces,
+        ranks=rank_pairs(every_route, workspaces.values()),
         needs_key="tenants" in document.fields,
         limits=_limits(document),
     )
--- a/zinniaramp/routes/__init__.py
+++ b/zinniaramp/routes/__init__.py
@@ -3,6 +3,7 @@
 from .core import (
     ClientLimits,
     Configuration,
+    RankPair,
     Repeat,
     Route,
     Service,
@@ -10,10 +11,12 @@
     Workspace,
 )
 from .lookup import find_route, find_workspace, pick_service
+from .ranks import rank_of, rank_pair, rank_pairs
 
 __all__ = [
     "ClientLimits",
     "Configuration",
+    "RankPair",
     "Repeat",
     "Route",
     "Service",
@@ -22,4 +25,7 @@
     "find_route",
     "find_workspace",
     "pick_service",
+    "rank_of",
+    "rank_pair",
+    "rank_pairs",
 ]
--- a/zinniaramp/routes/core.py
+++ b/zinniaramp/routes/core.py
@@ -7,6 +7,7 @@
 __all__ = [
     "ClientLimits",
     "Configuration",
+    "RankPair",
     "Repeat",
     "Route",
     "Service",
@@ -117,6 +118,22 @@
     priority: int | None
 
 
+@dataclass(slots=True, kw_only=True, frozen=True, order=True)
+class RankPair:
+    """What orders requests; smaller is more urgent.
+
+    Parameters
+    ----------
+    first : int
+        The workspace's priority, or the route's if the workspace has none.
+    second : int
+        The route's priority.
+    """
+
+    first: int
+    second: int
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ClientLimits:
     """What a client may send, and how long it may take."""
@@ -145,6 +162,8 @@
         Whether requests on routes that aren't public need a key.
     limits : ClientLimits
         Limits of clients' connections.
+    ranks : tuple of RankPair
+        Distinct ranks of requests to model engines, most urgent first.
     """
 
     version: int
@@ -153,3 +172,4 @@
     workspaces: dict[str, Workspace] = field(repr=False)
     needs_key: bool
     limits: ClientLimits
+    ranks: tuple[RankPair, ...] = ()
