--- /dev/null
+++ b/features/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Scenarios of the placement of prompts, and a play of the load."""
