Don't leave a request that may be repeated with a silent server

Cause: a server that runs a request and says nothing held a repeatable call until its route's timeout, with a second server unused. A send is now ended after half of the time left, two targets without a first event, or four pauses, if the budget has a repeat.

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -61,6 +61,13 @@
     Then the reply is 200 with the server's body and signature
     And it reached 2 servers
 
+  Scenario: A call that may be repeated is not left with a silent server
+    Given the first send will "hold"
+    When "GET /read/x" is sent with 1000 ms left
+    Then the reply is 200 with the server's body and signature
+    And it reached 2 servers
+    And the run was cut
+
   Scenario: A server's own failure is passed on unchanged when nothing is left to try
     Given every server will "fail"
     When "GET /read/x" is sent
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -45,6 +45,17 @@
 LEAST_TIME = timedelta(milliseconds=20)
 """Time below which a request is not sent any more; no answer comes so soon."""
 
+SILENT_SHARE = 0.5
+"""Share of the time left after which a plain call that may be repeated is sent to
+another endpoint; half leaves the second one as much as the first had."""
+
+SILENT_TARGETS = 2
+"""Targets after which a stream that may be resumed is, without its first event."""
+
+SILENT_GAPS = 4
+"""Longest pauses that are on time after which a stream is resumed elsewhere; callers
+wait for eight."""
+
 MAX_CONNECT_FAILURES = 3
 """Endpoints that are tried for one request while connections fail."""
 
@@ -113,7 +124,7 @@
         "sends",
         "may_have_run",
         "tried",
-        "last_result",
+        "has_repeat",
         "first_at",
         "answer",
         "picked",
@@ -130,7 +141,7 @@
         self.sends = 0
         self.may_have_run = False
         self.tried: set[str] = set()
-        self.last_result: SendResult | None = None
+        self.has_repeat = False
         self.first_at: datetime | None = None
         self.answer: Answer | None = None
         self.picked: Picked | None = None
@@ -295,7 +306,7 @@
         return rank_of(matched.configuration.ranks, own)
 
     async def _receive(self, answer: Answer) -> SendResult:
-        message = await answer.next()
+        message = await self._next(answer)
         if not isinstance(message, AnswerHead):
             problem = getattr(message, "problem", "body before head")
             return SendResult(fate=Fate.UNKNOWN, problem=problem)
@@ -307,10 +318,36 @@
             return result
         return await self._collect(answer, result)
 
+    async def _next(self, answer: Answer) -> AnswerHead | AnswerPart | AnswerEnd:
+        """Return the next message; a silence ends a send that may be repeated."""
+        patience = self._patience()
+        if patience is None:
+            return await answer.next()
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                return await answer.next()
+        except TimeoutError:
+            self.has_repeat = self.shelf.take_repeat(self.matched.service)
+        if self.has_repeat:
+            return AnswerEnd(is_whole=False, problem=f"silent for {patience}")
+        return await answer.next()
+
+    def _patience(self) -> timedelta | None:
+        """Return how long to wait for the next message; None waits to the end."""
+        route = self.matched.route
+        if route.repeat is Repeat.NEVER or self.sends >= route.max_sends:
+            return None
+        if route.streams and self.first_at is not None:
+            return route.gap_target * SILENT_GAPS
+        if route.streams:
+            return route.target * SILENT_TARGETS
+        left = self.matched.until - self.shelf.clock()
+        return left * SILENT_SHARE
+
     async def _collect(self, answer: Answer, result: SendResult) -> SendResult:
         parts = []
         while True:
-            message = await answer.next()
+            message = await self._next(answer)
             if isinstance(message, AnswerPart):
                 parts.append(message.data)
                 continue
@@ -328,7 +365,7 @@
     async def _relay_stream(self, answer: Answer, result: SendResult) -> SendResult:
         self.relay.restart()
         while True:
-            message = await answer.next()
+            message = await self._next(answer)
             if isinstance(message, AnswerPart):
                 await self._pass_events(message.data, result.head)
                 if not self.relay.in_order:
@@ -368,6 +405,9 @@
             return False
         if result.fate is Fate.FAILED and route.repeat is not Repeat.ANY:
             return False
+        if self.has_repeat:
+            self.has_repeat = False
+            return True
         return self.shelf.take_repeat(self.matched.service)
 
     async def _settle(self, result: SendResult) -> None:
