--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -19,9 +19,7 @@
 POLL_SECONDS = 0.005
 
 BOUNDS = HostBounds(
-    drain=timedelta(seconds=2),
     grace=timedelta(seconds=8),
-    configuration=timedelta(seconds=2),
     endpoints_return=timedelta(seconds=2),
     retry_share=0.2,
     retry_slack=56,
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -451,7 +451,7 @@
         writer.write(request("/read/x", name="late"))
         await rig.until(lambda: len(rig.arrivals()) == 2)
         reading = asyncio.create_task(read_reply(reader))
-        await rig.until(lambda: rig.daemons[0].gateway.shelf.is_refusing)
+        await rig.until(lambda: rig.daemons[0].gateway.pool.is_refusing)
         refused = await rig.call("/read/x", name="too-late")
         assert refused.status == 503, refused
         for server in rig.servers.values():
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -14,9 +14,9 @@
 from .holdings import HoldingsLearner, ReadHeld
 from .messages import Wire
 from .metrics import CONFIGURATION, IN_FLIGHT, make_metrics
+from .pool import EndpointPool, RetryLimits
 from .readiness import make_readiness
 from .server import CallerServer
-from .services import RetryLimits, ServiceShelf
 
 __all__ = ["Gateway", "GatewaySettings"]
 
@@ -101,7 +101,7 @@
         "settings",
         "registry",
         "clock",
-        "shelf",
+        "pool",
         "callers",
         "mesh",
         "holdings",
@@ -124,7 +124,7 @@
         self.clock = clock
         self.is_stopping = False
         self.settings_problem = ""
-        self.shelf = ServiceShelf(
+        self.pool = EndpointPool(
             registry=registry,
             wire=wire,
             limits=self._retry_limits,
@@ -132,16 +132,16 @@
             clock=clock,
             random=random,
         )
-        self.callers = CallerServer(shelf=self.shelf, clock=clock)
+        self.callers = CallerServer(pool=self.pool, clock=clock)
         self.mesh = PeerMesh(
             own=settings.peers,
             seeds=settings.seeds,
             registry=registry,
-            on_load=self.shelf.note_peer,
+            on_load=self.pool.note_peer,
             random=random,
         )
-        self.shelf.tell = self.mesh.tell
-        self.holdings = HoldingsLearner(shelf=self.shelf, read_held=read_held)
+        self.pool.tell = self.mesh.tell
+        self.holdings = HoldingsLearner(pool=self.pool, read_held=read_held)
         registry.on_change.append(self._note_registry)
 
     def start(self) -> None:
@@ -195,7 +195,7 @@
         await self.callers.close()
 
     def _note_registry(self) -> None:
-        self.shelf.placement.keep(self.registry.incarnations)
+        self.pool.placement.keep(self.registry.incarnations)
         self.mesh.announce()
         if self.registry.configuration is not None:
             CONFIGURATION.set(self.registry.configuration.version)
--- a/zinniaramp/gateway/fates.py
+++ b/zinniaramp/gateway/fates.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from .messages import AnswerFacts
 from .upstream import AnswerHead
 
 __all__ = ["Fate", "SendResult", "judge"]
@@ -10,6 +11,9 @@
 PROMISES = frozenset((408, 421, 429, 503))
 """Statuses that tell a caller that the request has not run."""
 
+FIRST_SUCCESS, FIRST_FAILURE = 200, 400
+"""Lowest statuses of an answer, and of one that says that the request failed."""
+
 
 class Fate(Enum):
     """Whether a send has run, as far as it is known."""
@@ -48,7 +52,7 @@
         return self.head.status if self.head else None
 
 
-def judge(head: AnswerHead, facts, request_id: str) -> SendResult:
+def judge(head: AnswerHead, facts: AnswerFacts, request_id: str) -> SendResult:
     """Say what an endpoint's status and headers mean for a request.
 
     Parameters
@@ -70,9 +74,9 @@
         return SendResult(fate=Fate.UNKNOWN, problem="answer to another request")
     if "Content-Encoding" in head.headers:
         return SendResult(fate=Fate.UNKNOWN, problem="answer in an encoding")
-    if facts.says_not_run and head.status >= 400:
+    if facts.says_not_run and head.status >= FIRST_FAILURE:
         return SendResult(fate=Fate.NOT_RUN, head=head)
-    if head.status >= 400 or head.status < 200:
+    if not FIRST_SUCCESS <= head.status < FIRST_FAILURE:
         return _judge_failure(head)
     if not facts.is_signed or not facts.request_id:
         return SendResult(fate=Fate.UNKNOWN, problem="success without signature or id")
--- a/zinniaramp/gateway/holdings.py
+++ b/zinniaramp/gateway/holdings.py
@@ -12,7 +12,7 @@
 from ..registry import Endpoint
 from ..sockets import Address
 from .events import HOLDINGS_READ, HOLDINGS_UNKNOWN
-from .services import ServiceShelf
+from .pool import EndpointPool
 
 __all__ = ["HoldingsLearner", "ReadHeld"]
 
@@ -29,7 +29,7 @@
 
     Parameters
     ----------
-    shelf : ServiceShelf
+    pool : EndpointPool
         Where the answers go.
     read_held : callable
         Asks an engine.
@@ -40,21 +40,21 @@
         Engines that have been asked.
     """
 
-    __slots__ = ("shelf", "read_held", "asked", "tasks", "started_at")
+    __slots__ = ("pool", "read_held", "asked", "tasks", "started_at")
 
-    def __init__(self, *, shelf: ServiceShelf, read_held: ReadHeld):
-        self.shelf = shelf
+    def __init__(self, *, pool: EndpointPool, read_held: ReadHeld):
+        self.pool = pool
         self.read_held = read_held
         self.asked: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
-        self.started_at: datetime = shelf.clock()
+        self.started_at: datetime = pool.clock()
 
     def look(self) -> None:
         """Ask the engines that are listed and have not been asked."""
-        if self.shelf.clock() > self.started_at + ASKED_AFTER_START:
+        if self.pool.clock() > self.started_at + ASKED_AFTER_START:
             return
-        for endpoint in self.shelf.registry.endpoints.values():
-            memory = self.shelf.memory_tokens(endpoint.service)
+        for endpoint in self.pool.registry.endpoints.values():
+            memory = self.pool.memory_tokens(endpoint.service)
             if memory and endpoint.incarnation not in self.asked:
                 self.asked.add(endpoint.incarnation)
                 task = asyncio.create_task(self._ask(endpoint, memory))
@@ -65,7 +65,7 @@
         name = endpoint.incarnation
         match await self.read_held(endpoint.address):
             case Ok(parts):
-                self.shelf.placement.hold(name, parts, memory_tokens=memory)
+                self.pool.placement.hold(name, parts, memory_tokens=memory)
                 emit(HOLDINGS_READ, endpoint=name, parts=len(parts))
             case Err(error):
                 emit(HOLDINGS_UNKNOWN, endpoint=name, problem=str(error))
--- a/zinniaramp/gateway/messages.py
+++ b/zinniaramp/gateway/messages.py
@@ -6,16 +6,9 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ..placement.prompts import Demand, PromptPart
-
-__all__ = [
-    "AnswerFacts",
-    "Demand",
-    "PromptPart",
-    "RequestFacts",
-    "SendOrders",
-    "Wire",
-]
+from ..placement.prompts import Demand
+
+__all__ = ["AnswerFacts", "RequestFacts", "SendOrders", "Wire"]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/zinniaramp/gateway/services.py
+++ b/zinniaramp/gateway/pool.py
@@ -16,7 +16,7 @@
 from .messages import RequestFacts, Wire
 from .metrics import REPEATS
 
-__all__ = ["Picked", "RetryLimits", "ServiceShelf"]
+__all__ = ["Picked", "RetryLimits", "EndpointPool"]
 
 RETRY_AFTER_SHORTEST = 0.3
 """Seconds; shorter than the targets of the sheets, so that a second try is in time."""
@@ -65,7 +65,7 @@
     """Drop an event where there are no peers."""
 
 
-class ServiceShelf:
+class EndpointPool:
     """Endpoints, their models and limits, as one process sees them.
 
     Parameters
@@ -132,17 +132,17 @@
         self, *, service: str, facts: RequestFacts, tried: set[str]
     ) -> Picked | None:
         """Choose an endpoint for a send and count the send."""
-        ready = self.registry.ready(service)
-        by_name = {one.incarnation: one for one in ready}
+        by_name = {one.incarnation: one for one in self.registry.ready(service)}
         usable = self.ejections.usable(list(by_name))
         names = [one for one in usable if one not in tried] or usable
-        if not names:
+        ready = [by_name[name] for name in names]
+        if not ready:
             return None
         number = next(self.numbers)
         if facts.demand is not None and self.memory_tokens(service):
-            picked = self._place(service, facts, names, by_name, number)
+            picked = self._place(service, facts, ready, number)
         else:
-            picked = self._least_loaded(facts, names, by_name, number)
+            picked = self._least_loaded(facts, ready, number)
         name = picked.endpoint.incarnation
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return picked
@@ -153,12 +153,13 @@
         described = configuration and configuration.services.get(service)
         return described.memory_tokens if described else 0
 
-    def _place(self, service, facts, names, by_name, number) -> Picked:
+    def _place(
+        self, service: str, facts: RequestFacts, ready: list[Endpoint], number: int
+    ) -> Picked:
         now = self.clock()
         memory = self.memory_tokens(service)
         candidates = [
-            Candidate(name=one, is_far=by_name[one].data_center != self.data_center)
-            for one in names
+            Candidate(name=one.incarnation, is_far=self._is_far(one)) for one in ready
         ]
         choice = self.placement.choose(
             facts.demand, candidates, memory_tokens=memory, now=now
@@ -172,28 +173,31 @@
                 engine=choice.engine,
                 prompt_tokens=facts.demand.prompt_tokens,
                 output_guess=facts.demand.output_guess,
-                urgency=0,
                 parts=facts.demand.parts,
             )
         )
         return Picked(
-            endpoint=by_name[choice.engine],
+            endpoint=self.registry.incarnations[choice.engine],
             number=number,
             facts=facts,
-            ready=len(names),
+            ready=len(ready),
             wait=choice.wait,
             to_read=choice.to_read,
         )
 
-    def _least_loaded(self, facts, names, by_name, number) -> Picked:
-        def load(name: str):
-            is_far = by_name[name].data_center != self.data_center
-            return (self.in_flight.get(name, 0) + is_far, self.random.random())
+    def _least_loaded(
+        self, facts: RequestFacts, ready: list[Endpoint], number: int
+    ) -> Picked:
+        def load(endpoint: Endpoint) -> float:
+            in_flight = self.in_flight.get(endpoint.incarnation, 0)
+            # Below 1, so that it decides among equals only.
+            return in_flight + self._is_far(endpoint) + self.random.random() / 2
 
-        name = min(names, key=load)
-        return Picked(
-            endpoint=by_name[name], number=number, facts=facts, ready=len(names)
-        )
+        endpoint = min(ready, key=load)
+        return Picked(endpoint=endpoint, number=number, facts=facts, ready=len(ready))
+
+    def _is_far(self, endpoint: Endpoint) -> bool:
+        return endpoint.data_center != self.data_center
 
     def note_begun(self, picked: Picked) -> None:
         """Note that the first event of a send has come."""
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -17,8 +17,9 @@
 from ..clock import Clock
 from ..routes import ClientLimits
 from .caller import CallerConnection
-from .handling import Incoming, RequestHandler
-from .services import ServiceShelf
+from .handling import RequestHandler
+from .matching import Incoming
+from .pool import EndpointPool
 
 __all__ = ["CallerServer"]
 
@@ -74,7 +75,7 @@
 
     Parameters
     ----------
-    shelf : ServiceShelf
+    pool : EndpointPool
         What handlers share.
     clock : Clock
         The process's clock.
@@ -89,10 +90,10 @@
         Whether connections are closed after the answer under way.
     """
 
-    __slots__ = ("shelf", "clock", "http", "tasks", "idle", "is_closing", "limits")
+    __slots__ = ("pool", "clock", "http", "tasks", "idle", "is_closing", "limits")
 
-    def __init__(self, *, shelf: ServiceShelf, clock: Clock):
-        self.shelf = shelf
+    def __init__(self, *, pool: EndpointPool, clock: Clock):
+        self.pool = pool
         self.clock = clock
         self.tasks: set[asyncio.Task] = set()
         self.idle: set[HTTP1Connection] = set()
@@ -116,12 +117,12 @@
 
     def handle(self, incoming: Incoming, connection: HTTP1Connection) -> None:
         """Start the handler of a request."""
-        if self.shelf.registry.configuration is not None:
-            self.apply_limits(self.shelf.registry.configuration.limits)
+        if self.pool.registry.configuration is not None:
+            self.apply_limits(self.pool.registry.configuration.limits)
         caller = CallerConnection(
             connection=connection, is_closing=lambda: self.is_closing
         )
-        handler = RequestHandler(shelf=self.shelf, incoming=incoming, caller=caller)
+        handler = RequestHandler(pool=self.pool, incoming=incoming, caller=caller)
         task = asyncio.create_task(handler.run())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -134,7 +135,7 @@
 
     def refuse_from_now_on(self) -> None:
         """Refuse what comes; it could not be finished before the process ends."""
-        self.shelf.is_refusing = True
+        self.pool.is_refusing = True
 
     def close_idle(self) -> None:
         """Close the connections on which no request has begun."""
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -61,7 +61,7 @@
         Names the send among those of the speaker.
     engine : str
         The engine's incarnation.
-    prompt_tokens, output_guess, urgency : int
+    prompt_tokens, output_guess : int
         What it asks.
     parts : tuple of PromptPart
         Parts of its prompt.
@@ -71,7 +71,6 @@
     engine: str
     prompt_tokens: int
     output_guess: int
-    urgency: int
     parts: tuple[PromptPart, ...]
 
 
@@ -114,7 +113,6 @@
                 message.engine,
                 message.prompt_tokens,
                 message.output_guess,
-                message.urgency,
                 parts,
             ]
         case SendBegun():
@@ -135,14 +133,13 @@
     return Snapshot(revision=int(revision), items=read, is_complete=False)
 
 
-def _started(number, engine, prompt, output, urgency, parts) -> SendStarted:
+def _started(number, engine, prompt, output, parts) -> SendStarted:
     pairs = zip(parts[::2], parts[1::2], strict=True)
     return SendStarted(
         number=int(number),
         engine=str(engine),
         prompt_tokens=int(prompt),
         output_guess=int(output),
-        urgency=int(urgency),
         parts=tuple(PromptPart(name=str(n), tokens=int(t)) for n, t in pairs),
     )
 
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -150,9 +150,7 @@
     engine = _Document(fields=service.fields["engine"], path=f"{service.path}.engine")
     return Service(
         name=name,
-        slots=engine.whole("slots"),
         memory_tokens=engine.whole("kv_capacity_tokens"),
-        event_tokens=engine.whole("stride", 1),
     )
 
 
@@ -173,7 +171,6 @@
     return ClientLimits(
         header_bytes=limits.whole("max_header_bytes"),
         body_bytes=limits.whole("max_body_bytes"),
-        header_timeout=limits.span("header_timeout_ms"),
         idle_timeout=limits.span("idle_timeout_ms"),
     )
 
--- a/zinniaramp/platform/headers.py
+++ b/zinniaramp/platform/headers.py
@@ -4,14 +4,8 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ..gateway.messages import (
-    AnswerFacts,
-    Demand,
-    PromptPart,
-    RequestFacts,
-    SendOrders,
-    Wire,
-)
+from ..gateway.messages import AnswerFacts, RequestFacts, SendOrders, Wire
+from ..placement.prompts import Demand, PromptPart
 
 __all__ = ["make_wire"]
 
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -29,12 +29,8 @@
 
     Parameters
     ----------
-    drain : timedelta
-        Time after which an endpoint that leaves gets no request.
     grace : timedelta
         Time from SIGTERM to SIGKILL.
-    configuration : timedelta
-        Time in which a version is in force.
     endpoints_return : timedelta
         Time in which endpoints are listed again after the store was away.
     retry_share, retry_slack : float
@@ -44,9 +40,7 @@
         Time over which repeats are counted.
     """
 
-    drain: timedelta
     grace: timedelta
-    configuration: timedelta
     endpoints_return: timedelta
     retry_share: float
     retry_slack: float
@@ -142,9 +136,7 @@
 
 def _bounds(fields: _Fields) -> HostBounds:
     return HostBounds(
-        drain=timedelta(milliseconds=fields.number("drain_ms")),
         grace=timedelta(seconds=fields.number("grace_s")),
-        configuration=timedelta(milliseconds=fields.number("config_apply_ms")),
         # The platform's name speaks of addresses that are given to other servers;
         # PROTOCOL gives the same two seconds to entries that lapsed.
         endpoints_return=timedelta(seconds=fields.number("reuse_after_s")),
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -21,7 +21,14 @@
 )
 from .items import Item, ItemCache, Snapshot
 
-__all__ = ["Decoded", "Endpoint", "EndpointState", "ItemError", "Registry"]
+__all__ = [
+    "DecodeItem",
+    "Decoded",
+    "Endpoint",
+    "EndpointState",
+    "ItemError",
+    "Registry",
+]
 
 
 class ItemError(Exception):
@@ -155,10 +162,6 @@
         """Return the listed endpoint of a name."""
         return self.incarnations.get(name)
 
-    def is_ready(self, endpoint: Endpoint) -> bool:
-        """Whether an incarnation still takes new requests."""
-        return endpoint in self.ready(endpoint.service)
-
     def _decode(self, item: Item) -> None:
         self.refused.pop(item.key, None)
         match self.decode(item):
--- a/zinniaramp/routes/core.py
+++ b/zinniaramp/routes/core.py
@@ -83,18 +83,12 @@
     ----------
     name : str
         Name.
-    slots : int
-        Requests that a model engine of it runs at once; 0 if it is a plain service.
     memory_tokens : int
         Tokens that a model engine of it holds; 0 if it is a plain service.
-    event_tokens : int
-        Tokens in one event of a stream; 0 if it is a plain service.
     """
 
     name: str
-    slots: int = 0
     memory_tokens: int = 0
-    event_tokens: int = 0
 
     @property
     def is_engine(self) -> bool:
@@ -140,7 +134,6 @@
 
     header_bytes: int
     body_bytes: int
-    header_timeout: timedelta
     idle_timeout: timedelta
 
 
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -3,6 +3,7 @@
 import socket
 from dataclasses import dataclass
 from datetime import timedelta
+from ipaddress import IPv4Address
 
 from result import Err, Ok, Result
 from tornado.gen import with_timeout
@@ -11,6 +12,9 @@
 
 __all__ = ["Address", "ConnectError", "open_stream", "parse_address", "watch_silence"]
 
+MAX_PORT = 65535
+"""Highest port of TCP."""
+
 KEEPALIVE_IDLE = timedelta(seconds=1)
 """Silence after which the kernel probes a peer; the platform counts a host as in
 touch again 3 s after a fault, so a dead connection has to be found before that."""
@@ -46,16 +50,16 @@
         The text is not an IPv4 address and a port.
     """
     ip, _, port = text.rpartition(":")
-    socket.inet_aton(ip) if ip.count(".") == 3 else _refuse(text)
-    if not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        _refuse(text)
+    is_port = port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
+    try:
+        IPv4Address(ip)
+    except ValueError:
+        is_port = False
+    if not is_port:
+        raise ValueError(f"{text!r} is not IPv4:PORT; write for example 10.0.0.1:8080")
     return Address(ip=ip, port=int(port))
 
 
-def _refuse(text: str) -> None:
-    raise ValueError(f"{text!r} is not IPv4:PORT; write for example 10.0.0.1:8080")
-
-
 def watch_silence(connection: socket.socket) -> None:
     """Have the kernel end a connection whose peer has fallen silent."""
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
