--- a/features/gateway/requests.feature
+++ b/features/gateway/requests.feature
@@ -41,3 +41,8 @@
   Scenario: A caller can't have its id or key taken out by naming them in Connection
     When "GET /read/x" is sent with the line "Connection: zinniaramp-request-id, host"
     Then the reply is 200 with the server's body and signature
+
+  Scenario: A time limit of nothing is over at once, and nothing is sent
+    When "GET /read/x" is sent with 0 ms left
+    Then the reply is 503 without a signature
+    And it reached 0 servers
