Set no bound on silence where a route names no target

Found by reading: a resumable route without a pause or a target had a bound of zero, so its first send was given up at once.

--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -61,7 +61,13 @@
             route("read", "safe", attempts=2),
             route("book", "unsafe"),
             route("tell", "streaming", target_gap_ms=400),
-            route("resume", "streaming", attempts=2, resumable=True),
+            route(
+                "resume",
+                "streaming",
+                attempts=2,
+                resumable=True,
+                target_latency_ms=0,
+            ),
             route("open", "safe", public=True),
         ],
         "services": [{"name": "plain", "health_path": "/healthz"}],
@@ -215,6 +221,15 @@
         arrivals = [one for server in every.values() for one in server.arrivals]
         return sorted(arrivals, key=lambda one: one.at)
 
+    def forget(self, name):
+        """Leave a request out of what has arrived."""
+        for server in self.servers.values():
+            server.arrivals = [
+                one
+                for one in server.arrivals
+                if one.headers["Zinniaramp-Request-Id"] != name
+            ]
+
     def logged(self, name):
         """Return the fields of the events of a name."""
         return [values for found, values in self.events if found == name]
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -22,6 +22,12 @@
     And it reached 2 servers
     And the second send named the last event that the caller has
 
+  Scenario: A route that names no targets sets no bound on silence
+    Given every server will "hold"
+    When "GET /resume/x" is sent and the server goes on after a while
+    Then the reply is 200 with every event once and in order
+    And it reached 1 server
+
   Scenario: Requests of workspaces alike are ranked by their routes' priorities
     When version 9 has the workspaces "first=0 second=1 third=1" and routes of priority "0 1 2"
     Then the engine is told the ranks "0 1 2" for the workspace "first"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -162,6 +162,27 @@
     rig.run(leave())
 
 
+@when('"{text}" is sent and the server goes on after a while')
+def goes_on_after_a_while(context, text):
+    rig = context.rig
+    context.name = "held"
+    _, path = text.split()
+
+    async def hold():
+        sending = asyncio.create_task(rig.call(path, name=context.name))
+        await rig.until(lambda: rig.arrivals())
+        # Another whole call passes meanwhile, so that the loop has had many turns.
+        for server in rig.servers.values():
+            server.conducts.clear()
+        assert (await rig.call("/read/x", name="meanwhile")).status == 200
+        for server in rig.servers.values():
+            server.released.set()
+        context.reply = await sending
+        rig.forget("meanwhile")
+
+    rig.run(hold())
+
+
 @when("{count:d} calls are sent")
 def calls_sent(context, count):
     for number in range(count):
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -185,12 +185,11 @@
 
     def _outgoing(self, endpoint: Endpoint, left: timedelta) -> Outgoing:
         matched = self.matched
-        is_engine = matched.facts.demand is not None
         orders = SendOrders(
             endpoint_id=endpoint.id,
             time_left=left,
             workspace=matched.workspace.name if matched.workspace else "",
-            urgency=self.matched.urgency if is_engine else None,
+            urgency=matched.urgency if matched.facts.demand else None,
             last_event=self.relay.last_event if self.relay else None,
         )
         passed = end_to_end(self.incoming.headers, keep=self.pool.wire.kept_headers)
@@ -236,12 +235,12 @@
         route = self.matched.route
         if route.repeat is Repeat.NEVER or self.sends >= route.max_sends:
             return None
-        if route.streams and self.first_at is not None:
-            return route.gap_target * SILENT_GAPS
-        if route.streams:
-            return route.target * SILENT_TARGETS
-        left = self.matched.until - self.pool.clock()
-        return left * SILENT_SHARE
+        if not route.streams:
+            return (self.matched.until - self.pool.clock()) * SILENT_SHARE
+        has_begun = self.first_at is not None
+        if has_begun:
+            return route.gap_target * SILENT_GAPS or None
+        return route.target * SILENT_TARGETS or None
 
     async def _collect(self, answer: Answer, result: SendResult) -> SendResult:
         parts = []
