--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -22,6 +22,12 @@
     And it reached 2 servers
     And the second send named the last event that the caller has
 
+  Scenario: A stream that may be resumed is sent again when its server failed it
+    Given the first send will "fail"
+    When "GET /resume/x" is sent
+    Then the reply is 200 with every event once and in order
+    And it reached 2 servers
+
   Scenario: A route that names no targets sets no bound on silence
     Given every server will "hold"
     When "GET /resume/x" is sent and the server goes on after a while
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -301,8 +301,6 @@
             return False
         if result.fate is not Fate.NOT_RUN and route.repeat is Repeat.NEVER:
             return False
-        if result.fate is Fate.FAILED and route.repeat is not Repeat.ANY:
-            return False
         if self.has_repeat:
             self.has_repeat = False
             return True
