--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -1,6 +1,8 @@
 """A gateway daemon with stand-ins of the platform, in one event loop."""
 
 import asyncio
+import json
+import signal
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -10,13 +12,21 @@
 from zinniaramp.daemon.gateway import Daemon
 from zinniaramp.platform import HostBounds, HostSettings
 from zinniaramp.sockets import Address
-from zinniaramp.standins.platform import ServerStandin, StoreStandin
+from zinniaramp.standins.platform import (
+    GatewayProcess,
+    PartEngine,
+    ServerStandin,
+    StoreStandin,
+)
 from zinniaramp.standins.processes import free_port
+from zinniaramp.standins.serving import Faults
 
 LOOPBACK = "127.0.0.1"
 LIMIT_SECONDS = 20
 """Bound on every wait for a condition."""
 POLL_SECONDS = 0.005
+FAST = 0.02
+"""Factor on the model servers' times, so that long prompts are read soon."""
 
 BOUNDS = HostBounds(
     grace=timedelta(seconds=8),
@@ -26,6 +36,7 @@
     retry_window=timedelta(seconds=10),
 )
 
+STREAM_PREFIXES = ("/tell/", "/resume/", "/gaps/", "/ask/", "/sum/")
 KEY = "key-1"
 HOST = "films.example"
 LIMITS = {
@@ -69,8 +80,18 @@
                 target_latency_ms=0,
             ),
             route("open", "safe", public=True),
+            route("gaps", "streaming", attempts=2, resumable=True, target_gap_ms=50),
+            route("ask", "streaming", service="model", priority=0, sticky=True),
+            route("sum", "streaming", service="model", priority=2, sticky=True),
+        ],
+        "services": [
+            {"name": "plain", "health_path": "/healthz"},
+            {
+                "name": "model",
+                "health_path": "/healthz",
+                "engine": {"slots": 4, "kv_capacity_tokens": 60_000},
+            },
         ],
-        "services": [{"name": "plain", "health_path": "/healthz"}],
         "limits": LIMITS,
         "tenants": [{"name": "workshop", "api_keys": list(keys)}],
         **fields,
@@ -95,6 +116,7 @@
     store: StoreStandin = field(default_factory=StoreStandin)
     servers: dict[str, ServerStandin] = field(default_factory=dict)
     daemons: list[Daemon] = field(default_factory=list)
+    processes: list[GatewayProcess] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
     events: list = field(default_factory=list)
     sink: int | None = None
@@ -128,6 +150,65 @@
             self.publish(name, service=service)
         return server
 
+    async def add_model_server(self, name, *, slots, begin=True):
+        """Start a model server, with an engine that works in batches, and list it."""
+        server = ServerStandin(id=name)
+        server.engine = PartEngine(model="m", slots=slots)
+        server.engine.engine.controls.apply(Faults(slow=FAST))
+        server.listen()
+        self.servers[name] = server
+        if begin:
+            self.begin(name)
+        self.publish(name, service="model")
+
+    def begin(self, name):
+        """Let a model server's engine work."""
+        engine = self.servers[name].engine.engine
+        self.tasks.append(asyncio.create_task(engine.run()))
+
+    async def add_process(self, directory, *, count=1):
+        """Start gateways as processes of their own that know each other's ports."""
+        for _ in range(count):
+            name = f"process-{len(self.processes) + 1}"
+            process = GatewayProcess(
+                directory=directory, name=name, store=self.store.port
+            )
+            self.processes.append(process)
+        for process in self.processes:
+            process.seeds = tuple(one.peers for one in self.processes[:3])
+            await process.start()
+
+    async def process_status(self, process):
+        """Return the status of a process's health check; 0 while it does not listen."""
+        address = Address(ip=LOOPBACK, port=process.ready)
+        try:
+            data = b"GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n"
+            return (await self.exchange(data, address)).status
+        except ConnectionError:
+            return 0
+
+    async def until_ready(self, process, status=200):
+        """Wait until a process's health check gives a status."""
+        while await self.process_status(process) != status:
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def call_process(self, process, path, **fields):
+        """Send one request to a process and return the reply."""
+        address = Address(ip=LOOPBACK, port=process.callers)
+        return await self.exchange(request(path, **fields), address)
+
+    async def until_logged(self, process, name, **fields):
+        """Wait for a line in a process's log."""
+
+        def is_there():
+            lines = process.log_path.read_text().splitlines()
+            events = (json.loads(line) for line in lines if line.endswith("}"))
+            return any(
+                one["name"] == name and fields.items() <= one.items() for one in events
+            )
+
+        await self.until(is_there)
+
     def publish(self, name, *, state="ready", service="plain", born=1000, **fields):
         """List a server in the store."""
         entry = {
@@ -194,8 +275,8 @@
 
     async def connect(self, daemon=None, address=None):
         """Open a connection to a daemon."""
-        daemon = daemon or self.daemons[0]
-        address = address or daemon.settings.callers
+        if address is None:
+            address = (daemon or self.daemons[0]).settings.callers
         return await asyncio.open_connection(address.ip, address.port)
 
     async def exchange(self, data, address=None):
@@ -241,6 +322,9 @@
         logger.remove(self.sink)
 
     async def _end(self):
+        for process in self.processes:
+            process.send_signal(signal.SIGCONT)
+            await process.end(signal.SIGKILL)
         for server in self.servers.values():
             server.released.set()
         self.store.is_silent = False
@@ -271,7 +355,7 @@
         head.append(f"Authorization: Bearer {key}")
     if body or method != "GET":
         head.append(f"Content-Length: {len(body)}")
-    if path.startswith(("/tell/", "/resume/")):
+    if path.startswith(STREAM_PREFIXES):
         head.append("Accept: text/event-stream")
     head.extend(lines)
     return "\r\n".join(head).encode() + b"\r\n\r\n" + body
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -33,7 +33,7 @@
         mark="",
         priority=priority,
         tokens=[f"{number}-{i}" for i in range(count)],
-        messages=[{"role": "user", "content": "x" * number}],
+        blocks=prompt_blocks([{"role": "user", "content": "x" * number}]),
     )
 
 
--- a/zinniaramp/standins/engine/core.py
+++ b/zinniaramp/standins/engine/core.py
@@ -7,7 +7,7 @@
 from ...clock import Clock
 from ..history import History
 from ..serving import Controls, Execution
-from .prefix import BLOCK_TOKENS, PrefixCache, prompt_blocks
+from .prefix import BLOCK_TOKENS, PrefixCache
 from .speed import prefill_seconds, step_seconds
 
 __all__ = ["Engine", "EngineRequest", "Ending", "LoadReport", "Token"]
@@ -120,16 +120,16 @@
         mark: str,
         priority: int,
         tokens: list[str],
-        messages: list[dict],
+        blocks: list[bytes],
     ) -> EngineRequest:
-        """Queue a new request."""
+        """Queue a new request; `blocks` are its prompt's, each with all before it."""
         execution = Execution(mark=mark, request_id=request_id)
         self.controls.log.append(execution)
         request = EngineRequest(
             number=len(self.controls.log),
             priority=priority,
             tokens=tokens,
-            blocks=prompt_blocks(messages),
+            blocks=blocks,
             execution=execution,
         )
         self.requests[request_id] = request
--- a/zinniaramp/standins/engine/handlers.py
+++ b/zinniaramp/standins/engine/handlers.py
@@ -12,6 +12,7 @@
 from ..serving import StandinHandler, problem_text
 from ..text import expected_tokens
 from .core import Ending, EngineRequest, Token
+from .prefix import prompt_blocks
 
 __all__ = ["ROUTES"]
 
@@ -97,7 +98,7 @@
             mark=chat.metadata.mark if chat.metadata else "",
             priority=chat.priority,
             tokens=expected_tokens(json.loads(self.request.body)),
-            messages=chat.messages,
+            blocks=prompt_blocks(chat.messages),
         )
         try:
             await (self.stream() if chat.stream else self.answer_whole())
--- a/zinniaramp/standins/platform/__main__.py
+++ b/zinniaramp/standins/platform/__main__.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import os
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -14,7 +13,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
-from ..processes import free_port
+from .process import GatewayProcess
 from .server import Conduct, ServerStandin, expected_body, expected_events
 from .store import StoreStandin
 
@@ -28,28 +27,6 @@
 POLL_SECONDS = 0.05
 """Time between two looks whether it is."""
 
-SETTINGS = """\
-node_name = "entry-1"
-zone = "a"
-ip = "127.0.0.1"
-internal_ports = [{metrics}, {metrics}]
-seeds = []
-[listen]
-frontend = "127.0.0.1:{callers}"
-ready = "127.0.0.1:{ready}"
-control_plane = "127.0.0.1:{peers}"
-[platform]
-address = "127.0.0.1:{store}"
-[bounds]
-drain_ms = 2000
-grace_s = 8
-config_apply_ms = 2000
-reuse_after_s = 2
-retry_budget_ratio = 0.2
-retry_budget_slack = 56
-budget_window_s = 10
-"""
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Call:
@@ -177,32 +154,23 @@
     for server in servers:
         server.listen()
     _publish(store, servers)
-    ports = {name: free_port() for name in ("callers", "ready", "peers", "metrics")}
     client = AsyncHTTPClient()
     with tempfile.TemporaryDirectory(prefix="zinniaramp-platform-") as directory:
-        path = Path(directory) / "node.toml"
-        path.write_text(SETTINGS.format(store=store.port, **ports))
-        log = Path(directory) / "entry.log"
-        with log.open("wb") as output:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "zinniaramp.daemon.gateway",
-                env={**os.environ, "ZINNIARAMP_NODE_FILE": str(path)},
-                stdout=output,
-            )
+        gateway = GatewayProcess(
+            directory=Path(directory), name="entry-1", store=store.port
+        )
+        await gateway.start()
         try:
-            await _wait_until_ready(client, ports["ready"])
+            await _wait_until_ready(client, gateway.ready)
             results = []
             for number, call in enumerate(_calls(), start=1):
                 if call.status == 503:
                     for server in servers:
                         server.conducts.append(Conduct.SHED)
-                results.append(await _send(client, ports["callers"], call, number))
+                results.append(await _send(client, gateway.callers, call, number))
         finally:
-            process.terminate()
-            code = await process.wait()
-        lines = len(log.read_text().splitlines())
+            code = await gateway.end()
+        lines = len(gateway.log_path.read_text().splitlines())
     print(f"gateway ended with {code} after {lines} lines of log")
     return 0 if all(results) and code == 0 else 1
 
--- /dev/null
+++ b/zinniaramp/standins/platform/process.py
@@ -0,0 +1,113 @@
+"""A gateway daemon as a process of its own, before stand-ins on loopback."""
+
+import asyncio
+import os
+import signal
+import sys
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from ..processes import free_port
+
+__all__ = ["LOOPBACK", "GatewayProcess"]
+
+LOOPBACK = "127.0.0.1"
+"""Address of all listeners."""
+
+SETTINGS = """\
+node_name = "{name}"
+zone = "a"
+ip = "127.0.0.1"
+internal_ports = [{metrics}, {metrics}]
+seeds = [{seeds}]
+[listen]
+frontend = "127.0.0.1:{callers}"
+ready = "127.0.0.1:{ready}"
+control_plane = "127.0.0.1:{peers}"
+[platform]
+address = "127.0.0.1:{store}"
+[bounds]
+drain_ms = 2000
+grace_s = {grace_s}
+config_apply_ms = 2000
+reuse_after_s = 2
+retry_budget_ratio = 0.2
+retry_budget_slack = 56
+budget_window_s = 10
+"""
+
+
+@dataclass(slots=True, kw_only=True)
+class GatewayProcess:
+    """One gateway and where it listens.
+
+    Parameters
+    ----------
+    directory : Path
+        Where its settings and its log are written.
+    name : str
+        Name of its host.
+    store : int
+        Port of the store.
+    seeds : tuple of int
+        Ports on which other entries listen to entries.
+    grace_s : int
+        Seconds from the signal to stop until it would be killed.
+    """
+
+    directory: Path
+    name: str
+    store: int
+    seeds: tuple[int, ...] = ()
+    grace_s: int = 8
+    callers: int = field(default_factory=free_port)
+    ready: int = field(default_factory=free_port)
+    peers: int = field(default_factory=free_port)
+    metrics: int = field(default_factory=free_port)
+    process: asyncio.subprocess.Process | None = None
+
+    @property
+    def settings_path(self) -> Path:
+        """Its settings file."""
+        return self.directory / f"{self.name}.toml"
+
+    @property
+    def log_path(self) -> Path:
+        """What it writes to standard output."""
+        return self.directory / f"{self.name}.log"
+
+    def write_settings(self) -> None:
+        """Write the settings file."""
+        text = SETTINGS.format(
+            name=self.name,
+            seeds=", ".join(f'"{LOOPBACK}:{port}"' for port in self.seeds),
+            store=self.store,
+            grace_s=self.grace_s,
+            callers=self.callers,
+            ready=self.ready,
+            peers=self.peers,
+            metrics=self.metrics,
+        )
+        self.settings_path.write_text(text)
+
+    async def start(self) -> None:
+        """Start the process; its log is continued."""
+        self.write_settings()
+        with self.log_path.open("ab") as output:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "zinniaramp.daemon.gateway",
+                env={**os.environ, "ZINNIARAMP_NODE_FILE": str(self.settings_path)},
+                stdout=output,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, if the process still runs."""
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number: signal.Signals = signal.SIGTERM) -> int:
+        """End the process and return its exit code."""
+        self.send_signal(number)
+        return await self.process.wait()
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -13,6 +13,9 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
+from ..engine.core import EngineRequest, Token
+from .engine import PartEngine, read_parts
+
 __all__ = ["Conduct", "ServerStandin", "expected_body", "expected_events"]
 
 LOOPBACK = "127.0.0.1"
@@ -40,6 +43,7 @@
     RESET = "reset"
     EARLY = "early"
     HOLD = "hold"
+    STALL = "stall"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -89,6 +93,8 @@
         Set when the caller of a stream that is to be torn has its first events.
     arrivals : list of Arrival
         Requests that reached it.
+    engine : PartEngine or None
+        Engine of a model server, whose `run` the owner starts; it makes the streams.
     """
 
     id: str
@@ -98,6 +104,7 @@
     released: asyncio.Event = field(default_factory=asyncio.Event)
     has_reader: asyncio.Event = field(default_factory=asyncio.Event)
     arrivals: list[Arrival] = field(default_factory=list)
+    engine: PartEngine | None = None
     server: HTTPServer | None = None
     port: int = 0
 
@@ -105,7 +112,14 @@
         """Listen on a free port of loopback."""
         sockets = bind_sockets(0, LOOPBACK)
         self.port = sockets[0].getsockname()[1]
-        application = Application([("/.*", ServerHandler, {"standin": self})])
+        routes = [("/.*", ServerHandler, {"standin": self})]
+        if self.engine is not None:
+            reports = {"engine": self.engine}
+            routes[:0] = [
+                ("/kv-list", HeldHandler, reports),
+                ("/report", ReportHandler, reports),
+            ]
+        application = Application(routes)
         self.server = HTTPServer(application, max_body_size=LARGEST_BODY)
         self.server.add_sockets(sockets)
 
@@ -115,6 +129,26 @@
         return [arrival for arrival in self.arrivals if arrival.ran]
 
 
+class HeldHandler(RequestHandler):
+    """Answers ``GET /kv-list``."""
+
+    def initialize(self, engine: PartEngine) -> None:
+        """Take the engine."""
+        self.engine = engine
+
+    def get(self) -> None:
+        """Return the parts that the engine keeps."""
+        self.finish(self.engine.list_held())
+
+
+class ReportHandler(HeldHandler):
+    """Answers ``GET /report``."""
+
+    def get(self) -> None:
+        """Return how busy the engine is."""
+        self.finish(self.engine.report())
+
+
 @stream_request_body
 class ServerHandler(RequestHandler):
     """Answers requests of clients, passed on by an entry."""
@@ -123,6 +157,7 @@
         """Take the server."""
         self.standin = standin
         self.arrival: Arrival | None = None
+        self.taken: EngineRequest | None = None
         self.body = bytearray()
 
     async def prepare(self) -> None:
@@ -172,6 +207,8 @@
         """Note that the caller has left."""
         if self.arrival is not None and not self.arrival.ended:
             self.arrival.was_cut = True
+        if self.taken is not None:
+            self.standin.engine.engine.cancel(self.taken)
 
     async def run(self, conduct: Conduct) -> None:
         """Answer a request that runs."""
@@ -184,6 +221,8 @@
         elif conduct in (Conduct.FAIL, Conduct.UNAVAILABLE):
             self.set_status(500 if conduct is Conduct.FAIL else 503)
             self._sign()
+        elif self.standin.engine is not None:
+            await self._generate()
         elif self.request.headers.get("Accept") == "text/event-stream":
             await self._stream(conduct)
         else:
@@ -227,16 +266,37 @@
         self.set_header("Content-Type", "text/event-stream")
         last = self.request.headers.get("Last-Event-Id", "0")
         first = int(last) + 1
-        if conduct is not Conduct.TEAR:
+        if conduct not in (Conduct.TEAR, Conduct.STALL):
             events = expected_events(self._request_id(), first, self.standin.events)
             self.finish(events)
             return
         events = expected_events(self._request_id(), first, self.standin.tear_after)
         self.write(events + b"id: 99\ndata: to")
         await self.flush()
+        if conduct is Conduct.STALL:
+            await self.standin.released.wait()
+            return
         await self.standin.has_reader.wait()
         self.detach().close()
 
+    async def _generate(self) -> None:
+        """Answer with the events that the engine makes, as it makes them."""
+        headers = self.request.headers
+        self._sign()
+        self.set_header("Content-Type", "text/event-stream")
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        name, last = self._request_id(), self.standin.events
+        numbers = range(first, last + 1)
+        self.taken = self.standin.engine.take(
+            request_id=name,
+            urgency=headers.get("Zinniaramp-Urgency-Level"),
+            parts=read_parts(headers.get("Zinniaramp-Prefix-Hash", "")),
+            events=[expected_events(name, one, one).decode() for one in numbers],
+        )
+        while isinstance(made := await self.taken.answer.get(), Token):
+            self.write(made.text)
+            await self.flush()
+
     async def _reset(self) -> None:
         stream = self.detach()
         body = expected_body(self._request_id())
