--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -9,6 +9,11 @@
     When "GET /tell/x" is sent
     Then the reply is 200 with every event once and in order
 
+  Scenario: A stream without a length is passed on as it comes
+    Given every server will "unframed"
+    When "GET /tell/x" is sent
+    Then the reply is 200 with every event once and in order
+
   Scenario: A stream that breaks off and may not be resumed does not look complete
     Given every server will "tear"
     When "GET /tell/x" is sent
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -266,6 +266,9 @@
         self.set_header("Content-Type", "text/event-stream")
         last = self.request.headers.get("Last-Event-Id", "0")
         first = int(last) + 1
+        if conduct is Conduct.UNFRAMED:
+            await self._stream_unframed(first)
+            return
         if conduct not in (Conduct.TEAR, Conduct.STALL):
             events = expected_events(self._request_id(), first, self.standin.events)
             self.finish(events)
@@ -279,6 +282,16 @@
         await self.standin.has_reader.wait()
         self.detach().close()
 
+    async def _stream_unframed(self, first: int) -> None:
+        """Send the first event, and the others once the caller has it."""
+        stream = self.detach()
+        name, last = self._request_id(), self.standin.events
+        head = self._raw_answer(Conduct.UNFRAMED, b"")
+        await stream.write(head + expected_events(name, first, first))
+        await self.standin.has_reader.wait()
+        await stream.write(expected_events(name, first + 1, last))
+        stream.close()
+
     async def _generate(self) -> None:
         """Answer with the events that the engine makes, as it makes them."""
         headers = self.request.headers
