Log the longest pause of a stream with its answer

Cause: a stream is late by its first event or by a pause, and the log had only the first.

Most of these pauses are 251 to 265 ms against 250: one event holds 3 or 4 tokens, and each of its steps read a whole chunk of long prompts beside the stream. So an engine with streams of questions may have fewer chunks in a row than an event has tokens; the placement does not know that yet.

--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -49,8 +49,18 @@
     number=2002,
     name="answered",
     level="INFO",
-    meaning="An endpoint's answer was passed on; `whole` is false if it broke off.",
-    fields=("request", "route", "status", "whole", "sends", "after_ms", "first_ms"),
+    meaning="An endpoint's answer was passed on; `whole` is false if it broke off, and "
+    "`gap_ms` is the longest pause between events of a stream.",
+    fields=(
+        "request",
+        "route",
+        "status",
+        "whole",
+        "sends",
+        "after_ms",
+        "first_ms",
+        "gap_ms",
+    ),
 )
 REQUEST_REFUSED = declare_event(
     number=2003,
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -144,6 +144,7 @@
             status=status,
             whole=is_whole,
             first_ms=(first - self.incoming.received) // MILLISECOND if first else None,
+            gap_ms=self.sender.longest_gap // MILLISECOND if first else None,
             **self._summary(),
         )
 
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -63,8 +63,10 @@
         Sends so far.
     may_have_run : bool
         Whether one of them may have run.
-    first_at : datetime or None
-        When the first event was passed on.
+    first_at, last_at : datetime or None
+        When the first event and the latest one were passed on.
+    longest_gap : timedelta
+        Longest pause between events.
     """
 
     __slots__ = (
@@ -78,6 +80,8 @@
         "tried",
         "has_repeat",
         "first_at",
+        "last_at",
+        "longest_gap",
         "answer",
         "picked",
     )
@@ -102,6 +106,8 @@
         self.tried: set[str] = set()
         self.has_repeat = False
         self.first_at: datetime | None = None
+        self.last_at: datetime | None = None
+        self.longest_gap = timedelta()
         self.answer: Answer | None = None
         self.picked: Picked | None = None
 
@@ -280,13 +286,20 @@
         whole = self.relay.take(data)
         if not whole or not self.relay.in_order:
             return
-        if self.first_at is None:
-            self.first_at = self.pool.clock()
-            self.pool.note_begun(self.picked)
+        self._note_events()
         if not self.caller.has_begun:
             await self.caller.begin(head, None)
         await self.caller.write(whole)
 
+    def _note_events(self) -> None:
+        now = self.pool.clock()
+        if self.first_at is None:
+            self.first_at = now
+            self.pool.note_begun(self.picked)
+        else:
+            self.longest_gap = max(self.longest_gap, now - self.last_at)
+        self.last_at = now
+
     async def _finish_stream(self, head: AnswerHead) -> None:
         if not self.caller.has_begun:
             await self.caller.begin(head, None)
