Keep streams of short prompts from pauses that long prompts make

The placement weighed backlog and reading, not what reading does to the streams beside it; the split keeps the kinds apart only while its border stands still.

Change: a request knows how many chunks may be read in a row beside its stream, from its route's bound on pauses and the tokens of an event, which the service publishes; entries tell each other. An engine is set back by 600 ms for each stream that a prompt would make pause too long, the prompt's own included.

Ruled out: first events; none of the late questions in the logs was late by its first.

--- a/features/placement/placement.feature
+++ b/features/placement/placement.feature
@@ -30,3 +30,27 @@
   Scenario: What an engine says that it holds counts as if it had been sent there
     Given an engine that says that it holds a part of 13300 tokens
     Then a prompt with the part goes there while its backlog is below 40000 tokens
+
+  Scenario: Streams of short prompts are kept from long pauses
+    Given the heaviest minute of tsurugaya
+    When it is played by entries that know how much may be read beside a stream, and not
+    Then fewer streams pause too long with the first, and no fewer are on time
+
+  Scenario: A long prompt is kept off an engine whose streams it would make pause
+    Given an engine that holds a part of 13300 tokens
+    When 2 streams beside which 2 chunks may be read run there
+    Then a prompt with the part and 4000 tokens of its own goes there
+    And a prompt with the part and 16000 tokens of its own goes elsewhere
+
+  Scenario Outline: How much may be read beside a stream
+    Given streams with events of <tokens> tokens and pauses of <pause> ms at most
+    Then <chunks> chunks may be read in a row beside them
+
+    Examples:
+      | tokens | pause | chunks |
+      | 3      | 250   | 2      |
+      | 3      | 400   | any    |
+      | 4      | 250   | 2      |
+      | 5      | 300   | 3      |
+      | 4      | 0     | any    |
+      | 0      | 250   | any    |
--- a/features/placement/play.py
+++ b/features/placement/play.py
@@ -1,13 +1,13 @@
 """A play of the load: entries that place prompts on engines with a step law."""
 
 import heapq
-from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import UTC, datetime, timedelta
 from itertools import count
 from random import Random
 
 from zinniaramp.placement import Candidate, Demand, Placement, PromptPart
+from zinniaramp.placement.pauses import most_chunks
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 CHUNK_TOKENS = 4096
@@ -26,6 +26,7 @@
     target_ms: float
     gap_ms: float
     things: int
+    rank: int
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -57,6 +58,7 @@
             target_ms=2000,
             gap_ms=1000,
             things=119,
+            rank=2,
         ),
         "review": Kind(
             per_s=4.5,
@@ -66,6 +68,7 @@
             target_ms=800,
             gap_ms=400,
             things=57,
+            rank=1,
         ),
         "question": Kind(
             per_s=6.3,
@@ -75,6 +78,7 @@
             target_ms=500,
             gap_ms=250,
             things=81,
+            rank=0,
         ),
     },
     bursts=(("summary", 2.2, 0.5, 9.5), ("question", 1.9, 11, 16)),
@@ -94,6 +98,7 @@
             target_ms=2000,
             gap_ms=1000,
             things=156,
+            rank=2,
         ),
         "caption": Kind(
             per_s=6.4,
@@ -103,6 +108,7 @@
             target_ms=600,
             gap_ms=400,
             things=124,
+            rank=1,
         ),
         "query": Kind(
             per_s=13.9,
@@ -112,6 +118,7 @@
             target_ms=400,
             gap_ms=250,
             things=178,
+            rank=0,
         ),
     },
     bursts=(("dossier", 2.3, 0.5, 9.5), ("query", 2.0, 11, 16)),
@@ -144,10 +151,10 @@
 
 @dataclass(slots=True, kw_only=True)
 class Engine:
-    """One engine: reads chunks first come first served, and generates in steps."""
+    """One engine: reads chunks by rank and arrival, and generates in steps."""
 
     site: Site
-    unread: deque = field(default_factory=deque)
+    unread: list = field(default_factory=list)
     running: list = field(default_factory=list)
     held: set = field(default_factory=set)
 
@@ -161,6 +168,7 @@
         request.to_read = max(1, request.to_read)
         self.held.update(part.name for part in request.demand.parts)
         self.unread.append(request)
+        self.unread.sort(key=lambda one: (one.kind.rank, one.number))
 
     def step(self, now_ms):
         """Make one step; return its end and the requests that began or ended."""
@@ -170,7 +178,7 @@
             self.unread[0].to_read -= taken
             chunk -= taken
             if not self.unread[0].to_read:
-                finished.append(self.unread.popleft())
+                finished.append(self.unread.pop(0))
         reading = (CHUNK_TOKENS - chunk) / self.site.read_per_ms
         length = self.site.step_ms + self.site.slot_ms * len(self.running) + reading
         end = now_ms + length
@@ -205,11 +213,15 @@
                 default=1.0,
             )
             at += random.expovariate(kind.per_s * factor)
-            requests.append(_request(next(numbers), at * 1000, name, kind, random))
+            requests.append(
+                _request(
+                    next(numbers), at * 1000, name, kind, random, site.event_tokens
+                )
+            )
     return sorted(requests, key=lambda one: one.at_ms)
 
 
-def _request(number, at_ms, name, kind, random):
+def _request(number, at_ms, name, kind, random, event_tokens):
     thing = random.randrange(kind.things)
     parts = (
         PromptPart(name=f"{name}-{thing}", tokens=kind.shared),
@@ -220,6 +232,7 @@
         output_limit=kind.output,
         output_guess=kind.output,
         parts=parts,
+        most_chunks=most_chunks(timedelta(milliseconds=kind.gap_ms), event_tokens),
     )
     entry = random.randrange(ENTRIES)
     return Request(number=number, at_ms=at_ms, kind=kind, demand=demand, entry=entry)
@@ -258,10 +271,15 @@
 
 
 class Entries:
-    """Entries that place by their models and tell each other, or do not."""
+    """Entries that place by their models.
+
+    They tell each other what they send, or do not; and know how much may be read
+    beside a stream, or do not.
+    """
 
-    def __init__(self, *, is_shared):
+    def __init__(self, *, is_shared, knows_pauses=True):
         self.is_shared = is_shared
+        self.knows_pauses = knows_pauses
         self.placements = [Placement() for _ in range(ENTRIES)]
 
     def told(self, request):
@@ -272,15 +290,16 @@
     def choose(self, request, names, now):
         """Place a request."""
         candidates = [Candidate(name=name, is_far=False) for name in names]
+        demand = request.demand
+        if not self.knows_pauses:
+            demand = replace(demand, most_chunks=None)
         own = self.placements[request.entry]
-        choice = own.choose(
-            request.demand, candidates, memory_tokens=MEMORY_TOKENS, now=now
-        )
+        choice = own.choose(demand, candidates, memory_tokens=MEMORY_TOKENS, now=now)
         for one in self.told(request):
             one.add(
                 request.number,
                 choice.engine,
-                request.demand,
+                demand,
                 memory_tokens=MEMORY_TOKENS,
                 now=now,
             )
--- a/features/steps/gateway_disruption_steps.py
+++ b/features/steps/gateway_disruption_steps.py
@@ -253,6 +253,7 @@
             prompt_tokens=500,
             output_guess=10,
             parts=(part,),
+            most_chunks=None,
         )
         for number in range(count)
     ]
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -1,5 +1,6 @@
 """Steps about the placement of prompts."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 from behave import given, then, when
@@ -17,9 +18,11 @@
     play,
 )
 from zinniaramp.placement import Candidate, Demand, Placement, PromptPart
+from zinniaramp.placement.pauses import most_chunks
 from zinniaramp.placement.split import SplitSizer
 
 SEEDS = (1, 2, 3)
+PAUSE_SEEDS = (1, 2, 3, 4, 5, 6)
 PLAY_SECONDS = 20
 ON_TIME = 0.95
 """Share on time that the users' letter asks for."""
@@ -194,3 +197,50 @@
 @then("elsewhere when its backlog is above {tokens:d} tokens")
 def goes_elsewhere(context, tokens):
     assert with_backlog(context, tokens + 1) != context.holder
+
+
+@when("it is played by entries that know how much may be read beside a stream, and not")
+def played_with_pauses(context):
+    ways = (True, False)
+    context.late, context.shares = [], []
+    for knows in ways:
+        late = share = 0
+        for seed in PAUSE_SEEDS:
+            place = Entries(is_shared=True, knows_pauses=knows)
+            requests = play(context.site, place=place, seconds=PLAY_SECONDS, seed=seed)
+            late += sum(one.longest_gap_ms > one.kind.gap_ms for one in requests)
+            share += on_time(requests)
+        context.late.append(late)
+        context.shares.append(share)
+
+
+@then("fewer streams pause too long with the first, and no fewer are on time")
+def fewer_pause(context):
+    assert context.late[0] < context.late[1], context.late
+    assert context.shares[0] >= context.shares[1], context.shares
+
+
+@when("{count:d} streams beside which {chunks:d} chunks may be read run there")
+def streams_run(context, count, chunks):
+    asked = demand(1_500, own="short")
+    asked = replace(asked, most_chunks=chunks)
+    for number in range(count):
+        add(context.placement, f"short-{number}", context.holder, asked)
+        context.placement.note_begun(f"short-{number}", START)
+
+
+@then("a prompt with the part and {tokens:d} tokens of its own goes {where}")
+def prompt_goes(context, tokens, where):
+    asked = demand(PART.tokens + tokens, PART, own=f"own-{tokens}")
+    is_there = choose(context.placement, asked) == context.holder
+    assert is_there == (where == "there")
+
+
+@given("streams with events of {tokens:d} tokens and pauses of {pause:d} ms at most")
+def streams_with_pauses(context, tokens, pause):
+    context.limit = most_chunks(timedelta(milliseconds=pause), tokens)
+
+
+@then("{chunks} chunks may be read in a row beside them")
+def chunks_beside(context, chunks):
+    assert context.limit == (None if chunks == "any" else int(chunks))
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -1,13 +1,15 @@
 """A request of a caller, and the route, workspace and service that it is for."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import datetime
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from ..placement.pauses import most_chunks
 from ..routes import (
     Configuration,
     Route,
+    Service,
     Workspace,
     find_route,
     find_workspace,
@@ -81,6 +83,16 @@
         return rank_of(self.configuration.ranks, own)
 
 
+def _with_pauses(
+    facts: RequestFacts, route: Route, service: Service | None
+) -> RequestFacts:
+    """Return the facts with how much may be read beside the request's stream."""
+    if facts.demand is None or service is None:
+        return facts
+    limit = most_chunks(route.gap_target, service.event_tokens)
+    return replace(facts, demand=replace(facts.demand, most_chunks=limit))
+
+
 def match_request(
     incoming: Incoming, facts: RequestFacts, configuration: Configuration | None
 ) -> Matched:
@@ -107,11 +119,12 @@
     limit = route.timeout
     if facts.time_left is not None:
         limit = min(limit, facts.time_left)
+    service = pick_service(route, facts.id)
     return Matched(
-        facts=facts,
+        facts=_with_pauses(facts, route, configuration.services.get(service)),
         configuration=configuration,
         route=route,
         workspace=workspace,
-        service=pick_service(route, facts.id),
+        service=service,
         until=incoming.received + limit,
     )
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -174,6 +174,7 @@
                 prompt_tokens=facts.demand.prompt_tokens,
                 output_guess=facts.demand.output_guess,
                 parts=facts.demand.parts,
+                most_chunks=facts.demand.most_chunks,
             )
         )
         return Picked(
@@ -242,6 +243,7 @@
             output_limit=event.output_guess,
             output_guess=event.output_guess,
             parts=event.parts,
+            most_chunks=event.most_chunks,
         )
         self.peer_sends.setdefault(speaker, set()).add(key)
         self.placement.add(
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -65,6 +65,8 @@
         What it asks.
     parts : tuple of PromptPart
         Parts of its prompt.
+    most_chunks : int or None
+        Whole chunks that may be read in a row beside its stream.
     """
 
     number: int
@@ -72,6 +74,7 @@
     prompt_tokens: int
     output_guess: int
     parts: tuple[PromptPart, ...]
+    most_chunks: int | None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -114,6 +117,7 @@
                 message.prompt_tokens,
                 message.output_guess,
                 parts,
+                message.most_chunks,
             ]
         case SendBegun():
             return [_BEGUN, message.number]
@@ -133,7 +137,7 @@
     return Snapshot(revision=int(revision), items=read, is_complete=False)
 
 
-def _started(number, engine, prompt, output, parts) -> SendStarted:
+def _started(number, engine, prompt, output, parts, most_chunks) -> SendStarted:
     pairs = zip(parts[::2], parts[1::2], strict=True)
     return SendStarted(
         number=int(number),
@@ -141,6 +145,7 @@
         prompt_tokens=int(prompt),
         output_guess=int(output),
         parts=tuple(PromptPart(name=str(n), tokens=int(t)) for n, t in pairs),
+        most_chunks=None if most_chunks is None else int(most_chunks),
     )
 
 
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -5,8 +5,9 @@
 from datetime import datetime, timedelta
 
 from ..routing.rendezvous import rank
-from .engine import READ_TOKENS_PER_MS, EngineModel
+from .engine import EngineModel
 from .prompts import Demand, PromptPart
+from .reading import reading_time
 from .split import SplitSizer, is_short
 
 __all__ = ["Candidate", "Choice", "Placement"]
@@ -19,8 +20,8 @@
 """What an engine in another data centre is set back by: bytes between them are
 priced, some 17 KB a long prompt."""
 
-MILLISECOND = timedelta(milliseconds=1)
-"""Unit of the times that are compared."""
+HELD_UP_PENALTY = timedelta(milliseconds=600)
+"""What each stream that would pause too long sets an engine back by."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -161,14 +162,15 @@
     ) -> Choice:
         model = self._model(candidate.name, memory)
         to_read = model.tokens_to_read(demand)
-        backlog = model.backlog(now) / READ_TOKENS_PER_MS
-        reading = to_read / READ_TOKENS_PER_MS
-        cost = (backlog + READ_WEIGHT * reading) * MILLISECOND
+        backlog = reading_time(model.backlog(now))
+        reading = reading_time(to_read)
+        cost = backlog + READ_WEIGHT * reading
+        cost += model.streams_held_up(demand, now) * HELD_UP_PENALTY
         if candidate.is_far:
             cost += FAR_PENALTY
         return Choice(
             engine=candidate.name,
-            wait=(backlog + reading) * MILLISECOND,
+            wait=backlog + reading,
             to_read=to_read,
             cost=cost,
         )
--- a/zinniaramp/placement/engine.py
+++ b/zinniaramp/placement/engine.py
@@ -1,17 +1,15 @@
 """Model of one engine: prompts it has yet to read, and the parts that it holds."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
 from .prompts import Demand, PromptPart
+from .reading import CHUNK_TOKENS, READ_TOKENS_PER_MS
 
-__all__ = ["READ_TOKENS_PER_MS", "EngineModel", "Send"]
-
-READ_TOKENS_PER_MS = 50.0
-"""Prompt tokens that an engine reads in a millisecond: the sheets name 54.6 and 63.9,
-and between two chunks of 4,096 comes a step of some 7 ms."""
+__all__ = ["EngineModel", "Send"]
 
 PARTS_SHARE = 0.7
 """Share of an engine's memory that is taken to hold parts; the rest is for running
@@ -34,12 +32,15 @@
         Prompt tokens that the engine did not hold.
     output : int
         Output tokens expected.
+    most_chunks : int or None
+        Whole chunks that may be read in a row beside its stream.
     has_begun : bool
         Whether its first event has come.
     """
 
     to_read: int
     output: int
+    most_chunks: int | None = None
     has_begun: bool = False
 
 
@@ -79,6 +80,22 @@
         credit = min(CREDIT_SHARE * waiting[0], since * READ_TOKENS_PER_MS)
         return sum(waiting) - credit
 
+    def streams_held_up(self, demand: Demand, now: datetime) -> int:
+        """Return how many streams a request would make pause too long, its own too.
+
+        Notes
+        -----
+        What is read one chunk after another delays each step of the streams beside
+        it.  Streams that pause too long already are not counted.
+        """
+        unread = self.backlog(now)
+        before = math.ceil(unread / CHUNK_TOKENS)
+        after = math.ceil((unread + self.tokens_to_read(demand)) / CHUNK_TOKENS)
+        limits = [one.most_chunks for one in self.sends.values()]
+        others = sum(one is not None and before <= one < after for one in limits)
+        own = demand.most_chunks is not None and before > demand.most_chunks
+        return others + own
+
     @property
     def running(self) -> int:
         """Requests whose first event has come."""
@@ -99,7 +116,9 @@
         if all(one.has_begun for one in self.sends.values()):
             self.progress_at = now
         to_read = self.tokens_to_read(demand)
-        self.sends[key] = Send(to_read=to_read, output=demand.output_guess)
+        self.sends[key] = Send(
+            to_read=to_read, output=demand.output_guess, most_chunks=demand.most_chunks
+        )
         self.hold(demand.parts)
 
     def hold(self, parts: Iterable[PromptPart]) -> None:
--- a/zinniaramp/placement/prompts.py
+++ b/zinniaramp/placement/prompts.py
@@ -25,12 +25,16 @@
         Most tokens to generate, and the caller's estimate.
     parts : tuple of PromptPart
         Parts of the prompt in order; the last one is the request's own.
+    most_chunks : int or None
+        Whole chunks that its engine may read in a row beside its stream; None if
+        any number.
     """
 
     prompt_tokens: int
     output_limit: int
     output_guess: int
     parts: tuple[PromptPart, ...]
+    most_chunks: int | None = None
 
     @property
     def shared(self) -> tuple[PromptPart, ...]:
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -151,6 +151,7 @@
     return Service(
         name=name,
         memory_tokens=engine.whole("kv_capacity_tokens"),
+        event_tokens=engine.whole("stride", 0),
     )
 
 
--- a/zinniaramp/routes/core.py
+++ b/zinniaramp/routes/core.py
@@ -85,10 +85,13 @@
         Name.
     memory_tokens : int
         Tokens that a model engine of it holds; 0 if it is a plain service.
+    event_tokens : int
+        Tokens of one event of a stream; 0 if it is not known.
     """
 
     name: str
     memory_tokens: int = 0
+    event_tokens: int = 0
 
     @property
     def is_engine(self) -> bool:
