Log each endpoint that is left out

Cause: sends to an endpoint that failed kept it from being chosen, and no line said so, so a prompt that went to another engine could not be explained.

Event 2012 endpoint-left-out names it, for how long, and why.

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -87,6 +87,11 @@
     Then the reply is 503 without a signature
     And it says when to come back
 
+  Scenario: A server whose sends fail is not chosen for a while, and the log says so
+    Given the server "s-1" is down but still listed
+    When calls are sent until the log says that "s-1" is left out
+    Then each of them was answered
+
   Scenario: The deadline ends a request and its run
     Given every server will "hold"
     When "POST /book/x" is sent with 300 ms left
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -257,6 +257,26 @@
     assert not any(arrival.ran for arrival in context.rig.arrivals())
 
 
+@when('calls are sent until the log says that "{name}" is left out')
+def sent_until_left_out(context, name):
+    rig = context.rig
+    context.replies = []
+
+    async def send():
+        while not rig.logged("endpoint-left-out"):
+            call = f"until-{len(context.replies)}"
+            context.replies.append(await rig.call("/read/x", name=call))
+
+    rig.run(send())
+    line = rig.logged("endpoint-left-out")[0]
+    assert line["endpoint"] == f"{name}@1000", line
+
+
+@then("each of them was answered")
+def each_answered(context):
+    assert all(reply.status == 200 for reply in context.replies), context.replies
+
+
 @then("it says when to come back")
 def says_when(context):
     assert float(context.reply.headers["retry-after"]) > 0
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -6,6 +6,7 @@
     "ANSWERED",
     "CALLER_LEFT",
     "ENDPOINT_CHOSEN",
+    "ENDPOINT_LEFT_OUT",
     "HOLDINGS_READ",
     "HOLDINGS_UNKNOWN",
     "REQUEST_REFUSED",
@@ -126,3 +127,10 @@
     meaning="An engine did not say what it holds; it is taken to hold nothing.",
     fields=("endpoint", "problem"),
 )
+ENDPOINT_LEFT_OUT = declare_event(
+    number=2012,
+    name="endpoint-left-out",
+    level="WARNING",
+    meaning="Sends to the endpoint failed, so that it is not chosen for a while.",
+    fields=("endpoint", "seconds", "problem"),
+)
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -7,11 +7,13 @@
 from random import Random
 
 from ..clock import Clock
+from ..observability import emit
 from ..peers import LoadEvent, SendBegun, SendEnded, SendStarted
 from ..placement import Candidate, Demand, Placement
 from ..registry import Endpoint, Registry
 from ..routing.budget import WindowRetryBudget
 from ..routing.ejection import Ejections
+from .events import ENDPOINT_LEFT_OUT
 from .fates import Fate, SendResult
 from .messages import RequestFacts, Wire
 from .metrics import REPEATS
@@ -258,10 +260,16 @@
         """Learn from a send whether its endpoint works."""
         name = picked.endpoint.incarnation
         if result.fate in (Fate.NOT_SENT, Fate.UNKNOWN):
-            self.ejections.record_failure(name)
+            self._leave_out(name, result.problem)
         elif result.fate is Fate.ANSWERED:
             self.ejections.record_success(name)
 
+    def _leave_out(self, name: str, problem: str) -> None:
+        time = self.ejections.record_failure(name)
+        if time is not None:
+            seconds = time.total_seconds()
+            emit(ENDPOINT_LEFT_OUT, endpoint=name, seconds=seconds, problem=problem)
+
     def note_request(self, service: str) -> None:
         """Count a request, which allows a share of a repeat."""
         self._budget(service).note_request(self.clock())
--- a/zinniaramp/routing/ejection.py
+++ b/zinniaramp/routing/ejection.py
@@ -52,18 +52,23 @@
         self.random_source = random_source
         self.ejections: dict[str, Ejection] = {}
 
-    def record_failure(self, name: str) -> None:
+    def record_failure(self, name: str) -> timedelta | None:
         """Leave an endpoint out, for longer with each failure in a row.
 
-        Failures while it is left out are of attempts that were under way when
-        the first one failed, so they count as one with it.
+        Returns
+        -------
+        timedelta or None
+            For how long; None if it is left out already.  Failures meanwhile are of
+            attempts that were under way when the first one failed, so they count as
+            one with it.
         """
         previous = self.ejections.get(name)
         if previous is not None and self.clock() < previous.until:
-            return
+            return None
         failures = previous.failures + 1 if previous else 1
         time = min(MAX_TIME, BASE_TIME * 2 ** min(failures - 1, MAX_DOUBLINGS))
         self.ejections[name] = Ejection(failures=failures, until=self.clock() + time)
+        return time
 
     def record_success(self, name: str) -> None:
         """Use an endpoint again like any other."""
