Listen for callers before the libraries are loaded

Cause: after a kill of all, and after each kill or stop of one, callers are refused until the process listens; from the end of the down time to the listener passed some 0.42 s (twelve logs, gateway-started less the start), nearly all of it loading libraries.

Change: the entry point opens the callers' listener with the standard library alone, and then loads the rest; callers wait in its queue. They are taken once a configuration is known, or after 500 ms, when they are answered 503 as before. The platform's package no longer imports its modules, so that the first step needs none of them.

Three scenarios; with the wait for a configuration or the early step taken off one fails.

--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -9,8 +9,8 @@
 from loguru import logger
 from result import Ok
 
-from zinniaramp.daemon.gateway import Daemon
-from zinniaramp.platform import HostBounds, HostSettings
+from zinniaramp.daemon.gateway_daemon import Daemon
+from zinniaramp.platform.settings import HostBounds, HostSettings
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import (
     GatewayProcess,
@@ -225,7 +225,7 @@
         }
         self.store.put(f"servers/{name}", entry)
 
-    async def add_daemon(self, *, seeds=(), wait=True, bounds=BOUNDS):
+    async def add_daemon(self, *, seeds=(), wait=True, bounds=BOUNDS, listener=None):
         """Start a gateway and wait until it is ready."""
         ports = [free_port() for _ in range(4)]
         callers, readiness, peers, metrics = ports
@@ -241,7 +241,9 @@
             seeds=tuple(seeds),
             bounds=bounds,
         )
-        daemon = Daemon(settings=settings, read_settings=lambda: Ok(settings))
+        daemon = Daemon(
+            settings=settings, read_settings=lambda: Ok(settings), listener=listener
+        )
         self.daemons.append(daemon)
         task = asyncio.create_task(daemon.run())
         self.tasks.append(task)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -23,7 +23,7 @@
 from zinniaramp.commands.explain import read_story
 from zinniaramp.observability import LogWriter
 from zinniaramp.observability.writer import MAX_QUEUED_BYTES
-from zinniaramp.platform import read_host_settings
+from zinniaramp.platform.settings import read_host_settings
 from zinniaramp.reads import ReadError
 from zinniaramp.registry import Source
 from zinniaramp.routing.budget import WindowRetryBudget
--- a/zinniaramp/daemon/gateway.py
+++ b/zinniaramp/daemon/gateway.py
@@ -1,167 +1,17 @@
-"""Entry point of the gateway daemon on the platform."""
+"""Entry point of the gateway daemon: listens, and then loads the libraries."""
 
-import asyncio
-import gc
-import signal
-import sys
-from collections.abc import Callable
-from random import Random, SystemRandom
-
-from result import Err, Ok, Result
-
-from ..clock import monotonic_clock
-from ..gateway import Gateway, GatewaySettings
-from ..gateway.events import SETTINGS_REFUSED, SETTINGS_RELOADED
-from ..gateway.metrics import STORE_LOST
-from ..observability import LogWriter, configure_logging, emit
-from ..platform import (
-    HostSettings,
-    SettingsError,
-    decode_item,
-    make_direct_reader,
-    make_holdings_reader,
-    make_store,
-    make_wire,
-    read_host_settings,
-)
-from ..registry import Registry, StoreFollower
-from ..sockets import Address
-from .tasks import log_library_messages, log_uncaught, supervise
+from ..platform.listening import open_listener, settings_path
 
 __all__ = ["main"]
 
-EXIT_USAGE = 2
-"""Exit code for settings that can't be used."""
-
-SETTINGS_CHECK_SECONDS = 1.0
-"""Time between looks at the settings file, which may change without a signal."""
-
-
-ReadSettings = Callable[[], Result[HostSettings, SettingsError]]
-"""Reads the settings file."""
-
-
-def _gateway_settings(settings: HostSettings) -> GatewaySettings:
-    return GatewaySettings(
-        host=settings.name,
-        data_center=settings.data_center,
-        callers=settings.callers,
-        readiness=settings.readiness,
-        peers=settings.peers,
-        metrics=Address(ip=settings.ip, port=settings.metrics_port),
-        seeds=settings.seeds,
-        grace=settings.bounds.grace,
-        retry_share=settings.bounds.retry_share,
-        retry_slack=settings.bounds.retry_slack,
-        retry_window=settings.bounds.retry_window,
-    )
-
-
-class Daemon:
-    """The gateway with the adapter that it runs on.
-
-    Parameters
-    ----------
-    settings : HostSettings
-        Settings of the host.
-    read_settings : callable
-        Reads them again.
-    """
-
-    __slots__ = (
-        "settings",
-        "read_settings",
-        "clock",
-        "registry",
-        "follower",
-        "gateway",
-        "stopped",
-    )
-
-    def __init__(self, *, settings: HostSettings, read_settings: ReadSettings):
-        self.settings = settings
-        self.read_settings = read_settings
-        self.clock = monotonic_clock()
-        random = Random(SystemRandom().getrandbits(64))
-        self.registry = Registry(
-            decode=decode_item,
-            missing_hold=settings.bounds.endpoints_return,
-            clock=self.clock,
-        )
-        self.follower = StoreFollower(
-            source=make_store(settings.store),
-            registry=self.registry,
-            clock=self.clock,
-            random=random,
-        )
-        STORE_LOST.set_function(lambda: float(self.follower.lost_at is not None))
-        self.gateway = Gateway(
-            settings=_gateway_settings(settings),
-            registry=self.registry,
-            wire=make_wire(),
-            clock=self.clock,
-            random=random,
-            read_held=make_holdings_reader(make_direct_reader()),
-        )
-        self.stopped = asyncio.Event()
-
-    async def run(self) -> None:
-        """Run until the signal to stop has been obeyed."""
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
-        loop.add_signal_handler(signal.SIGINT, self.stopped.set)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        self.gateway.start()
-        tasks = [
-            asyncio.create_task(supervise("store", self.follower.run)),
-            asyncio.create_task(supervise("settings", self._check_settings)),
-        ]
-        await self.stopped.wait()
-        await self.gateway.stop()
-        for task in tasks:
-            task.cancel()
-
-    def reload(self) -> None:
-        """Read the settings file again; keep the old settings if it is wrong."""
-        match self.read_settings():
-            case Err(problem):
-                emit(SETTINGS_REFUSED, problem=str(problem))
-                self.gateway.settings_problem = str(problem)
-            case Ok(settings):
-                self.gateway.settings_problem = ""
-                changed = settings != self.settings
-                self.settings = settings
-                self.gateway.settings = _gateway_settings(settings)
-                self.registry.missing_hold = settings.bounds.endpoints_return
-                emit(SETTINGS_RELOADED, changed=changed)
-
-    async def _check_settings(self) -> None:
-        while True:
-            await asyncio.sleep(SETTINGS_CHECK_SECONDS)
-            read = self.read_settings()
-            is_known = isinstance(read, Err) and self.gateway.settings_problem
-            if not is_known and read != Ok(self.settings):
-                self.reload()
-
-
-async def _run(settings: HostSettings) -> None:
-    log_uncaught(asyncio.get_running_loop())
-    daemon = Daemon(settings=settings, read_settings=read_host_settings)
-    gc.collect()
-    gc.freeze()
-    await daemon.run()
-
 
 def main() -> None:
     """Run the gateway with the settings that the platform names."""
-    configure_logging(sink=LogWriter(descriptor=sys.stdout.fileno()))
-    log_library_messages()
-    match read_host_settings():
-        case Err(problem):
-            emit(SETTINGS_REFUSED, problem=str(problem))
-            sys.exit(EXIT_USAGE)
-        case Ok(settings):
-            asyncio.run(_run(settings))
+    listener = open_listener(settings_path())
+    # Loading it takes some 0.3 s, in which callers wait in the listener's queue.
+    from .gateway_daemon import run_daemon
+
+    run_daemon(listener)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -0,0 +1,180 @@
+"""The gateway with the adapter of the platform that it runs on."""
+
+import asyncio
+import gc
+import signal
+import sys
+from collections.abc import Callable
+from random import Random, SystemRandom
+
+from result import Err, Ok, Result
+
+from ..clock import monotonic_clock
+from ..gateway import Gateway, GatewaySettings
+from ..gateway.events import LISTENER_LATE, SETTINGS_REFUSED, SETTINGS_RELOADED
+from ..gateway.metrics import STORE_LOST
+from ..observability import LogWriter, configure_logging, emit
+from ..platform.documents import decode_item
+from ..platform.headers import make_wire
+from ..platform.holdings import make_holdings_reader
+from ..platform.listening import EarlyListener
+from ..platform.settings import HostSettings, SettingsError, read_host_settings
+from ..platform.store import make_direct_reader, make_store
+from ..registry import Registry, StoreFollower
+from ..sockets import Address
+from .tasks import log_library_messages, log_uncaught, supervise
+
+__all__ = ["Daemon", "run_daemon"]
+
+EXIT_USAGE = 2
+"""Exit code for settings that can't be used."""
+
+SETTINGS_CHECK_SECONDS = 1.0
+"""Time between looks at the settings file, which may change without a signal."""
+
+
+ReadSettings = Callable[[], Result[HostSettings, SettingsError]]
+"""Reads the settings file."""
+
+
+def _gateway_settings(settings: HostSettings) -> GatewaySettings:
+    return GatewaySettings(
+        host=settings.name,
+        data_center=settings.data_center,
+        callers=settings.callers,
+        readiness=settings.readiness,
+        peers=settings.peers,
+        metrics=Address(ip=settings.ip, port=settings.metrics_port),
+        seeds=settings.seeds,
+        grace=settings.bounds.grace,
+        retry_share=settings.bounds.retry_share,
+        retry_slack=settings.bounds.retry_slack,
+        retry_window=settings.bounds.retry_window,
+    )
+
+
+class Daemon:
+    """The gateway with the adapter that it runs on.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Settings of the host.
+    read_settings : callable
+        Reads them again.
+    listener : EarlyListener, optional
+        Callers' listener, if it has been opened.
+    """
+
+    __slots__ = (
+        "settings",
+        "read_settings",
+        "clock",
+        "registry",
+        "follower",
+        "gateway",
+        "stopped",
+        "listener",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings: HostSettings,
+        read_settings: ReadSettings,
+        listener: EarlyListener | None = None,
+    ):
+        self.settings = settings
+        self.read_settings = read_settings
+        self.listener = listener
+        self.clock = monotonic_clock()
+        random = Random(SystemRandom().getrandbits(64))
+        self.registry = Registry(
+            decode=decode_item,
+            missing_hold=settings.bounds.endpoints_return,
+            clock=self.clock,
+        )
+        self.follower = StoreFollower(
+            source=make_store(settings.store),
+            registry=self.registry,
+            clock=self.clock,
+            random=random,
+        )
+        STORE_LOST.set_function(lambda: float(self.follower.lost_at is not None))
+        self.gateway = Gateway(
+            settings=_gateway_settings(settings),
+            registry=self.registry,
+            wire=make_wire(),
+            clock=self.clock,
+            random=random,
+            read_held=make_holdings_reader(make_direct_reader()),
+        )
+        self.stopped = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run until the signal to stop has been obeyed."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopped.set)
+        loop.add_signal_handler(signal.SIGINT, self.stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        self.gateway.start(self.listener.socket if self.listener else None)
+        tasks = [
+            asyncio.create_task(supervise("store", self.follower.run)),
+            asyncio.create_task(supervise("settings", self._check_settings)),
+        ]
+        await self.stopped.wait()
+        await self.gateway.stop()
+        for task in tasks:
+            task.cancel()
+
+    def reload(self) -> None:
+        """Read the settings file again; keep the old settings if it is wrong."""
+        match self.read_settings():
+            case Err(problem):
+                emit(SETTINGS_REFUSED, problem=str(problem))
+                self.gateway.settings_problem = str(problem)
+            case Ok(settings):
+                self.gateway.settings_problem = ""
+                changed = settings != self.settings
+                self.settings = settings
+                self.gateway.settings = _gateway_settings(settings)
+                self.registry.missing_hold = settings.bounds.endpoints_return
+                emit(SETTINGS_RELOADED, changed=changed)
+
+    async def _check_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_SECONDS)
+            read = self.read_settings()
+            is_known = isinstance(read, Err) and self.gateway.settings_problem
+            if not is_known and read != Ok(self.settings):
+                self.reload()
+
+
+async def _run(settings: HostSettings, listener: EarlyListener) -> None:
+    log_uncaught(asyncio.get_running_loop())
+    if listener.problem:
+        emit(LISTENER_LATE, problem=listener.problem)
+    daemon = Daemon(
+        settings=settings, read_settings=read_host_settings, listener=listener
+    )
+    gc.collect()
+    gc.freeze()
+    await daemon.run()
+
+
+def run_daemon(listener: EarlyListener) -> None:
+    """Run the gateway with the settings that the platform names.
+
+    Parameters
+    ----------
+    listener : EarlyListener
+        Callers' listener, or why it could not be opened early.
+    """
+    configure_logging(sink=LogWriter(descriptor=sys.stdout.fileno()))
+    log_library_messages()
+    match read_host_settings():
+        case Err(problem):
+            emit(SETTINGS_REFUSED, problem=str(problem))
+            sys.exit(EXIT_USAGE)
+        case Ok(settings):
+            asyncio.run(_run(settings, listener))
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -1,16 +1,24 @@
 """The gateway process: listeners, readiness and shutdown."""
 
 import asyncio
+import socket
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 
+from tornado.netutil import bind_sockets
+
 from ..clock import Clock
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
 from ..sockets import Address
-from .events import GATEWAY_STARTED, GATEWAY_STOPPED, GATEWAY_STOPPING
+from .events import (
+    CONFIGURATION_AWAITED,
+    GATEWAY_STARTED,
+    GATEWAY_STOPPED,
+    GATEWAY_STOPPING,
+)
 from .holdings import HoldingsLearner, ReadHeld
 from .messages import Wire
 from .metrics import CONFIGURATION, IN_FLIGHT, make_metrics
@@ -28,6 +36,11 @@
 """Time after idle connections were closed in which requests are still served; one
 that comes later than 3 s after the signal could not be finished."""
 
+FIRST_CONFIGURATION = timedelta(milliseconds=500)
+"""Longest time that callers wait for a starting process to learn a configuration; the
+store answers in some 4 ms, and callers take a request that is not read within a second
+for lost."""
+
 LAST_ANSWERS = timedelta(milliseconds=50)
 """Time for the last answers to leave the host."""
 
@@ -107,6 +120,8 @@
         "holdings",
         "is_stopping",
         "settings_problem",
+        "configured",
+        "serving",
     )
 
     def __init__(
@@ -124,6 +139,8 @@
         self.clock = clock
         self.is_stopping = False
         self.settings_problem = ""
+        self.configured = asyncio.Event()
+        self.serving: asyncio.Task | None = None
         self.pool = EndpointPool(
             registry=registry,
             wire=wire,
@@ -144,10 +161,17 @@
         self.holdings = HoldingsLearner(pool=self.pool, read_held=read_held)
         registry.on_change.append(self._note_registry)
 
-    def start(self) -> None:
-        """Open the listeners."""
+    def start(self, listener: socket.socket | None = None) -> None:
+        """Open the listeners; callers are served once a configuration is known.
+
+        Parameters
+        ----------
+        listener : socket.socket, optional
+            Callers' listener, if it has been opened.
+        """
         callers, readiness = self.settings.callers, self.settings.readiness
-        self.callers.listen(callers.ip, callers.port)
+        opened = [listener] if listener else bind_sockets(callers.port, callers.ip)
+        self.serving = asyncio.create_task(self._serve(opened))
         checks = make_readiness(self.why_not_ready, self.list_problems)
         checks.listen(readiness.port, readiness.ip)
         metrics = self.settings.metrics
@@ -161,6 +185,15 @@
             callers=str(callers),
         )
 
+    async def _serve(self, listeners: list[socket.socket]) -> None:
+        """Begin to take callers' requests; without a configuration, after a while."""
+        try:
+            async with asyncio.timeout(FIRST_CONFIGURATION.total_seconds()):
+                await self.configured.wait()
+        except TimeoutError:
+            emit(CONFIGURATION_AWAITED)
+        self.callers.serve(listeners)
+
     def why_not_ready(self) -> str:
         """Return what keeps the process from being ready; empty if nothing does."""
         if self.is_stopping:
@@ -198,6 +231,7 @@
         self.pool.placement.keep(self.registry.incarnations)
         self.mesh.announce()
         if self.registry.configuration is not None:
+            self.configured.set()
             CONFIGURATION.set(self.registry.configuration.version)
         self.holdings.look()
 
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -5,10 +5,12 @@
 __all__ = [
     "ANSWERED",
     "CALLER_LEFT",
+    "CONFIGURATION_AWAITED",
     "ENDPOINT_CHOSEN",
     "ENDPOINT_LEFT_OUT",
     "HOLDINGS_READ",
     "HOLDINGS_UNKNOWN",
+    "LISTENER_LATE",
     "REQUEST_REFUSED",
     "SEND_ENDED",
     "GATEWAY_STARTED",
@@ -134,3 +136,19 @@
     meaning="Sends to the endpoint failed, so that it is not chosen for a while.",
     fields=("endpoint", "seconds", "problem"),
 )
+LISTENER_LATE = declare_event(
+    number=2013,
+    name="listener-late",
+    level="WARNING",
+    meaning="The callers' listener could not be opened before the libraries were "
+    "loaded; it is opened now.",
+    fields=("problem",),
+)
+CONFIGURATION_AWAITED = declare_event(
+    number=2014,
+    name="configuration-awaited",
+    level="WARNING",
+    meaning="No configuration is known some time after the start; callers are answered "
+    "503 from now on, until there is one.",
+    fields=(),
+)
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -101,9 +101,9 @@
         self.http = HTTPServer(_Delegate(self))
         self.limits: ClientLimits | None = None
 
-    def listen(self, ip: str, port: int) -> None:
-        """Open the listener."""
-        self.http.listen(port, ip)
+    def serve(self, listeners: list[socket.socket]) -> None:
+        """Take the requests that come to some listening sockets."""
+        self.http.add_sockets(listeners)
 
     def apply_limits(self, limits: ClientLimits) -> None:
         """Put a configuration's limits in force for what is read from now on."""
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -1,6 +1,5 @@
 """Settings that the platform writes for each process, in TOML."""
 
-import os
 import tomllib
 from dataclasses import dataclass
 from datetime import timedelta
@@ -9,15 +8,10 @@
 from result import Err, Ok, Result
 
 from ..sockets import Address, parse_address
+from .listening import settings_path
 
 __all__ = ["HostBounds", "HostSettings", "SettingsError", "read_host_settings"]
 
-SETTINGS_VARIABLE = "ZINNIARAMP_NODE_FILE"
-"""Environment variable that holds the path of the file."""
-
-DEFAULT_PATH = "/etc/zinniaramp/node.toml"
-"""Path where the variable is not set."""
-
 
 class SettingsError(Exception):
     """The settings can't be used; the text names field, value and remedy."""
@@ -171,7 +165,7 @@
     path : Path, optional
         File; the one that the environment names if left out.
     """
-    chosen = path or Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_PATH))
+    chosen = path or settings_path()
     try:
         return Ok(_settings(tomllib.loads(chosen.read_text())))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
