--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -391,3 +391,16 @@
     except (asyncio.IncompleteReadError, ConnectionError):
         return body, False
     return body, "content-length" in headers
+
+
+def in_force(context, version):
+    """Return whether the first gateway has a version in force."""
+    registry = context.rig.daemons[0].registry
+    return registry.configuration.version == version
+
+
+def known_revision(context):
+    """Wait until the gateway has seen the store's newest revision."""
+    rig = context.rig
+    cache = rig.daemons[0].registry.cache
+    rig.run(rig.until(lambda: cache.revision >= rig.store.revision))
--- /dev/null
+++ b/features/steps/gateway_logs_steps.py
@@ -0,0 +1,78 @@
+"""Steps about the logs and metrics of the gateway."""
+
+import json
+import os
+from pathlib import Path
+
+from behave import given, then, when
+
+from zinniaramp.commands.explain import read_story
+from zinniaramp.observability import LogWriter
+from zinniaramp.observability.writer import MAX_QUEUED_BYTES
+from zinniaramp.sockets import Address
+
+BASE_LINE = {"time": "2026-01-01T00:00:00+00:00", "level": "INFO", "event": 2000}
+
+
+@then("the metrics count it under its route and status")
+def metrics_count(context):
+    rig = context.rig
+    settings_ = rig.daemons[0].settings
+    address = Address(ip=settings_.ip, port=settings_.metrics_port)
+    data = b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    text = rig.run(rig.exchange(data, address)).body.decode()
+    labels = 'by="endpoint",route="read",status="200"'
+    assert f"zinniaramp_gateway_answers_total{{{labels}}}" in text
+    assert 'zinniaramp_gateway_sends_total{fate="answered"}' in text
+    assert "zinniaramp_gateway_configuration_version 7.0" in text
+    assert "zinniaramp_gateway_store_lost 0.0" in text
+
+
+@given("a log whose reader has stalled")
+def stalled_log(context):
+    context.reader, writer = os.pipe()
+    context.writer = LogWriter(descriptor=writer)
+
+
+@when("{count:d} lines are written")
+def lines_written(context, count):
+    for number in range(count):
+        context.writer(f'{{"number": {number}}}\n')
+
+
+@then("no write has waited, and the memory for them is bounded")
+def memory_bounded(context):
+    assert context.writer.queued_bytes <= MAX_QUEUED_BYTES
+    assert context.writer.dropped > 0
+
+
+@when("the reader goes on")
+def reader_goes_on(context):
+    context.written = b""
+    while context.writer.queue:
+        context.written += os.read(context.reader, MAX_QUEUED_BYTES)
+        context.writer.flush()
+    context.written += os.read(context.reader, MAX_QUEUED_BYTES)
+
+
+@then("the log says how many lines were left out")
+def log_says_dropped(context):
+    *kept, last = [json.loads(line) for line in context.written.splitlines()]
+    assert last["name"] == "lines-dropped"
+    assert len(kept) + last["lines"] == 20000
+    assert [line["number"] for line in kept] == list(range(len(kept)))
+
+
+@then("explaining it from prefixed lines tells both sends and the answer")
+def explained(context):
+    path = Path(context.directory) / "entry.log"
+    lines = [
+        "  1.5 edge-1 " + json.dumps({**BASE_LINE, "name": name, **values}, default=str)
+        for name, values in context.rig.events
+    ]
+    path.write_text("\n".join(lines))
+    story = read_story(context.name, [path])
+    names = [line.name for line in story]
+    sends = ["endpoint-chosen", "send-ended"]
+    assert names == sends + sends + ["answered"], names
+    assert {line.source for line in story} == {"edge-1"}
