--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -108,6 +108,10 @@
     ----------
     settings_problem : str
         What is wrong with the settings file, while older settings are in force.
+    configured : asyncio.Event
+        Set once a configuration is known.
+    serving : asyncio.Task or None
+        Waits for a configuration and then takes callers' requests.
     """
 
     __slots__ = (
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -21,15 +21,16 @@
 priced, some 17 KB a long prompt."""
 
 CROSSING_SHORT = timedelta(milliseconds=150)
-"""What a short prompt is set back by on an engine for long ones, which are yet to
-come there: two chunks' reading."""
+"""What a short prompt is set back by on an engine for long ones: the reading of two
+chunks, as long prompts are yet to come there."""
 
 CROSSING_LONG = timedelta(milliseconds=400)
-"""What a long prompt is set back by on an engine for short ones; more, since it may
-hold up many streams there, and a short one only its own."""
+"""What a long prompt is set back by on an engine for short ones: the reading of 20,000
+tokens.  It is more than for a short one, which holds up its own stream alone."""
 
 HELD_UP_PENALTY = timedelta(milliseconds=600)
-"""What each stream that would pause too long sets an engine back by."""
+"""What each stream that would pause too long sets an engine back by: the reading of two
+long prompts."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
