Test five mechanisms of the gateway that no scenario needed

Cause: fifteen mechanisms were taken off one by one on a scratch copy and all gateway features run; without five of them all 75 scenarios still passed: the route's time limit, the end of a run when its caller leaves (the run's own silence bound cut it in the scenario), never repeating whatever max_attempts allows, a connection that failed counted as not sent, and an event that comes twice.

Two scenarios were replaced by stricter ones: a caller that leaves is now also tried on a call that may not be repeated, and must be why the run ended; the calls beside a server that is down may not be repeated, so that each has to be answered at once. No product code changed.

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -80,6 +80,17 @@
     Then the reply is 500 with a signature
     And it reached 1 server
 
+  Scenario Outline: A call that may not be repeated is not, whatever its route allows
+    Given every server will "<conduct>"
+    When "POST /once/x" is sent
+    Then the reply is <status> and it reached 1 server
+
+    Examples:
+      | conduct | status |
+      | fail    | 500    |
+      | close   | 502    |
+      | tear    | 502    |
+
   Scenario: A server that can't be reached was sent nothing
     Given the server "s-1" is down but still listed
     And the server "s-2" is down but still listed
@@ -89,7 +100,7 @@
 
   Scenario: A server whose sends fail is not chosen for a while, and the log says so
     Given the server "s-1" is down but still listed
-    When calls are sent until the log says that "s-1" is left out
+    When "POST /book/x" is sent until the log says that "s-1" is left out
     Then each of them was answered
 
   Scenario: The deadline ends a request and its run
@@ -98,10 +109,23 @@
     Then the reply is 504 without a signature
     And the run was cut
 
-  Scenario: A caller that leaves ends the run at the server
+  Scenario: The route's time limit ends a request and its run
+    Given every server will "hold"
+    When "GET /brief/x" is sent
+    Then the reply is 504 without a signature
+    And the run was cut
+    And the server was told to stop within 300 ms
+
+  Scenario Outline: A caller that leaves ends the run at the server
     Given every server will "hold"
-    When "GET /read/x" is sent and its caller leaves
+    When "<call>" is sent and its caller leaves
     Then the run was cut
+    And it was cut because its caller left, and nothing else was sent
+
+    Examples:
+      | call         |
+      | GET /read/x  |
+      | POST /book/x |
 
   Scenario: The time left is passed on, and what a caller may not set is replaced
     When "POST /book/x" is sent with forged headers
--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -80,6 +80,8 @@
                 target_latency_ms=0,
             ),
             route("open", "safe", public=True),
+            route("brief", "safe", timeout_ms=300),
+            route("once", "unsafe", attempts=3),
             route("gaps", "streaming", attempts=2, resumable=True, target_gap_ms=50),
             route("ask", "streaming", service="model", priority=0, sticky=True),
             route("sum", "streaming", service="model", priority=2, sticky=True),
--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -20,6 +20,11 @@
     Then the reply breaks off after whole events
     And it reached 1 server
 
+  Scenario: An event that comes twice is not passed on twice
+    Given every server will "repeat"
+    When "GET /tell/x" is sent
+    Then no event is passed on twice, and the answer does not look complete
+
   Scenario: A stream that may be resumed is joined without a piece missing or twice
     Given the first send will "tear"
     When "GET /resume/x" is sent
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -235,15 +235,16 @@
     assert not any(arrival.ran for arrival in context.rig.arrivals())
 
 
-@when('calls are sent until the log says that "{name}" is left out')
-def sent_until_left_out(context, name):
+@when('"{text}" is sent until the log says that "{name}" is left out')
+def sent_until_left_out(context, text, name):
     rig = context.rig
     context.replies = []
+    method, path = text.split()
 
     async def send():
         while not rig.logged("endpoint-left-out"):
             call = f"until-{len(context.replies)}"
-            context.replies.append(await rig.call("/read/x", name=call))
+            context.replies.append(await rig.call(path, name=call, method=method))
 
     rig.run(send())
     line = rig.logged("endpoint-left-out")[0]
@@ -284,6 +285,35 @@
     rig.run(rig.until(lambda: any(one.was_cut for one in rig.arrivals())))
 
 
+@then("the server was told to stop within {milliseconds:d} ms")
+def told_to_stop_within(context, milliseconds):
+    (arrival,) = context.rig.arrivals()
+    assert 0 < int(arrival.headers["Zinniaramp-Deadline-Ms"]) <= milliseconds
+
+
+@then("it was cut because its caller left, and nothing else was sent")
+def cut_by_caller(context):
+    rig = context.rig
+    rig.run(rig.until(lambda: rig.logged("caller-left")))
+    assert not rig.logged("request-refused")
+    assert not rig.logged("send-ended")
+    assert len(rig.arrivals()) == 1, rig.arrivals()
+
+
+@then("the reply is {status:d} and it reached 1 server")
+def reply_after_one(context, status):
+    assert context.reply.status == status, context.reply
+    assert len(context.rig.arrivals()) == 1, context.rig.arrivals()
+
+
+@then("no event is passed on twice, and the answer does not look complete")
+def no_event_twice(context):
+    lines = context.reply.body.splitlines()
+    ids = [int(line[3:]) for line in lines if line.startswith(b"id:")]
+    assert ids == sorted(set(ids)), context.reply
+    assert context.reply.status != 200 or not context.reply.is_whole, context.reply
+
+
 @then("the second send named the last event that the caller has")
 def named_last_event(context):
     first, second = context.rig.arrivals()
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -44,6 +44,7 @@
     EARLY = "early"
     HOLD = "hold"
     STALL = "stall"
+    REPEAT = "repeat"
 
 
 @dataclass(slots=True, kw_only=True)
@@ -269,6 +270,11 @@
         if conduct is Conduct.UNFRAMED:
             await self._stream_unframed(first)
             return
+        if conduct is Conduct.REPEAT:
+            twice = expected_events(self._request_id(), first, first + 1)
+            events = expected_events(self._request_id(), first + 1, self.standin.events)
+            self.finish(twice + events)
+            return
         if conduct not in (Conduct.TEAR, Conduct.STALL):
             events = expected_events(self._request_id(), first, self.standin.events)
             self.finish(events)
