Wait until each call runs before the streams are cut

The step says that callers have begun to receive answers, but it waited for streamed ones alone, so that a cut could come before a plain call's offer had arrived; refusing that as not run is true and allowed, which the next step of the scenario says itself.

Change: the step waits until the engines and services have each request, slow callers' too. The check stays as it is: every answer whole.

--- a/features/steps/promises_whole_steps.py
+++ b/features/steps/promises_whole_steps.py
@@ -39,9 +39,20 @@
     )
 
 
-def wait_begun(answers):
-    """Wait until streamed answers have begun and others were asked for."""
-    streamed = [one for one in answers if one.kind == "streamed"]
+def wait_begun(bench, answers):
+    """Wait until all requests have begun to run, and streamed answers have come."""
+    marks = {one.mark for one in answers}
+    backends = bench.of("engine") + bench.of("service")
+
+    def taken():
+        return {
+            entry["mark"] for one in backends for entry in ask(f"{one.url}/standin/log")
+        }
+
+    wait_until(lambda: marks <= taken(), "taken by engines and services")
+    streamed = [
+        one for one in answers if one.kind == "streamed" and not one.reads_slowly
+    ]
     wait_until(lambda: all(one.text or one.error for one in streamed), "begun")
 
 
@@ -61,7 +72,7 @@
                 reads_slowly=context.read_on if is_slow else None,
             )
         )
-    wait_begun([one for one in answers if one.reads_slowly is None])
+    wait_begun(context.bench, answers)
 
 
 @when(
@@ -73,7 +84,7 @@
     asked = [
         context.bench.ask_for("streamed", entry, tokens=tokens) for _ in range(count)
     ]
-    wait_begun(asked)
+    wait_begun(context.bench, asked)
 
 
 @when("{count:d} more callers ask while every stream is silent")
