Order what the store says by era; follow what servers report in answers

The registry remembers departures for ten minutes and does not use an endpoint because a copy brings its entry back. `routing/cooldown.py` keeps endpoints that shed with `Retry-After` free of requests and probes; with all of them in a cooldown callers are refused at once with the time to the first one's end. The headers are decoded in `platform/`.

A process that can't connect to the store logged `task-failed` every 1.5 s, because `ConnectError` was no OSError and left the reader uncaught. It is a ConnectionError now: one `store-lost`, one `store-regained`.

Ruled out: a memory of departures without end (the entry of a live server, re-registered just before the restore, would never count again).

--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -11,6 +11,7 @@
 
 from zinniaramp.daemon.gateway_daemon import Daemon
 from zinniaramp.platform.settings import HostBounds, HostSettings
+from zinniaramp.registry import StoreRevision
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import (
     GatewayProcess,
@@ -28,6 +29,9 @@
 ENGINE_TIME_FACTOR = 0.02
 """Factor on the engines' step times, which makes the prefill of long prompts fast."""
 
+HEARTBEAT_INTERVAL = timedelta(seconds=1.2)
+"""Interval at which servers write their entries, in the daemons' settings."""
+
 HOST_BOUNDS = HostBounds(
     grace=timedelta(seconds=8),
     endpoint_relist_window=timedelta(seconds=2),
@@ -152,9 +156,14 @@
             self.publish(name, service=service)
         return server
 
-    async def add_model_server(self, name, *, slots, start_engine=True):
+    async def add_model_server(
+        self, name, *, slots, start_engine=True, refuses_reads_for=None
+    ):
         """Start a model server with a batching engine and publish its entry."""
         server = ServerStandin(id=name)
+        if refuses_reads_for is not None:
+            server.refuses_reads = True
+            server.retry_after = refuses_reads_for
         server.engine = SegmentEngine(model="m", slots=slots)
         server.engine.engine.controls.apply(Faults(slow=ENGINE_TIME_FACTOR))
         server.listen()
@@ -243,6 +252,7 @@
             peers=Address(ip=LOOPBACK, port=peers),
             metrics_port=metrics,
             store=Address(ip=LOOPBACK, port=self.store.port),
+            heartbeat=HEARTBEAT_INTERVAL,
             seeds=tuple(seeds),
             bounds=bounds,
         )
@@ -410,4 +420,9 @@
     """Wait until the first gateway has the latest revision of the store."""
     rig = context.rig
     cache = rig.daemons[0].registry.cache
-    rig.run(rig.wait_until(lambda: cache.revision >= rig.store.revision))
+    rig.run(rig.wait_until(lambda: cache.revision >= store_revision(rig.store)))
+
+
+def store_revision(store):
+    """Return the revision of the store's stand-in."""
+    return StoreRevision(era=store.era, number=store.revision)
--- a/features/steps/gateway_mesh_steps.py
+++ b/features/steps/gateway_mesh_steps.py
@@ -5,9 +5,7 @@
 from behave import given, then, when
 from result import Err
 
-from features.gateway.rig import (
-    configuration,
-)
+from features.gateway.rig import configuration, store_revision
 from zinniaramp.reads import ReadError
 from zinniaramp.registry import Source
 
@@ -41,7 +39,7 @@
     follower.source = Source(read_all=refuse, watch=refuse)
     rig.store.put("unrelated", {})
     cache = rig.daemons[0].registry.cache
-    rig.run(rig.wait_until(lambda: cache.revision >= rig.store.revision))
+    rig.run(rig.wait_until(lambda: cache.revision >= store_revision(rig.store)))
 
 
 @then("every gateway has applied configuration version {version:d}")
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -35,6 +35,8 @@
 The file may change without a SIGHUP.
 """
 
+HEARTBEATS_PER_ENTRY = 3
+"""Heartbeat intervals after which the store removes an entry that is not written."""
 
 ReadSettings = Callable[[], Result[HostSettings, SettingsError]]
 """Reads and checks the settings file."""
@@ -96,6 +98,7 @@
         self.registry = Registry(
             decode=decode_item,
             lapse_grace=settings.bounds.endpoint_relist_window,
+            entry_lifetime=HEARTBEATS_PER_ENTRY * settings.heartbeat,
             clock=self.clock,
         )
         self.follower = StoreFollower(
@@ -145,6 +148,7 @@
                 self.settings = settings
                 self.gateway.settings = _make_gateway_settings(settings)
                 self.registry.lapse_grace = settings.bounds.endpoint_relist_window
+                self.registry.entry_lifetime = HEARTBEATS_PER_ENTRY * settings.heartbeat
                 emit(SETTINGS_RELOADED, changed=changed)
 
     async def _poll_settings(self) -> None:
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -7,6 +7,7 @@
     "CALLER_LEFT",
     "CONFIGURATION_AWAITED",
     "ENDPOINT_CHOSEN",
+    "ENDPOINT_COOLDOWN",
     "ENDPOINT_LEFT_OUT",
     "HOLDINGS_READ",
     "HOLDINGS_UNKNOWN",
@@ -26,14 +27,15 @@
     level="INFO",
     meaning="An endpoint was selected for a send; `wait_ms` (time to first token) "
     "and `to_read` (prompt tokens to prefill) are predictions for an engine, `version` "
-    "is the configuration's version, `revision` the store's revision, and `ready` the "
-    "number of endpoints that could be selected.",
+    "is the configuration's version, `era` and `revision` are the store's, and `ready` "
+    "is the number of endpoints that could be selected.",
     fields=(
         "request",
         "route",
         "endpoint",
         "send",
         "version",
+        "era",
         "revision",
         "ready",
         "waited_ms",
@@ -155,3 +157,11 @@
     "answered with 503 until there is one.",
     fields=(),
 )
+ENDPOINT_COOLDOWN = declare_event(
+    number=2015,
+    name="endpoint-cooldown",
+    level="INFO",
+    meaning="An endpoint that sheds load asked to be left alone; it gets no requests "
+    "for `seconds`.",
+    fields=("endpoint", "seconds"),
+)
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -127,8 +127,10 @@
     async def _refuse(self, status: int, reason: str) -> None:
         retry_after = None
         if status == 503:
-            left = self.matched.deadline - self.pool.clock() if self.matched else None
-            retry_after = self.pool.retry_after(left)
+            matched = self.matched
+            left = matched.deadline - self.pool.clock() if matched else None
+            service = matched.service if matched else None
+            retry_after = self.pool.retry_after(service, left)
         route = self.matched.route.name if self.matched else ""
         ANSWERS.labels(route, status, "gateway").inc()
         emit(
--- a/zinniaramp/gateway/holdings.py
+++ b/zinniaramp/gateway/holdings.py
@@ -60,8 +60,10 @@
             return
         for endpoint in self.pool.registry.endpoints.values():
             kv_capacity_tokens = self.pool.kv_capacity_tokens(endpoint.service)
-            if kv_capacity_tokens and endpoint.incarnation not in self.queried:
-                self.queried.add(endpoint.incarnation)
+            name = endpoint.incarnation
+            is_pending = name not in self.queried
+            if kv_capacity_tokens and is_pending and self.pool.may_receive(name):
+                self.queried.add(name)
                 task = asyncio.create_task(self._query(endpoint, kv_capacity_tokens))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
@@ -76,3 +78,5 @@
                 emit(HOLDINGS_READ, endpoint=name, parts=len(parts))
             case Err(error):
                 emit(HOLDINGS_UNKNOWN, endpoint=name, problem=str(error))
+                if error.retry_after is not None:
+                    self.pool.start_cooldown(name, error.retry_after)
--- a/zinniaramp/gateway/messages.py
+++ b/zinniaramp/gateway/messages.py
@@ -81,11 +81,18 @@
         Whether the answer carries the endpoint's signature.
     reports_not_run : bool
         Whether the endpoint states that it has not run the request.
+    reports_leaving : bool
+        Whether the addressed endpoint states that it is leaving.
+    retry_after : timedelta or None
+        Time for which the addressed endpoint, which has shed the request, asks to get
+        nothing more from this process; None if it asks for none.
     """
 
     request_id: str
     is_signed: bool
     reports_not_run: bool
+    reports_leaving: bool = False
+    retry_after: timedelta | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -12,10 +12,11 @@
 from ..placement import Demand, EngineCandidate, Placement
 from ..registry import Endpoint, Registry
 from ..routing.budget import WindowRetryBudget
+from ..routing.cooldown import Cooldowns
 from ..routing.ejection import Ejections
-from .events import ENDPOINT_LEFT_OUT
+from .events import ENDPOINT_COOLDOWN, ENDPOINT_LEFT_OUT
 from .fates import SendOutcome, SendResult
-from .messages import HeaderCodec, RequestMetadata
+from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
 from .metrics import RETRIES
 
 __all__ = ["Selection", "RetryLimits", "EndpointPool"]
@@ -32,6 +33,10 @@
 """Largest ``Retry-After`` as a share of the caller's remaining time.  Callers honour
 values up to a third of that time."""
 
+COOLDOWN_SPREAD = 0.3
+"""Share by which the ``Retry-After`` of callers is spread beyond the end of the first
+endpoint's cooldown, so that they don't all return at that moment."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryLimits:
@@ -108,6 +113,8 @@
         Model of the engines' load and KV caches, which places prompts.
     ejections : Ejections
         Outlier ejection of endpoints whose sends fail.
+    cooldowns : Cooldowns
+        Endpoints that asked to be left alone for some time.
     budgets : dict of WindowRetryBudget
         Retry budget by service.
     in_flight : dict of int
@@ -131,6 +138,7 @@
         "random",
         "placement",
         "ejections",
+        "cooldowns",
         "budgets",
         "in_flight",
         "send_numbers",
@@ -158,6 +166,7 @@
         self.random = random
         self.placement = Placement()
         self.ejections = Ejections(clock=clock, random_source=random)
+        self.cooldowns = Cooldowns(clock=clock)
         self.budgets: dict[str, WindowRetryBudget] = {}
         self.in_flight: dict[str, int] = {}
         self.send_numbers = count()
@@ -172,10 +181,10 @@
         """Select an endpoint for a send and count the send as in flight.
 
         Endpoints in `tried` are selected only if no other is usable.  Returns None if
-        no endpoint is ready.
+        no endpoint is ready, or all of them are in a cooldown.
         """
         by_name = {one.incarnation: one for one in self.registry.ready(service)}
-        usable = self.ejections.usable(list(by_name))
+        usable = self.ejections.usable(self.cooldowns.usable(list(by_name)))
         names = [one for one in usable if one not in tried] or usable
         ready = [by_name[name] for name in names]
         if not ready:
@@ -189,6 +198,23 @@
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
 
+    def may_receive(self, name: str) -> bool:
+        """Return whether anything may be sent to an endpoint, a probe for example."""
+        return not self.cooldowns.is_active(name)
+
+    def apply_hints(self, endpoint: Endpoint, metadata: AnswerMetadata) -> None:
+        """Apply what an endpoint reports of itself in the headers of an answer."""
+        if metadata.reports_leaving:
+            self.registry.mark_leaving(endpoint.incarnation)
+        if metadata.retry_after is not None:
+            self.start_cooldown(endpoint.incarnation, metadata.retry_after)
+
+    def start_cooldown(self, name: str, duration: timedelta) -> None:
+        """Send nothing to an endpoint for some time, which it asked for."""
+        if self.cooldowns.start(name, duration):
+            seconds = duration.total_seconds()
+            emit(ENDPOINT_COOLDOWN, endpoint=name, seconds=seconds)
+
     def kv_capacity_tokens(self, service: str) -> int:
         """Return the KV cache capacity of a service's engines, in tokens.
 
@@ -341,14 +367,22 @@
         RETRIES.labels("yes" if is_allowed else "no").inc()
         return is_allowed
 
-    def retry_after(self, left: timedelta | None) -> float:
+    def retry_after(self, service: str | None, left: timedelta | None) -> float:
         """Return the ``Retry-After`` of a refused request, in seconds.
 
         Parameters
         ----------
+        service : str or None
+            Service of the request.  If all its endpoints are in a cooldown, the caller
+            learns when the first one ends, whatever time the caller has left.
         left : timedelta or None
             Time until the request's deadline; None if it is not known.
         """
+        ready = [one.incarnation for one in self.registry.ready(service or "")]
+        cooldown = self.cooldowns.time_left(ready)
+        if cooldown is not None:
+            spread = self.random.uniform(1, 1 + COOLDOWN_SPREAD)
+            return cooldown.total_seconds() * spread
         wait = self.random.uniform(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         if left is None:
             return wait
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -175,7 +175,8 @@
             endpoint=selection.endpoint.incarnation,
             send=self.sends + 1,
             version=matched.configuration.version,
-            revision=self.pool.registry.cache.revision,
+            era=self.pool.registry.cache.revision.era,
+            revision=self.pool.registry.cache.revision.number,
             ready=selection.ready,
             waited_ms=(self.pool.clock() - self.request.received) // MILLISECOND,
             left_ms=(matched.deadline - self.pool.clock()) // MILLISECOND,
@@ -233,6 +234,7 @@
             problem = getattr(message, "problem", "body before headers")
             return SendResult(fate=SendOutcome.UNKNOWN, problem=problem)
         metadata = self.pool.codec.read_answer(message.status, message.headers)
+        self.pool.apply_hints(self.selection.endpoint, metadata)
         result = classify_answer(message, metadata, self.matched.metadata.id)
         if result.fate is SendOutcome.ANSWERED and self.relay is not None:
             return await self._relay_stream(answer, result)
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -11,7 +11,7 @@
 
 from ..observability import emit
 from ..reads import Backoff
-from ..registry import Registry, Snapshot
+from ..registry import Registry, Snapshot, StoreRevision
 from ..sockets import Address, enable_keepalive, open_stream, parse_address
 from .events import (
     ITEMS_RECEIVED_FROM_PEER,
@@ -265,19 +265,20 @@
         emit(
             ITEMS_RECEIVED_FROM_PEER,
             peer=name,
-            before=before,
-            revision=snapshot.revision,
+            era=snapshot.revision.era,
+            before=before.number,
+            revision=snapshot.revision.number,
             items=len(snapshot.items),
         )
 
-    def schedule_catch_up(self, name: str, revision: int) -> None:
+    def schedule_catch_up(self, name: str, revision: StoreRevision) -> None:
         """Request newer items from a peer unless the local watch delivers them soon.
 
         Parameters
         ----------
         name : str
             Address of the peer.
-        revision : int
+        revision : StoreRevision
             Revision that the peer has.
         """
         if revision <= self.registry.cache.revision or name not in self.write_queues:
@@ -287,7 +288,7 @@
             CATCH_UP_DELAY.total_seconds(), self._request_items, name, revision
         )
 
-    def _request_items(self, name: str, revision: int) -> None:
+    def _request_items(self, name: str, revision: StoreRevision) -> None:
         current = self.registry.cache.revision
         queue = self.write_queues.get(name)
         if queue is None or current >= revision:
--- a/zinniaramp/peers/events.py
+++ b/zinniaramp/peers/events.py
@@ -38,5 +38,5 @@
     level="INFO",
     meaning="Another gateway process had a newer revision of the store and sent the "
     "missing items.",
-    fields=("peer", "before", "revision", "items"),
+    fields=("peer", "era", "before", "revision", "items"),
 )
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -5,7 +5,7 @@
 import msgpack
 
 from ..placement.prompts import PromptSegment
-from ..registry.items import Item, Snapshot
+from ..registry.items import Item, Snapshot, StoreRevision
 
 __all__ = [
     "Heartbeat",
@@ -54,11 +54,11 @@
 
     Parameters
     ----------
-    revision : int
+    revision : StoreRevision
         Revision of the store up to which the sender has all items.
     """
 
-    revision: int
+    revision: StoreRevision
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -67,11 +67,11 @@
 
     Parameters
     ----------
-    after : int
+    after : StoreRevision
         Highest revision that the sender has.
     """
 
-    after: int
+    after: StoreRevision
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -141,17 +141,26 @@
 ) = range(7)
 
 
+def _revision_fields(revision: StoreRevision) -> list:
+    return [revision.era, revision.number]
+
+
+def _decode_revision(era, number) -> StoreRevision:
+    return StoreRevision(era=int(era), number=int(number))
+
+
 def _as_array(message: Message) -> list:
     match message:
         case Hello():
             return [_HELLO, message.address, list(message.known_peers)]
         case Heartbeat():
-            return [_HEARTBEAT, message.revision]
+            return [_HEARTBEAT, *_revision_fields(message.revision)]
         case ItemsRequest():
-            return [_ITEMS_REQUEST, message.after]
+            return [_ITEMS_REQUEST, *_revision_fields(message.after)]
         case Snapshot():
             items = [[one.key, one.revision, one.value] for one in message.items]
-            return [_SNAPSHOT, message.revision, items]
+            revision = _revision_fields(message.revision)
+            return [_SNAPSHOT, *revision, items, message.is_complete]
         case SendStarted():
             parts = [value for one in message.parts for value in (one.name, one.tokens)]
             return [
@@ -174,12 +183,13 @@
     return msgpack.packb(_as_array(message))
 
 
-def _decode_snapshot(revision: int, items: list) -> Snapshot:
+def _decode_snapshot(era, number, items: list, is_complete) -> Snapshot:
     read = tuple(
         Item(key=str(key), revision=int(item_revision), value=value)
         for key, item_revision, value in items
     )
-    return Snapshot(revision=int(revision), items=read, is_complete=False)
+    revision = _decode_revision(era, number)
+    return Snapshot(revision=revision, items=read, is_complete=bool(is_complete))
 
 
 def _decode_send_started(
@@ -204,8 +214,8 @@
     _HELLO: lambda address, known_peers: Hello(
         address=str(address), known_peers=tuple(str(peer) for peer in known_peers)
     ),
-    _HEARTBEAT: lambda revision: Heartbeat(revision=int(revision)),
-    _ITEMS_REQUEST: lambda after: ItemsRequest(after=int(after)),
+    _HEARTBEAT: lambda *fields: Heartbeat(revision=_decode_revision(*fields)),
+    _ITEMS_REQUEST: lambda *fields: ItemsRequest(after=_decode_revision(*fields)),
     _SNAPSHOT: _decode_snapshot,
     _SEND_STARTED: _decode_send_started,
     _SEND_FIRST_EVENT: lambda number: SendFirstEvent(number=int(number)),
--- a/zinniaramp/platform/headers.py
+++ b/zinniaramp/platform/headers.py
@@ -11,6 +11,7 @@
     UpstreamMetadata,
 )
 from ..placement.prompts import Demand, PromptSegment
+from ..reads import parse_retry_after
 
 __all__ = ["make_header_codec"]
 
@@ -24,6 +25,7 @@
 SERVER_STAMP = "Zinniaramp-Server-Stamp"
 INSTANCE_ID = "Zinniaramp-Instance-Id"
 NOT_EXECUTED = "Zinniaramp-Not-Executed"
+SERVER_LEAVING = "Server-Leaving"
 EXPECT_INSTANCE = "Zinniaramp-Expect-Instance"
 WORKSPACE = "Zinniaramp-Tenant"
 URGENCY_LEVEL = "Zinniaramp-Urgency-Level"
@@ -35,6 +37,12 @@
 MISDIRECTED_REQUEST = 421
 """Status that an endpoint returns if the request names another endpoint."""
 
+SERVICE_UNAVAILABLE = 503
+"""Status with which an endpoint sheds a request; it may add ``Retry-After``."""
+
+LEAVING = "1"
+"""Value of `SERVER_LEAVING` in the answers of an endpoint that leaves."""
+
 LOWEST_URGENCY = 9
 """Least urgent level that endpoints support; 0 is the most urgent."""
 
@@ -161,10 +169,15 @@
 
 
 def _read_answer(status: int, headers: HTTPHeaders) -> AnswerMetadata:
+    # Another endpoint than the one addressed answers that a request is misdirected.
+    is_other = status == MISDIRECTED_REQUEST
+    is_shed = status == SERVICE_UNAVAILABLE
     return AnswerMetadata(
         request_id=headers.get(REQUEST_ID, ""),
         is_signed=SERVER_STAMP in headers,
-        reports_not_run=NOT_EXECUTED in headers or status == MISDIRECTED_REQUEST,
+        reports_not_run=NOT_EXECUTED in headers or is_other,
+        reports_leaving=headers.get(SERVER_LEAVING) == LEAVING and not is_other,
+        retry_after=parse_retry_after(headers) if is_shed else None,
     )
 
 
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -58,6 +58,8 @@
         Port on which metrics are served.
     store : Address
         Address of the platform's store.
+    heartbeat : timedelta
+        Interval at which endpoints write their entries in the store.
     seeds : tuple of Address
         Other gateway processes to connect to at startup.
     bounds : HostBounds
@@ -72,6 +74,7 @@
     peers: Address
     metrics_port: int
     store: Address
+    heartbeat: timedelta
     seeds: tuple[Address, ...]
     bounds: HostBounds
 
@@ -163,6 +166,7 @@
         peers=listen.address("control_plane"),
         metrics_port=top.first_port("internal_ports"),
         store=top.subtable("platform").address("address"),
+        heartbeat=timedelta(milliseconds=top.number("heartbeat_ms")),
         seeds=top.addresses("seeds"),
         bounds=_parse_bounds(top.subtable("bounds")),
     )
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -7,12 +7,20 @@
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from ..reads import ReadError, ReadJson, make_http_reader
+from ..reads import (
+    JsonAnswer,
+    ReadAnswer,
+    ReadError,
+    ReadJson,
+    make_answer_reader,
+    make_http_reader,
+)
 from ..registry.follower import Source
-from ..registry.items import Item, Snapshot
+from ..registry.items import Item, Snapshot, StoreRevision
 from ..sockets import Address, open_stream
 
 __all__ = ["make_json_reader", "make_store_source"]
@@ -35,6 +43,9 @@
 ALL_KEYS_PREFIX = ""
 """Prefix that matches all keys: one watch covers configuration and endpoints."""
 
+ERA_HEADER = "Store-Era"
+"""Header of all answers; its number rises when the store is restored from a copy."""
+
 HTTP_GONE = 410
 """Status of a watch whose start revision has been compacted."""
 
@@ -73,37 +84,53 @@
     return Item(key=key, revision=revision, value=value)
 
 
-def _decode_snapshot(answer: object, field: str) -> Snapshot:
+def _decode_era(headers: HTTPHeaders) -> int:
+    """Return the store's era; 0 from a store that reports none."""
+    value = headers.get(ERA_HEADER, "0")
+    if not value.isascii() or not value.isdigit():
+        raise ReadError(f"{ERA_HEADER} = {value!r} is not a whole number")
+    return int(value)
+
+
+def _decode_snapshot(received: JsonAnswer, field: str) -> Snapshot:
+    answer = received.document
     if not isinstance(answer, dict) or not isinstance(answer.get(field), list):
         raise ReadError(f"answer has no list '{field}'")
     revision = answer.get("store_revision")
     if type(revision) is not int:
         raise ReadError(f"store_revision = {revision!r} is not an integer")
     items = tuple(_decode_item(entry) for entry in answer[field])
-    return Snapshot(revision=revision, items=items, is_complete=False)
+    known = StoreRevision(era=_decode_era(received.headers), number=revision)
+    return Snapshot(revision=known, items=items, is_complete=False)
 
 
-def make_json_reader() -> ReadJson:
-    """Return a function that reads JSON from the store or a server by IP address."""
+def _make_client() -> SimpleAsyncHTTPClient:
     client = SimpleAsyncHTTPClient(
         force_instance=True, max_clients=MAX_CONCURRENT_CALLS
     )
     client.tcp_client = _DirectConnections()
-    return make_http_reader(client)
+    return client
+
+
+def make_json_reader() -> ReadJson:
+    """Return a function that reads JSON from a server by IP address."""
+    return make_http_reader(_make_client())
 
 
 def make_store_source(address: Address) -> Source:
     """Return the functions that read and watch the store at an address."""
-    read = make_json_reader()
+    read = make_answer_reader(_make_client())
     base = f"http://{address}"
 
     async def read_all() -> Result[Snapshot, ReadError]:
         return await _read_pages(read, base)
 
-    async def watch(after: int, wait: timedelta) -> Result[Snapshot | None, ReadError]:
+    async def watch(
+        after: StoreRevision, wait: timedelta
+    ) -> Result[Snapshot | None, ReadError]:
         wait_ms = wait // timedelta(milliseconds=1)
         query = urlencode(
-            {"prefix": ALL_KEYS_PREFIX, "after": after, "wait_ms": wait_ms}
+            {"prefix": ALL_KEYS_PREFIX, "after": after.number, "wait_ms": wait_ms}
         )
         answer = await read(f"{base}/kv-watch?{query}", wait + WATCH_MARGIN)
         if answer.is_err() and answer.err_value.status == HTTP_GONE:
@@ -113,20 +140,20 @@
     return Source(read_all=read_all, watch=watch)
 
 
-def _parse_snapshot(answer: object, *, field: str) -> Result[Snapshot, ReadError]:
+def _parse_snapshot(answer: JsonAnswer, *, field: str) -> Result[Snapshot, ReadError]:
     try:
         return Ok(_decode_snapshot(answer, field))
     except ReadError as error:
         return Err(error)
 
 
-async def _read_pages(read: ReadJson, base: str) -> Result[Snapshot, ReadError]:
+async def _read_pages(read: ReadAnswer, base: str) -> Result[Snapshot, ReadError]:
     """Read all pages into one complete snapshot.
 
     The snapshot has the revision of the first page.  A watch that starts there also
     returns the changes made while later pages were read.
     """
-    first_revision: int | None = None
+    first_revision: StoreRevision | None = None
     items: list[Item] = []
     query = {"prefix": ALL_KEYS_PREFIX}
     for _ in range(MAX_PAGES):
@@ -135,11 +162,11 @@
         if page.is_err():
             return page
         snapshot = page.ok_value
-        first_revision = snapshot.revision if first_revision is None else first_revision
+        first_revision = first_revision or snapshot.revision
+        if snapshot.revision.era != first_revision.era:
+            return Err(ReadError("the store was restored between two pages"))
         items.extend(snapshot.items)
-        if not answer.ok_value.get("more_pages") or not snapshot.items:
+        if not answer.ok_value.document.get("more_pages") or not snapshot.items:
             break
         query["after"] = snapshot.items[-1].key
-    return Ok(
-        Snapshot(revision=first_revision or 0, items=tuple(items), is_complete=True)
-    )
+    return Ok(Snapshot(revision=first_revision, items=tuple(items), is_complete=True))
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -1,21 +1,36 @@
 """JSON reads over HTTP with timeouts, the backoff after failures, polling intervals."""
 
 import json
+import math
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
 from typing import Any
 
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPError
-from tornado.httputil import HTTPInputError
+from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import StreamClosedError
 
-__all__ = ["Backoff", "ReadError", "ReadJson", "make_http_reader", "polling_interval"]
+__all__ = [
+    "Backoff",
+    "JsonAnswer",
+    "ReadAnswer",
+    "ReadError",
+    "ReadJson",
+    "make_answer_reader",
+    "make_http_reader",
+    "parse_retry_after",
+    "polling_interval",
+]
 
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Largest answer that is parsed; a megabyte of content as JSON with digests fits."""
 
+MAX_RETRY_AFTER_SECONDS = 24 * 3600
+"""Largest ``Retry-After`` that is followed; a longer one is taken for an error."""
+
 CONNECT_TIMEOUT = timedelta(seconds=2)
 """Timeout of connecting; a shorter timeout of the read takes precedence."""
 
@@ -28,18 +43,56 @@
     status : int
         HTTP status of an error response, or Tornado's 599 for a timeout or a failed
         connection; 0 if there is neither.
+    retry_after : timedelta or None
+        Time for which the service asks not to be called; None if it asks for none.
     """
 
-    def __init__(self, message: str, *, status: int = 0):
+    def __init__(
+        self, message: str, *, status: int = 0, retry_after: timedelta | None = None
+    ):
         super().__init__(message)
         self.status = status
+        self.retry_after = retry_after
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class JsonAnswer:
+    """Parsed JSON of an answer, and its headers."""
 
+    document: Any
+    headers: HTTPHeaders
+
+
+ReadAnswer = Callable[[str, timedelta], Awaitable[Result[JsonAnswer, ReadError]]]
+"""Reads a URL with a timeout and returns the parsed JSON with the headers."""
 
 ReadJson = Callable[[str, timedelta], Awaitable[Result[Any, ReadError]]]
 """Reads a URL with a timeout and returns the parsed JSON."""
 
 
-def make_http_reader(client: AsyncHTTPClient) -> ReadJson:
+def parse_retry_after(headers: HTTPHeaders) -> timedelta | None:
+    """Return the ``Retry-After`` of an answer; None if it is absent or not a number.
+
+    Parameters
+    ----------
+    headers : HTTPHeaders
+        Headers of the answer.  Only a number of seconds is understood, which may have
+        a fraction.
+
+    References
+    ----------
+    RFC 9110, section 10.2.3.
+    """
+    try:
+        seconds = float(headers.get("Retry-After", ""))
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or not 0 < seconds <= MAX_RETRY_AFTER_SECONDS:
+        return None
+    return timedelta(seconds=seconds)
+
+
+def make_answer_reader(client: AsyncHTTPClient) -> ReadAnswer:
     """Return a function that reads JSON with one GET, without retries or redirects.
 
     Parameters
@@ -49,11 +102,13 @@
 
     Returns
     -------
-    ReadJson
+    ReadAnswer
         Coroutine function; it returns `ReadError` on failures instead of raising.
     """
 
-    async def read_json(url: str, timeout: timedelta) -> Result[Any, ReadError]:
+    async def read_answer(
+        url: str, timeout: timedelta
+    ) -> Result[JsonAnswer, ReadError]:
         try:
             response = await client.fetch(
                 url,
@@ -62,15 +117,29 @@
                 follow_redirects=False,
             )
         except HTTPError as error:
-            return Err(ReadError(f"{url}: {error}", status=error.code))
+            wait = parse_retry_after(error.response.headers) if error.response else None
+            problem = f"{url}: {error}"
+            return Err(ReadError(problem, status=error.code, retry_after=wait))
         except (OSError, HTTPInputError, StreamClosedError) as error:
             return Err(ReadError(f"{url}: {error!r}"))
         if len(response.body) > MAX_ANSWER_BYTES:
             return Err(ReadError(f"{url}: more than {MAX_ANSWER_BYTES} bytes"))
         try:
-            return Ok(json.loads(response.body))
+            document = json.loads(response.body)
         except (ValueError, RecursionError) as error:
             return Err(ReadError(f"{url}: not JSON: {error}"))
+        return Ok(JsonAnswer(document=document, headers=response.headers))
+
+    return read_answer
+
+
+def make_http_reader(client: AsyncHTTPClient) -> ReadJson:
+    """Return a function like that of `make_answer_reader`, without the headers."""
+    read_answer = make_answer_reader(client)
+
+    async def read_json(url: str, timeout: timedelta) -> Result[Any, ReadError]:
+        answer = await read_answer(url, timeout)
+        return answer.map(lambda one: one.document)
 
     return read_json
 
--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -2,7 +2,7 @@
 
 from .core import Endpoint, EndpointState, Registry
 from .follower import Source, StoreFollower
-from .items import Item, ItemCache, Snapshot
+from .items import Item, ItemCache, Snapshot, StoreRevision
 
 __all__ = [
     "Endpoint",
@@ -13,4 +13,5 @@
     "Snapshot",
     "Source",
     "StoreFollower",
+    "StoreRevision",
 ]
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -15,9 +15,13 @@
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_OLD,
     ENDPOINT_GONE,
+    ENDPOINT_HELD,
+    ENDPOINT_LEAVING,
     ENDPOINT_LISTED,
     ENDPOINT_MISSING,
     ITEM_REFUSED,
+    STORE_ANSWER_OLD,
+    STORE_RESTORED,
 )
 from .items import Item, ItemCache, Snapshot
 
@@ -78,6 +82,19 @@
         return f"{self.id}@{self.started}"
 
 
+DEPARTURE_MEMORY = timedelta(minutes=10)
+"""Time for which the departure of an endpoint is remembered.  A copy from which the
+store is restored is some seconds old."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Departure:
+    """Removal of an endpoint's entry: the store's era, and when it was learnt."""
+
+    era: int
+    at: datetime
+
+
 DecodedItem = Endpoint | Configuration | None
 """Result of decoding an item; None if items of its kind are not used."""
 
@@ -89,7 +106,8 @@
     """Endpoints and configuration of the process, updated from snapshots of the store.
 
     An older revision of an item or version of the configuration never replaces a newer
-    one, and an incarnation that has reported that it is leaving stays so.
+    one, and an incarnation that has reported that it is leaving stays so, also if the
+    store is restored from an older copy.
 
     Parameters
     ----------
@@ -99,6 +117,8 @@
         Time for which an endpoint stays in use after its entry expired because of an
         outage of the store.  Entries that disappear within this time after the
         outage count as expired because of it.
+    entry_lifetime : timedelta
+        Time after which the store removes an entry that its endpoint no longer writes.
     clock : Clock
         The process's clock.
 
@@ -115,6 +135,12 @@
     lapsed_until : dict of datetime
         End of the grace period of endpoints whose entries expired because of an
         outage, by the key of their item.
+    departed : dict of Departure
+        Incarnations whose entries were removed in the last `DEPARTURE_MEMORY`.
+    held_until : dict of datetime
+        Incarnations that had departed before the store was restored from a copy that
+        still has their entries, with the time at which such an entry counts again: the
+        store removes it earlier unless the endpoint still writes it.
     store_returned_at : datetime or None
         End of the last outage of the store.
     by_service : dict of list of Endpoint
@@ -130,12 +156,15 @@
     __slots__ = (
         "decode",
         "lapse_grace",
+        "entry_lifetime",
         "clock",
         "cache",
         "configuration",
         "endpoints",
         "leaving",
         "lapsed_until",
+        "departed",
+        "held_until",
         "store_returned_at",
         "by_service",
         "incarnations",
@@ -143,15 +172,25 @@
         "refused",
     )
 
-    def __init__(self, *, decode: ItemDecoder, lapse_grace: timedelta, clock: Clock):
+    def __init__(
+        self,
+        *,
+        decode: ItemDecoder,
+        lapse_grace: timedelta,
+        entry_lifetime: timedelta,
+        clock: Clock,
+    ):
         self.decode = decode
         self.lapse_grace = lapse_grace
+        self.entry_lifetime = entry_lifetime
         self.clock = clock
         self.cache = ItemCache()
         self.configuration: Configuration | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.leaving: set[str] = set()
         self.lapsed_until: dict[str, datetime] = {}
+        self.departed: dict[str, Departure] = {}
+        self.held_until: dict[str, datetime] = {}
         self.store_returned_at: datetime | None = None
         self.by_service: dict[str, list[Endpoint]] = {}
         self.incarnations: dict[str, Endpoint] = {}
@@ -159,7 +198,8 @@
         self.refused: dict[str, str] = {}
 
     def apply(self, snapshot: Snapshot) -> None:
-        """Apply the new items of a snapshot."""
+        """Apply the new items of a snapshot; one of an older era has none."""
+        self._check_era(snapshot)
         for item in self.cache.apply(snapshot):
             if item.value is None:
                 self._remove(item)
@@ -167,25 +207,48 @@
                 self._decode_and_apply(item)
         self._rebuild_indexes()
 
+    def _check_era(self, snapshot: Snapshot) -> None:
+        """Log a restore of the store, or that an answer is older than the last one."""
+        known, received = self.cache.revision, snapshot.revision
+        if received.era < known.era:
+            emit(STORE_ANSWER_OLD, era=received.era, known=known.era)
+        if received.era > known.era and known.number and snapshot.is_complete:
+            emit(
+                STORE_RESTORED,
+                era=received.era,
+                before=known.era,
+                revision=received.number,
+                revision_before=known.number,
+            )
+            self.start_lapse_grace()
+
     def start_lapse_grace(self) -> None:
         """Start the grace period for endpoints whose entries expired in an outage."""
         self.store_returned_at = self.clock()
 
     def ready(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that accept new requests."""
-        if self.lapsed_until:
-            self._remove_expired()
+        if self.lapsed_until or self.held_until:
+            self._end_waits()
         return self.by_service.get(service, [])
 
     def by_incarnation(self, name: str) -> Endpoint | None:
         """Return the registered endpoint of an incarnation's name, or None."""
         return self.incarnations.get(name)
 
+    def mark_leaving(self, name: str) -> None:
+        """Record that an incarnation has reported its leaving to this process."""
+        if name in self.leaving:
+            return
+        self.leaving.add(name)
+        emit(ENDPOINT_LEAVING, endpoint=name)
+        self._rebuild_indexes()
+
     def _decode_and_apply(self, item: Item) -> None:
         self.refused.pop(item.key, None)
         match self.decode(item):
             case Ok(Endpoint() as endpoint):
-                self._register(item.key, endpoint)
+                self._register(item, endpoint)
             case Ok(Configuration() as configuration):
                 self._activate(configuration)
             case Ok(_):
@@ -200,8 +263,10 @@
                 self.endpoints.pop(item.key, None)
                 self.refused[item.key] = str(error)
 
-    def _register(self, key: str, endpoint: Endpoint) -> None:
+    def _register(self, item: Item, endpoint: Endpoint) -> None:
+        key = item.key
         self.lapsed_until.pop(key, None)
+        self._hold_if_departed(item, endpoint)
         if endpoint.state is EndpointState.LEAVING:
             self.leaving.add(endpoint.incarnation)
         if self.endpoints.get(key) == endpoint:
@@ -215,6 +280,28 @@
             state=endpoint.state.value,
         )
 
+    def _hold_if_departed(self, item: Item, endpoint: Endpoint) -> None:
+        """Don't use an endpoint again because of an entry that a copy brought back.
+
+        An entry with a revision after the first read of the era was written since, so
+        its endpoint has returned.  The one of the copy counts only once it has lasted
+        longer than the store keeps an entry that is not written.
+        """
+        name = endpoint.incarnation
+        departure = self.departed.get(name)
+        if departure is None:
+            return
+        cache = self.cache
+        is_written = item.revision > cache.era_start
+        if departure.era == cache.revision.era or is_written:
+            del self.departed[name]
+            self.held_until.pop(name, None)
+            return
+        if name not in self.held_until:
+            wait = self.entry_lifetime + self.lapse_grace
+            self.held_until[name] = self.clock() + wait
+            emit(ENDPOINT_HELD, endpoint=name, seconds=wait.total_seconds())
+
     def _activate(self, configuration: Configuration) -> None:
         current = self.configuration
         if current is not None and configuration.version <= current.version:
@@ -233,34 +320,49 @@
         if endpoint is None:
             return
         now = self.clock()
-        if self._is_in_lapse_grace(now) and endpoint.incarnation not in self.leaving:
+        name = endpoint.incarnation
+        if self._is_in_lapse_grace(now) and not self._is_unused(name):
             self.lapsed_until[item.key] = now + self.lapse_grace
-            emit(ENDPOINT_MISSING, endpoint=endpoint.incarnation)
+            emit(ENDPOINT_MISSING, endpoint=name)
             return
         self._unregister(item.key)
 
+    def _is_unused(self, name: str) -> bool:
+        return name in self.leaving or name in self.held_until
+
     def _is_in_lapse_grace(self, now: datetime) -> bool:
         if self.store_returned_at is None:
             return False
         return now < self.store_returned_at + self.lapse_grace
 
-    def _remove_expired(self) -> None:
+    def _end_waits(self) -> None:
+        """Remove endpoints whose grace period is over; admit those held long enough."""
         now = self.clock()
         expired = [key for key, until in self.lapsed_until.items() if now >= until]
+        admitted = [name for name, until in self.held_until.items() if now >= until]
         for key in expired:
             self._unregister(key)
-        if expired:
+        for name in admitted:
+            del self.held_until[name]
+            self.departed.pop(name, None)
+        if expired or admitted:
             self._rebuild_indexes()
 
     def _unregister(self, key: str) -> None:
         self.lapsed_until.pop(key, None)
-        endpoint = self.endpoints.pop(key)
-        emit(ENDPOINT_GONE, endpoint=endpoint.incarnation)
+        name = self.endpoints.pop(key).incarnation
+        self.held_until.pop(name, None)
+        emit(ENDPOINT_GONE, endpoint=name)
+        now = self.clock()
+        oldest = now - DEPARTURE_MEMORY
+        recent = {one: gone for one, gone in self.departed.items() if gone.at > oldest}
+        self.departed = recent
+        self.departed[name] = Departure(era=self.cache.revision.era, at=now)
 
     def _rebuild_indexes(self) -> None:
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
-            if endpoint.incarnation not in self.leaving:
+            if not self._is_unused(endpoint.incarnation):
                 by_service.setdefault(endpoint.service, []).append(endpoint)
         self.by_service = by_service
         registered = self.endpoints.values()
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -6,12 +6,16 @@
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_OLD",
     "ENDPOINT_GONE",
+    "ENDPOINT_HELD",
+    "ENDPOINT_LEAVING",
     "ENDPOINT_LISTED",
     "ENDPOINT_MISSING",
     "ITEM_REFUSED",
     "PEER_UNUSABLE",
+    "STORE_ANSWER_OLD",
     "STORE_LOST",
     "STORE_REGAINED",
+    "STORE_RESTORED",
 ]
 
 CONFIGURATION_IN_FORCE = declare_event(
@@ -64,14 +68,14 @@
     level="WARNING",
     meaning="A call to the store failed; the process continues with its last known "
     "state and requests changes from its peers.",
-    fields=("revision", "problem"),
+    fields=("era", "revision", "problem"),
 )
 STORE_REGAINED = declare_event(
     number=1907,
     name="store-regained",
     level="INFO",
     meaning="A call to the store succeeded again.",
-    fields=("revision", "away_s"),
+    fields=("era", "revision", "away_s"),
 )
 PEER_UNUSABLE = declare_event(
     number=1908,
@@ -80,3 +84,37 @@
     meaning="A peer sent no usable response.",
     fields=("peer", "problem"),
 )
+STORE_RESTORED = declare_event(
+    number=1909,
+    name="store-restored",
+    level="WARNING",
+    meaning="The store was restored from an older copy: its era has risen and its "
+    "revisions have gone back.  Neither the configuration nor a departure reverts, and "
+    "endpoints that the copy lacks stay in use until the time for registering again is "
+    "over.",
+    fields=("era", "before", "revision", "revision_before"),
+)
+STORE_ANSWER_OLD = declare_event(
+    number=1910,
+    name="store-answer-old",
+    level="WARNING",
+    meaning="An answer of an era before the last restore arrived late; it was dropped.",
+    fields=("era", "known"),
+)
+ENDPOINT_HELD = declare_event(
+    number=1911,
+    name="endpoint-held",
+    level="WARNING",
+    meaning="A copy of the store brought back the entry of an endpoint that had "
+    "departed; it is not used unless its entry is written again or lasts for "
+    "`seconds`.",
+    fields=("endpoint", "seconds"),
+)
+ENDPOINT_LEAVING = declare_event(
+    number=1912,
+    name="endpoint-leaving",
+    level="INFO",
+    meaning="An endpoint reported in an answer that it is leaving; it gets no more "
+    "requests.",
+    fields=("endpoint",),
+)
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -13,7 +13,7 @@
 from ..reads import Backoff, ReadError
 from .core import Registry
 from .events import STORE_LOST, STORE_REGAINED
-from .items import Snapshot
+from .items import NO_REVISION, Snapshot, StoreRevision
 
 __all__ = ["Source", "StoreFollower"]
 
@@ -52,7 +52,9 @@
     """
 
     read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
-    watch: Callable[[int, timedelta], Awaitable[Result[Snapshot | None, ReadError]]]
+    watch: Callable[
+        [StoreRevision, timedelta], Awaitable[Result[Snapshot | None, ReadError]]
+    ]
 
 
 class StoreFollower:
@@ -71,7 +73,7 @@
 
     Attributes
     ----------
-    revision : int or None
+    revision : StoreRevision or None
         Revision after which the next watch continues; None if a full read is needed.
     unreachable_since : datetime or None
         Time of the first failed call since the last successful one; None if the
@@ -94,7 +96,7 @@
         self.registry = registry
         self.clock = clock
         self.backoff = Backoff(first=BACKOFF_FIRST, limit=BACKOFF_LIMIT, random=random)
-        self.revision: int | None = None
+        self.revision: StoreRevision | None = None
         self.unreachable_since: datetime | None = None
 
     async def run(self) -> None:
@@ -103,10 +105,13 @@
             match await self._read_next():
                 case Ok(None):
                     self.revision = None
+                case Ok(snapshot) if self._is_old(snapshot):
+                    self.registry.apply(snapshot)
+                    self.revision = None
+                    await asyncio.sleep(self.backoff.next_wait().total_seconds())
                 case Ok(snapshot):
                     self._record_success()
-                    self.registry.apply(snapshot)
-                    self.revision = snapshot.revision
+                    self._apply(snapshot)
                 case Err(error):
                     self._record_failure(error)
                     await asyncio.sleep(self.backoff.next_wait().total_seconds())
@@ -116,6 +121,21 @@
             return await self.source.read_all()
         return await self.source.watch(self.revision, WATCH_TIMEOUT)
 
+    def _is_old(self, snapshot: Snapshot) -> bool:
+        return snapshot.revision.era < self.registry.cache.revision.era
+
+    def _apply(self, snapshot: Snapshot) -> None:
+        """Apply an answer, and determine where the next call continues.
+
+        The changes of another era than that of the watch don't continue the items that
+        are known, so all items are read again.
+        """
+        is_continued = (
+            snapshot.is_complete or snapshot.revision.era == self.revision.era
+        )
+        self.registry.apply(snapshot)
+        self.revision = snapshot.revision if is_continued else None
+
     def _record_success(self) -> None:
         self.backoff.reset()
         if self.unreachable_since is None:
@@ -124,9 +144,23 @@
         self.unreachable_since = None
         if outage > MIN_OUTAGE:
             self.registry.start_lapse_grace()
-        emit(STORE_REGAINED, revision=self.revision, away_s=outage.total_seconds())
+        emit(
+            STORE_REGAINED,
+            era=self._last_revision.era,
+            revision=self._last_revision.number,
+            away_s=outage.total_seconds(),
+        )
 
     def _record_failure(self, error: ReadError) -> None:
         if self.unreachable_since is None:
             self.unreachable_since = self.clock()
-            emit(STORE_LOST, revision=self.revision, problem=str(error))
+            emit(
+                STORE_LOST,
+                era=self._last_revision.era,
+                revision=self._last_revision.number,
+                problem=str(error),
+            )
+
+    @property
+    def _last_revision(self) -> StoreRevision:
+        return self.revision or NO_REVISION
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -34,7 +34,7 @@
 detection by probes takes."""
 
 
-class ConnectError(Exception):
+class ConnectError(ConnectionError):
     """The connection could not be established; nothing was sent."""
 
 
--- a/zinniaramp/standins/platform/process.py
+++ b/zinniaramp/standins/platform/process.py
@@ -19,6 +19,7 @@
 zone = "a"
 ip = "127.0.0.1"
 internal_ports = [{metrics}, {metrics}]
+heartbeat_ms = 1200
 seeds = [{seeds}]
 [listen]
 frontend = "127.0.0.1:{callers}"
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -146,6 +146,14 @@
         Instance id; a request that expects another id is answered 421.
     behaviours : deque of ServerBehaviour
         Behaviour for each of the next requests; `ServerBehaviour.ANSWER` when empty.
+    retry_after : float or None
+        ``Retry-After`` of the answers that shed a request, in seconds; None omits it.
+    is_leaving : bool
+        Whether all answers report that the server is leaving.
+    refuses_reads : bool
+        Whether a model server sheds the calls that read its cached segments.
+    reads : int
+        Number of calls that read the cached segments.
     events : int
         Number of events in a complete stream.
     events_before_tear : int
@@ -168,6 +176,10 @@
 
     id: str
     behaviours: deque[ServerBehaviour] = field(default_factory=deque)
+    retry_after: float | None = None
+    is_leaving: bool = False
+    refuses_reads: bool = False
+    reads: int = 0
     events: int = 4
     events_before_tear: int = 2
     released: asyncio.Event = field(default_factory=asyncio.Event)
@@ -183,7 +195,7 @@
         self.port = sockets[0].getsockname()[1]
         routes = [("/.*", ServerHandler, {"standin": self})]
         if self.engine is not None:
-            arguments = {"engine": self.engine}
+            arguments = {"standin": self}
             routes[:0] = [
                 ("/kv-list", CachedSegmentsHandler, arguments),
                 ("/report", ReportHandler, arguments),
@@ -201,13 +213,18 @@
 class CachedSegmentsHandler(RequestHandler):
     """Handler of ``GET /kv-list``."""
 
-    def initialize(self, engine: SegmentEngine) -> None:
-        """Keep a reference to the engine."""
-        self.engine = engine
+    def initialize(self, standin: ServerStandin) -> None:
+        """Keep a reference to the stand-in."""
+        self.standin = standin
 
     def get(self) -> None:
         """Answer with the prompt segments in the engine's KV cache."""
-        self.finish(self.engine.list_cached())
+        self.standin.reads += 1
+        if self.standin.refuses_reads:
+            self.set_status(503)
+            self.set_header("Retry-After", str(self.standin.retry_after))
+            return
+        self.finish(self.standin.engine.list_cached())
 
 
 class ReportHandler(CachedSegmentsHandler):
@@ -215,7 +232,7 @@
 
     def get(self) -> None:
         """Answer with the engine's load and capacity."""
-        self.finish(self.engine.report())
+        self.finish(self.standin.engine.report())
 
 
 @stream_request_body
@@ -231,6 +248,8 @@
 
     async def prepare(self) -> None:
         """Answer before the body is received if the next behaviour is ``early``."""
+        if self.standin.is_leaving:
+            self.set_header("Server-Leaving", "1")
         behaviours = self.standin.behaviours
         if not behaviours or behaviours[0] is not ServerBehaviour.EARLY:
             return
@@ -263,6 +282,8 @@
         if behaviour is ServerBehaviour.SHED:
             self.set_status(503)
             self.set_header("Zinniaramp-Not-Executed", "1")
+            if self.standin.retry_after is not None:
+                self.set_header("Retry-After", str(self.standin.retry_after))
             return
         self.arrival.was_executed = True
         if behaviour is ServerBehaviour.HOLD:
--- a/zinniaramp/standins/platform/store.py
+++ b/zinniaramp/standins/platform/store.py
@@ -9,7 +9,7 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-__all__ = ["StoreStandin"]
+__all__ = ["StoreCopy", "StoreStandin"]
 
 LOOPBACK = "127.0.0.1"
 """Address on which the stand-in listens."""
@@ -20,6 +20,17 @@
 FIRST_REVISION = 100
 """Revision of the empty store; the counter starts above 0."""
 
+FIRST_ERA = 1
+"""Value of ``Store-Era`` before the first restore."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class StoreCopy:
+    """Copy of the store's content, from which it can be restored."""
+
+    items: dict[str, dict]
+    revision: int
+
 
 @dataclass(slots=True, kw_only=True)
 class StoreStandin:
@@ -33,6 +44,8 @@
         Changes since the last compaction, in order of revision.
     revision : int
         Revision of the latest change.
+    era : int
+        Number that each restore from a copy increments.
     refuses : bool
         Whether calls are answered 503.
     is_silent : bool
@@ -54,6 +67,7 @@
     items: dict[str, dict] = field(default_factory=dict)
     history: list[dict] = field(default_factory=list)
     revision: int = FIRST_REVISION
+    era: int = FIRST_ERA
     refuses: bool = False
     is_silent: bool = False
     compacted_revision: int = 0
@@ -63,14 +77,14 @@
     server: HTTPServer | None = None
     port: int = 0
 
-    def listen(self) -> None:
-        """Listen on a free port of loopback."""
+    def listen(self, port: int = 0) -> None:
+        """Listen on a port of loopback; by default on a free one."""
         routes = [
             ("/kv-key", KeyHandler, {"store": self}),
             ("/kv-range", RangeHandler, {"store": self}),
             ("/kv-watch", WatchHandler, {"store": self}),
         ]
-        sockets = bind_sockets(0, LOOPBACK)
+        sockets = bind_sockets(port, LOOPBACK)
         self.port = sockets[0].getsockname()[1]
         self.server = HTTPServer(Application(routes))
         self.server.add_sockets(sockets)
@@ -103,6 +117,18 @@
         self.compacted_revision = self.revision
         self.history.clear()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content."""
+        return StoreCopy(items=dict(self.items), revision=self.revision)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Replace the content by a copy; later changes are lost, revisions too."""
+        self.era += 1
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.compact()
+        self.wake_watches()
+
     def wake_watches(self) -> None:
         """Wake the waiting calls, which then check the content and faults again."""
         self.changed.set()
@@ -121,8 +147,9 @@
         self.store = store
 
     async def prepare(self) -> None:
-        """Record the call and simulate the active faults."""
+        """Record the call, set the era and simulate the active faults."""
         self.store.calls.append(self.request.path)
+        self.set_header("Store-Era", str(self.store.era))
         while self.store.is_silent:
             await self.store.changed.wait()
         if self.store.refuses:
@@ -167,11 +194,13 @@
         """Answer with the changes after a revision.
 
         Waits for the first change if there is none; the answer is empty at the
-        timeout.  A revision before the last compaction is answered 410.
+        timeout.  A revision before the last compaction, or one that the store does
+        not have, is answered 410.
         """
         after = int(self.get_query_argument("after"))
         wait = int(self.get_query_argument("wait_ms")) / 1000
-        if after < self.store.compacted_revision:
+        store = self.store
+        if not store.compacted_revision <= after <= store.revision:
             self.set_status(410)
             self.finish({"error": "history is gone"})
             return
@@ -181,7 +210,8 @@
                     await self.store.changed.wait()
         except TimeoutError:
             events = []
-        self.finish({"events": events, "store_revision": self.store.revision})
+        self.set_header("Store-Era", str(store.era))
+        self.finish({"events": events, "store_revision": store.revision})
 
     def _changes_after(self, after: int) -> list[dict]:
         prefix = self.get_query_argument("prefix")
