--- a/features/steps/gateway_mesh_steps.py
+++ b/features/steps/gateway_mesh_steps.py
@@ -119,6 +119,7 @@
         # Nothing listens on port 9.
         for number in range(count):
             mesh.add_peer(f"127.0.{1 + number // 250}.{1 + number % 250}:9")
+        assert len(mesh.connect_tasks) < count
 
     rig.run(add_peers())
     context.gateways = count + 1
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -85,8 +85,12 @@
 A dropped peer that is still running is added again when it connects to this process.
 """
 
-MAX_PEERS = 400
-"""Maximum number of peers; 330 gateway processes are planned for."""
+MAX_PEERS = 100
+"""Maximum number of peers to which connections are kept; the largest deployment today
+has 68 gateway processes.  Every connection costs the bytes of all load events."""
+
+MAX_KNOWN = 1000
+"""Maximum number of gateway processes that are counted; 330 are planned for."""
 
 MAX_QUEUED_BYTES = 64 * 1024
 """Limit on the bytes queued for one peer.
@@ -126,6 +130,8 @@
 
     Attributes
     ----------
+    known : set of str
+        Addresses of all other gateway processes that this one has heard of.
     connect_tasks : dict of asyncio.Task
         Task that maintains the connection to a peer, by the peer's address.
     write_queues : dict of bytearray
@@ -146,6 +152,7 @@
         "registry",
         "on_load_event",
         "random",
+        "known",
         "connect_tasks",
         "write_queues",
         "write_events",
@@ -172,6 +179,7 @@
         self.registry = registry
         self.on_load_event = on_load_event
         self.random = random
+        self.known: set[str] = set()
         self.connect_tasks: dict[str, asyncio.Task] = {}
         self.write_queues: dict[str, bytearray] = {}
         self.write_events: dict[str, asyncio.Event] = {}
@@ -197,12 +205,14 @@
     @property
     def entry_count(self) -> int:
         """Known gateway processes, including this one; some may have stopped."""
-        return 1 + len(self.connect_tasks)
+        return 1 + len(self.known)
 
     def add_peer(self, address: str) -> None:
         """Start connecting to a peer unless it is known or the limit is reached."""
         if address == str(self.own_address) or address in self.connect_tasks:
             return
+        if len(self.known) < MAX_KNOWN:
+            self.known.add(address)
         if len(self.connect_tasks) >= MAX_PEERS:
             return
         task = asyncio.create_task(self._maintain_connection(parse_address(address)))
@@ -229,6 +239,7 @@
                 await self._run_connection(str(address), opened.ok_value)
             await asyncio.sleep(backoff.next_wait().total_seconds())
         del self.connect_tasks[str(address)]
+        self.known.discard(str(address))
 
     async def _run_connection(self, name: str, stream: IOStream) -> None:
         """Exchange messages with a peer until the connection ends."""
@@ -236,7 +247,7 @@
         hello = Hello(
             address=str(self.own_address),
             data_center=self.data_center,
-            known_peers=tuple(self.connect_tasks)[:MAX_PEERS],
+            known_peers=tuple(self.known),
         )
         self.write_queues[name] = bytearray(encode(hello))
         self.write_events[name] = asyncio.Event()
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -48,7 +48,7 @@
     data_center : str
         Data centre of the sender.
     known_peers : tuple of str
-        Addresses of the peers that the sender is connected to or tries to reach.
+        Addresses of all gateway processes that the sender has heard of.
     """
 
     address: str
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -21,8 +21,8 @@
 """Long-poll timeout of one watch.
 
 Each call is billed, so the timeout is long.  It need not be short to detect a dead
-connection, because keep-alive probes do that.  It bounds how late a restore of the store
-is noticed if the watch survives it."""
+connection, because keep-alive probes do that.  It bounds how late a restore of the
+store is noticed if the watch survives it."""
 
 WATCH_PAUSE = timedelta(milliseconds=250)
 """Pause before the next watch after one that returned changes.
