Keep 40 connections, and count only own tokens against cached segments

Change: connections end at 40 again; entries are counted apart from that.

Change: only tokens that no other request shares count.

--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -85,9 +85,11 @@
 A dropped peer that is still running is added again when it connects to this process.
 """
 
-MAX_PEERS = 100
-"""Maximum number of peers to which connections are kept; the largest deployment today
-has 68 gateway processes.  Every connection costs the bytes of all load events."""
+MAX_PEERS = 40
+"""Maximum number of peers to which connections are kept.
+
+Every connection costs the bytes and the processor time of all load events; with 67
+peers a day of the largest deployment took too much processor time."""
 
 MAX_KNOWN = 1000
 """Maximum number of gateway processes that are counted; 330 are planned for."""
--- a/zinniaramp/placement/engine.py
+++ b/zinniaramp/placement/engine.py
@@ -112,8 +112,8 @@
         Sum of the prefill times of `waiting`.
     streams : Counter
         Number of requests in flight by their `StreamTargets`.
-    running_tokens : int
-        Tokens of the prompts and of the estimated outputs in flight.
+    own_tokens : int
+        Tokens in flight that no other request shares.
     held : OrderedDict of int
         Tokens of each cached prompt segment by name, least recently used first.
     held_tokens : int
@@ -134,7 +134,7 @@
         "waiting",
         "waiting_ms",
         "streams",
-        "running_tokens",
+        "own_tokens",
         "held",
         "held_tokens",
         "prefill_started_at",
@@ -149,7 +149,7 @@
         self.waiting: dict[object, SentRequest] = {}
         self.waiting_ms = 0.0
         self.streams: Counter[StreamTargets] = Counter()
-        self.running_tokens = 0
+        self.own_tokens = 0
         self.held: OrderedDict[str, int] = OrderedDict()
         self.held_tokens = 0
         self.prefill_started_at: datetime | None = None
@@ -250,7 +250,7 @@
         self.waiting[key] = sent
         self.waiting_ms += prefill_ms
         self.streams[sent.targets] += 1
-        self.running_tokens += demand.prompt_tokens + demand.output_estimate
+        self.own_tokens += demand.own_tokens
         self.record_cached(demand.parts)
         return sent
 
@@ -295,8 +295,7 @@
             return
         self._remove_waiting(key)
         _decrement(self.streams, sent.targets)
-        tokens = sent.demand.prompt_tokens + sent.demand.output_estimate
-        self.running_tokens -= tokens
+        self.own_tokens -= sent.demand.own_tokens
 
     def _remove_waiting(self, key: object) -> None:
         sent = self.waiting.pop(key, None)
@@ -339,7 +338,7 @@
         capacity = self.traits.kv_capacity_tokens
         limit = min(
             CACHED_SEGMENTS_SHARE * capacity,
-            max(MIN_CACHED_SHARE * capacity, capacity - self.running_tokens),
+            max(MIN_CACHED_SHARE * capacity, capacity - self.own_tokens),
         )
         while self.held_tokens > limit and self.held:
             _, tokens = self.held.popitem(last=False)
--- a/zinniaramp/placement/prompts.py
+++ b/zinniaramp/placement/prompts.py
@@ -54,6 +54,12 @@
         """Segments that other requests may share: all but the last one."""
         return self.parts[:-1]
 
+    @property
+    def own_tokens(self) -> int:
+        """Tokens that no other request shares: the last segment and the output."""
+        shared = sum(segment.tokens for segment in self.shared_prefix)
+        return max(0, self.prompt_tokens - shared) + self.output_estimate
+
     def affinity_key(self) -> bytes:
         """Return the key by which requests with the same prefix prefer the same engine.
 
