--- a/features/gateway/mesh.feature
+++ b/features/gateway/mesh.feature
@@ -33,6 +33,12 @@
     When it learns of 331 other gateways
     Then it shares the retry budget with all of them
 
+  Scenario: An address that a peer misspells is not counted as a gateway
+    Given a gateway that is ready
+    When a peer names itself "nowhere"
+    Then each connection is closed and logged
+    And the gateway counts only itself
+
   Scenario: Changes in quick succession cost few calls to the store
     Given a gateway that is ready
     When 40 items change one after the other
--- a/features/steps/gateway_mesh_steps.py
+++ b/features/steps/gateway_mesh_steps.py
@@ -11,6 +11,7 @@
     store_revision,
     wait_for_latest_revision,
 )
+from zinniaramp.peers.messages import Hello, encode
 from zinniaramp.reads import ReadError
 from zinniaramp.registry import ItemCache, Source
 
@@ -161,11 +162,35 @@
         assert not daemon.gateway.unready_reason()
 
 
+@when('a peer names itself "{address}"')
+def send_misspelt_address(context, address):
+    rig = context.rig
+    hello = Hello(address=address, data_center="a", known_peers=())
+
+    async def send_hello():
+        peers = rig.daemons[0].settings.peers
+        reader, writer = await rig.connect(address=peers)
+        writer.write(encode(hello))
+        assert await reader.read() == b""
+        writer.close()
+
+    context.invalid_connections = 1
+    rig.run(send_hello())
+
+
+@then("the gateway counts only itself")
+def check_counts_itself(context):
+    mesh = context.rig.daemons[0].gateway.mesh
+    assert mesh.entry_count == 1, mesh.known
+
+
 @when("an unknown client sends invalid messages to the first gateway")
 def send_invalid_messages(context):
     rig = context.rig
     peers = rig.daemons[0].settings.peers
 
+    context.invalid_connections = 3
+
     async def send_messages():
         for data in (b"\xc1\xff", b"\x92\x63\x01", b"GET / HTTP/1.1\r\n\r\n"):
             reader, writer = await rig.connect(address=peers)
@@ -178,4 +203,5 @@
 
 @then("each connection is closed and logged")
 def check_connections_logged(context):
-    assert len(context.rig.logged_events("peer-spoke-wrong")) == 3
+    logged = context.rig.logged_events("peer-spoke-wrong")
+    assert len(logged) == context.invalid_connections, logged
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -210,14 +210,21 @@
         return 1 + len(self.known)
 
     def add_peer(self, address: str) -> None:
-        """Start connecting to a peer unless it is known or the limit is reached."""
+        """Count a peer, and start connecting to it unless the limit is reached.
+
+        Raises
+        ------
+        ValueError
+            The address is not an IPv4 address and a port.
+        """
         if address == str(self.own_address) or address in self.connect_tasks:
             return
+        parsed = parse_address(address)
         if len(self.known) < MAX_KNOWN:
             self.known.add(address)
         if len(self.connect_tasks) >= MAX_PEERS:
             return
-        task = asyncio.create_task(self._maintain_connection(parse_address(address)))
+        task = asyncio.create_task(self._maintain_connection(parsed))
         self.connect_tasks[address] = task
 
     def broadcast(self, event: LoadEvent) -> None:
