Log the shared prompt segments of each send, and whether its stream began

A segment that ends engines, engines that end for reasons of their own and repeats of one request could not be told apart, except that no send of a crash was a repeat.

Ruled out: writing whole headers, which has the caller's own segment and ten times the size.

--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -27,8 +27,9 @@
     level="INFO",
     meaning="An endpoint was selected for a send; `wait_ms` (time to first token) "
     "and `to_read` (prompt tokens to prefill) are predictions for an engine, `version` "
-    "is the configuration's version, `era` and `revision` are the store's, and `ready` "
-    "is the number of endpoints that could be selected.",
+    "is the configuration's version, `era` and `revision` are the store's, `ready` is "
+    "the number of endpoints that could be selected, and `segments` are the names of "
+    "the prompt segments that other requests may share.",
     fields=(
         "request",
         "route",
@@ -42,14 +43,25 @@
         "left_ms",
         "wait_ms",
         "to_read",
+        "segments",
     ),
 )
 SEND_ENDED = declare_event(
     number=2001,
     name="send-ended",
     level="INFO",
-    meaning="A send ended; `fate` is whether the endpoint has run the request.",
-    fields=("request", "endpoint", "send", "fate", "status", "after_ms", "problem"),
+    meaning="A send ended; `fate` is whether the endpoint has run the request, and "
+    "`events` counts the reads that completed events of its stream.",
+    fields=(
+        "request",
+        "endpoint",
+        "send",
+        "fate",
+        "status",
+        "after_ms",
+        "events",
+        "problem",
+    ),
 )
 ANSWERED = declare_event(
     number=2002,
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -9,6 +9,7 @@
 from result import Err
 
 from ..observability import emit
+from ..placement import Demand
 from ..registry import Endpoint
 from ..routes import RetryPolicy
 from .caller import CallerConnection
@@ -55,6 +56,11 @@
 """Remaining time below which nothing is sent; no answer arrives in so short a time."""
 
 
+def _shared_names(demand: Demand | None) -> list[str]:
+    """Return the names of the prompt segments that other requests may share."""
+    return [segment.name for segment in demand.shared_prefix] if demand else []
+
+
 class Sender:
     """Sends one request to endpoints, one send at a time.
 
@@ -83,6 +89,8 @@
         When the first and the latest events were received.
     longest_gap : timedelta
         Longest time between events.
+    events : int
+        Reads of the latest send that completed events of its stream.
     """
 
     __slots__ = (
@@ -98,6 +106,7 @@
         "first_at",
         "last_at",
         "longest_gap",
+        "events",
         "answer",
         "selection",
     )
@@ -124,6 +133,7 @@
         self.first_at: datetime | None = None
         self.last_at: datetime | None = None
         self.longest_gap = timedelta()
+        self.events = 0
         self.answer: Answer | None = None
         self.selection: Selection | None = None
 
@@ -142,6 +152,7 @@
             return SendResult(outcome=SendOutcome.NOT_SENT, problem="no endpoint")
         self.selection = selection
         self.tried.add(selection.endpoint.incarnation)
+        self.events = 0
         began = self.pool.clock()
         try:
             result = await self._send(selection.endpoint)
@@ -157,6 +168,7 @@
             fate=result.outcome.value,
             status=result.status,
             after_ms=(self.pool.clock() - began) // MILLISECOND,
+            events=self.events,
             problem=result.problem,
         )
         return result
@@ -182,6 +194,7 @@
             left_ms=(matched.deadline - self.pool.clock()) // MILLISECOND,
             wait_ms=selection.predicted_ttft // MILLISECOND,
             to_read=selection.prefill_tokens,
+            segments=_shared_names(matched.metadata.demand),
         )
         return selection
 
@@ -324,6 +337,7 @@
 
     def _record_events(self) -> None:
         now = self.pool.clock()
+        self.events += 1
         if self.first_at is None:
             self.first_at = now
             self.pool.record_first_event(self.selection)
