--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -125,6 +125,7 @@
     processes: list[GatewayProcess] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
     events: list = field(default_factory=list)
+    restarts: int = 0
     sink: int | None = None
 
     def run(self, coroutine):
@@ -157,7 +158,7 @@
         return server
 
     async def add_model_server(
-        self, name, *, slots, start_engine=True, refuses_reads_for=None
+        self, name, *, slots, start_engine=True, refuses_reads_for=None, born=1000
     ):
         """Start a model server with a batching engine and publish its entry."""
         server = ServerStandin(id=name)
@@ -170,7 +171,18 @@
         self.servers[name] = server
         if start_engine:
             self.start_engine(name)
-        self.publish(name, service="model")
+        self.publish(name, service="model", born=born)
+
+    async def restart_model_server(self, name):
+        """Start a model server again after a crash, as another incarnation."""
+        before = self.servers[name]
+        self.restarts += 1
+        await self.add_model_server(name, slots=4, born=1000 + self.restarts)
+        server = self.servers[name]
+        server.arrivals = before.arrivals
+        server.crash_segment = before.crash_segment
+        server.events_before_crash = before.events_before_crash
+        server.is_unframed = before.is_unframed
 
     def start_engine(self, name):
         """Start the engine of a model server."""
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -9,7 +9,7 @@
 from enum import Enum
 
 from tornado.httpserver import HTTPServer
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler, stream_request_body
 
@@ -150,6 +150,17 @@
         ``Retry-After`` of the answers that shed a request, in seconds; None omits it.
     is_leaving : bool
         Whether all answers report that the server is leaving.
+    crash_segment : str
+        Name of a prompt segment whose requests end the server once it begins to answer
+        them; empty if there is none.
+    events_before_crash : int
+        Number of events that such a request gets before the server ends.
+    is_unframed : bool
+        Whether streams of the engine have neither a length nor chunks.
+    has_ended : bool
+        Whether the server has crashed.
+    connections : set of IOStream
+        Connections of the requests in progress.
     refuses_reads : bool
         Whether a model server sheds the calls that read its cached segments.
     reads : int
@@ -178,6 +189,11 @@
     behaviours: deque[ServerBehaviour] = field(default_factory=deque)
     retry_after: float | None = None
     is_leaving: bool = False
+    crash_segment: str = ""
+    events_before_crash: int = 0
+    is_unframed: bool = False
+    has_ended: bool = False
+    connections: set[IOStream] = field(default_factory=set)
     refuses_reads: bool = False
     reads: int = 0
     events: int = 4
@@ -204,6 +220,14 @@
         self.server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
         self.server.add_sockets(sockets)
 
+    def crash(self) -> None:
+        """Stop listening and close all connections, in the middle of the answers."""
+        self.has_ended = True
+        self.server.stop()
+        for connection in tuple(self.connections):
+            connection.close()
+        self.connections.clear()
+
     @property
     def runs(self) -> list[Arrival]:
         """Requests whose execution has started."""
@@ -272,6 +296,7 @@
             body=bytes(self.body),
         )
         self.standin.arrivals.append(self.arrival)
+        self.standin.connections.add(self.request.connection.stream)
         expected = self.request.headers.get("Zinniaramp-Expect-Instance")
         if expected not in (None, self.standin.id):
             self.set_status(421)
@@ -396,20 +421,46 @@
     async def _generate(self) -> None:
         """Stream the events that the engine generates."""
         headers = self.request.headers
-        self._sign()
-        self.set_header("Content-Type", "text/event-stream")
+        parts = parse_segments(headers.get("Zinniaramp-Prefix-Hash", ""))
+        crash_after = None
+        if self.standin.crash_segment in [segment.name for segment in parts]:
+            crash_after = self.standin.events_before_crash
+        stream = await self._start_stream()
         first = int(headers.get("Last-Event-Id", "0")) + 1
         name, last = self._request_id(), self.standin.events
         numbers = range(first, last + 1)
         self.taken = self.standin.engine.submit(
             request_id=name,
             urgency=headers.get("Zinniaramp-Urgency-Level"),
-            parts=parse_segments(headers.get("Zinniaramp-Prefix-Hash", "")),
+            parts=parts,
             events=[expected_events(name, i, i).decode() for i in numbers],
         )
+        sent = 0
         while isinstance(item := await self.taken.answer.get(), Token):
-            self.write(item.text)
-            await self.flush()
+            if sent == crash_after:
+                self.standin.crash()
+                return
+            await self._send_event(stream, item.text)
+            sent += 1
+        if stream is not None:
+            stream.close()
+
+    async def _start_stream(self) -> IOStream | None:
+        """Send or prepare the headers; return the connection of an unframed stream."""
+        if not self.standin.is_unframed:
+            self._sign()
+            self.set_header("Content-Type", "text/event-stream")
+            return None
+        stream = self.detach()
+        await stream.write(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
+        return stream
+
+    async def _send_event(self, stream: IOStream | None, text: str) -> None:
+        if stream is not None:
+            await stream.write(text.encode())
+            return
+        self.write(text)
+        await self.flush()
 
     async def _reset(self) -> None:
         stream = self.detach()
