Quarantine prompt segments that crash engines

Cause: sends, ejections and retry budgets are kept by endpoint. Nothing was remembered about what an engine had been asked to do when it ended, so the next request with the same content went to the next engine. Class of fault: a failure that belongs to the request is charged to the endpoint.

Change: a closed connection is followed by a connection attempt, which tells a crash (refused) from a single broken answer. Crashes are sent to the other gateways, which know the segments of all sends already. The subpackage quarantine, without a network, finds the segment that explains the crashes: a request whose engine survives half a second shows its segments sound; three crashes are needed, four if another segment explains as many. Requests with it are refused as not run, with the time until the next try (10 min, then 2 and 24 h); peers and starting gateways learn of it. Frames with numbers too large are refused, not a task's end.

--- /dev/null
+++ b/features/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation that drives the quarantine of prompt segments."""
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -22,6 +22,7 @@
 )
 from .messages import HeaderCodec
 from .metrics import CONFIGURATION, IN_FLIGHT, make_metrics
+from .peer_events import PeerEvents
 from .pool import EndpointPool, RetryLimits
 from .readiness import make_readiness
 from .server import CallerServer
@@ -167,12 +168,14 @@
             random=random,
         )
         self.callers = CallerServer(pool=self.pool, clock=clock)
+        peer_events = PeerEvents(pool=self.pool)
         self.mesh = PeerMesh(
             own_address=settings.peers,
             data_center=settings.data_center,
             seeds=settings.seeds,
             registry=registry,
-            on_load_event=self.pool.apply_peer_event,
+            on_load_event=peer_events.apply,
+            current_events=peer_events.current,
             random=random,
         )
         self.pool.broadcast = self.mesh.broadcast
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -1,6 +1,7 @@
 """Handling of one caller's request, from its headers to the end of the answer."""
 
 import asyncio
+from datetime import timedelta
 
 from ..observability import emit
 from .caller import CallerConnection, CallerGoneError
@@ -56,7 +57,7 @@
             async with asyncio.timeout(left.total_seconds()):
                 await self._serve(self.matched)
         except RefusalError as refusal:
-            await self._refuse(refusal.status, refusal.reason)
+            await self._refuse(refusal.status, refusal.reason, refusal.retry_after)
         except TimeoutError:
             await self._handle_timeout()
         except (CallerGoneError, asyncio.CancelledError):
@@ -82,6 +83,7 @@
         )
         connect_failures = 0
         while True:
+            self._check_quarantine(matched)
             result = await self.sender.send_once()
             if self.caller.is_done:
                 self._log_answer(result.status, is_complete=True)
@@ -94,6 +96,16 @@
                 await self._send_final_answer(result)
                 return
 
+    def _check_quarantine(self, matched: MatchedRequest) -> None:
+        """Raise a `RefusalError` if a segment of the prompt crashes engines."""
+        quarantine = self.pool.find_quarantine(matched.metadata)
+        if quarantine is None:
+            return
+        if self.sender.may_have_run:
+            raise RefusalError(502, "segment-quarantined")
+        left = quarantine.until - self.pool.clock()
+        raise RefusalError(503, "segment-quarantined", retry_after=left)
+
     async def _send_final_answer(self, result: SendResult) -> None:
         """Answer with the last send's result, or abort an answer that has started.
 
@@ -124,9 +136,11 @@
         else:
             await self._refuse(503, "time-over-not-run")
 
-    async def _refuse(self, status: int, reason: str) -> None:
-        retry_after = None
-        if status == 503:
+    async def _refuse(
+        self, status: int, reason: str, wait: timedelta | None = None
+    ) -> None:
+        retry_after = wait.total_seconds() if wait is not None else None
+        if status == 503 and wait is None:
             matched = self.matched
             left = matched.deadline - self.pool.clock() if matched else None
             service = matched.service if matched else None
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -1,7 +1,7 @@
 """Matching of a caller's request to a route, workspace and service."""
 
 from dataclasses import dataclass, replace
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -51,12 +51,17 @@
         HTTP status.
     reason : str
         Error code.
+    retry_after : timedelta or None
+        Time after which the caller may come back, if the refusal determines it.
     """
 
-    def __init__(self, status: int, reason: str):
+    def __init__(
+        self, status: int, reason: str, *, retry_after: timedelta | None = None
+    ):
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after = retry_after
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/zinniaramp/gateway/outcomes.py
+++ b/zinniaramp/gateway/outcomes.py
@@ -56,12 +56,16 @@
         Status and headers that may be forwarded to the caller.
     body : bytes
         Body that may be forwarded to the caller.
+    is_closed : bool
+        Whether the endpoint closed the connection before the end of a framed answer, or
+        at the end of one without a length.
     """
 
     outcome: SendOutcome
     problem: str = ""
     head: AnswerHead | None = None
     body: bytes = b""
+    is_closed: bool = False
 
     @property
     def status(self) -> int | None:
--- /dev/null
+++ b/zinniaramp/gateway/peer_events.py
@@ -0,0 +1,95 @@
+"""Application of the load events of other gateway processes."""
+
+from collections.abc import Iterable
+
+from ..peers import (
+    EngineCrashed,
+    LoadEvent,
+    SegmentQuarantined,
+    SegmentReleased,
+    SendEnded,
+    SendFirstEvent,
+    SendStarted,
+)
+from ..placement import Demand
+from .pool import EndpointPool
+
+__all__ = ["PeerEvents"]
+
+
+class PeerEvents:
+    """Updates the pool with the load events of other gateway processes.
+
+    Parameters
+    ----------
+    pool : EndpointPool
+        State that all requests of this process share.
+
+    Attributes
+    ----------
+    sends : dict of set
+        Keys of the sends in flight of each other gateway process.
+    """
+
+    __slots__ = ("pool", "sends")
+
+    def __init__(self, *, pool: EndpointPool):
+        self.pool = pool
+        self.sends: dict[str, set] = {}
+
+    def apply(self, peer: str, event: LoadEvent | None) -> None:
+        """Apply a load event of another gateway process.
+
+        Parameters
+        ----------
+        peer : str
+            Connection of the other process, as ``ip:port``.
+        event : LoadEvent or None
+            The event; None when the peer is gone, which removes all its sends.
+        """
+        pool = self.pool
+        match event:
+            case None:
+                for key in self.sends.pop(peer, set()):
+                    pool.remove_send(key)
+            case SendStarted():
+                self._add_send(peer, event)
+            case SendFirstEvent(number=number):
+                pool.placement.record_first_event((peer, number), pool.clock())
+                pool.quarantine.record_first_event((peer, number))
+            case SendEnded(number=number):
+                pool.remove_send((peer, number))
+                self.sends.get(peer, set()).discard((peer, number))
+            case EngineCrashed(engine=engine):
+                pool.quarantine.record_crash(engine, pool.clock())
+            case SegmentQuarantined(name=name, left=left, relapses=relapses):
+                pool.quarantine.impose(name, left, relapses, peer)
+            case SegmentReleased(name=name):
+                pool.quarantine.release(name)
+
+    def current(self) -> Iterable[LoadEvent]:
+        """Return the events that a newly connected process has to learn of."""
+        now = self.pool.clock()
+        for quarantine in self.pool.quarantine.active():
+            yield SegmentQuarantined(
+                name=quarantine.name,
+                left=quarantine.until - now,
+                relapses=quarantine.relapses,
+            )
+
+    def _add_send(self, peer: str, event: SendStarted) -> None:
+        endpoint = self.pool.registry.by_incarnation(event.engine)
+        traits = endpoint and self.pool.engine_traits(endpoint.service)
+        if not traits:
+            return
+        key = (peer, event.number)
+        demand = Demand(
+            prompt_tokens=event.prompt_tokens,
+            output_limit=event.output_estimate,
+            output_estimate=event.output_estimate,
+            parts=event.parts,
+            target=event.target,
+            gap_target=event.gap_target,
+        )
+        self.sends.setdefault(peer, set()).add(key)
+        self.pool.add_send(key, event.engine, demand, traits=traits)
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -2,13 +2,21 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from itertools import count
 from random import Random
 
 from ..clock import Clock
 from ..observability import emit
-from ..peers import LoadEvent, SendEnded, SendFirstEvent, SendStarted
+from ..peers import (
+    EngineCrashed,
+    LoadEvent,
+    SegmentQuarantined,
+    SegmentReleased,
+    SendEnded,
+    SendFirstEvent,
+    SendStarted,
+)
 from ..placement import (
     Demand,
     EngineCandidate,
@@ -16,10 +24,12 @@
     EngineTraits,
     Placement,
 )
+from ..quarantine import Quarantine, SegmentQuarantine
 from ..registry import Endpoint, Registry
 from ..routing.budget import WindowRetryBudget
 from ..routing.cooldown import Cooldowns
 from ..routing.ejection import Ejections
+from .crashes import CrashDetector
 from .events import ENDPOINT_COOLDOWN, ENDPOINT_LEFT_OUT
 from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
 from .metrics import RETRIES
@@ -131,8 +141,10 @@
         Whether new requests are refused, because the process is about to exit.
     broadcast : callable
         Sends a load event of this process to the other gateway processes.
-    peer_sends : dict of set
-        Keys of the sends in flight of each other gateway process.
+    quarantine : SegmentQuarantine
+        Prompt segments whose requests are refused because engines crash under them.
+    crashes : CrashDetector
+        Tells crashes from single connections that engines close.
     """
 
     __slots__ = (
@@ -151,7 +163,8 @@
         "started_at",
         "is_refusing",
         "broadcast",
-        "peer_sends",
+        "quarantine",
+        "crashes",
     )
 
     def __init__(
@@ -179,7 +192,12 @@
         self.started_at = clock()
         self.is_refusing = False
         self.broadcast: Callable[[LoadEvent], None] = _discard_event
-        self.peer_sends: dict[str, set] = {}
+        self.quarantine = SegmentQuarantine(clock=clock)
+        self.quarantine.on_quarantine = self._announce_quarantine
+        self.quarantine.on_release = self._announce_release
+        self.crashes = CrashDetector(
+            clock=clock, is_expected=self._may_end, on_crash=self._record_crash
+        )
 
     def select(
         self, *, service: str, metadata: RequestMetadata, tried: set[str]
@@ -253,10 +271,9 @@
         choice: EngineChoice,
         ready: int,
     ) -> Selection:
-        now = self.clock()
         demand = metadata.demand
         number = next(self.send_numbers)
-        self.placement.add(number, choice.engine, demand, traits=traits, now=now)
+        self.add_send(number, choice.engine, demand, traits=traits)
         self.broadcast(
             SendStarted(
                 number=number,
@@ -277,6 +294,21 @@
             prefill_tokens=choice.prefill_tokens,
         )
 
+    def add_send(
+        self, key: object, engine: str, demand: Demand, *, traits: EngineTraits
+    ) -> None:
+        """Record a send by this or another gateway process to an engine.
+
+        The parameters are those of `Placement.add`.
+        """
+        self.placement.add(key, engine, demand, traits=traits, now=self.clock())
+        self.quarantine.add(key, engine, demand.shared_names)
+
+    def remove_send(self, key: object) -> None:
+        """Record the end of a send to an engine; unknown keys are ignored."""
+        self.placement.remove(key)
+        self.quarantine.record_end(key)
+
     def _select_least_loaded(
         self, metadata: RequestMetadata, ready: list[Endpoint]
     ) -> Selection:
@@ -300,6 +332,7 @@
         """Record that a send's first event was received."""
         if selection.number in self.placement.engine_by_send:
             self.placement.record_first_event(selection.number, self.clock())
+            self.quarantine.record_first_event(selection.number)
             self.broadcast(SendFirstEvent(number=selection.number))
 
     def record_event(self, selection: Selection, gap: timedelta) -> None:
@@ -315,52 +348,17 @@
         else:
             self.in_flight.pop(name, None)
         if selection.number in self.placement.engine_by_send:
-            self.placement.remove(selection.number)
+            self.remove_send(selection.number)
             self.broadcast(SendEnded(number=selection.number))
 
-    def apply_peer_event(self, peer: str, event: LoadEvent | None) -> None:
-        """Apply a load event of another gateway process.
-
-        Parameters
-        ----------
-        peer : str
-            Connection of the other process, as ``ip:port``.
-        event : LoadEvent or None
-            The event; None when the peer is gone, which removes all its sends.
-        """
-        now = self.clock()
-        match event:
-            case None:
-                for key in self.peer_sends.pop(peer, set()):
-                    self.placement.remove(key)
-            case SendStarted():
-                self._add_peer_send(peer, event)
-            case SendFirstEvent(number=number):
-                self.placement.record_first_event((peer, number), now)
-            case SendEnded(number=number):
-                self.placement.remove((peer, number))
-                self.peer_sends.get(peer, set()).discard((peer, number))
-
-    def _add_peer_send(self, peer: str, event: SendStarted) -> None:
-        endpoint = self.registry.by_incarnation(event.engine)
-        traits = endpoint and self.engine_traits(endpoint.service)
-        if not traits:
-            return
-        key = (peer, event.number)
-        demand = Demand(
-            prompt_tokens=event.prompt_tokens,
-            output_limit=event.output_estimate,
-            output_estimate=event.output_estimate,
-            parts=event.parts,
-            target=event.target,
-            gap_target=event.gap_target,
-        )
-        self.peer_sends.setdefault(peer, set()).add(key)
-        self.placement.add(key, event.engine, demand, traits=traits, now=self.clock())
-
     def record_result(self, selection: Selection, result: SendResult) -> None:
-        """Update outlier ejection with the result of a send."""
+        """Update outlier ejection and crash detection with the result of a send."""
         name = selection.endpoint.incarnation
+        if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
+            self.quarantine.discard(selection.number)
+        is_engine = selection.metadata.demand is not None
+        if is_engine and result.is_closed and self.may_receive(name):
+            self.crashes.check(selection.endpoint)
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.UNKNOWN):
             self._eject(name, result.problem)
         elif result.outcome is SendOutcome.ANSWERED:
@@ -372,6 +370,34 @@
             seconds = time.total_seconds()
             emit(ENDPOINT_LEFT_OUT, endpoint=name, seconds=seconds, problem=problem)
 
+    def _may_end(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint leaves or has left the registry."""
+        name = endpoint.incarnation
+        is_registered = self.registry.by_incarnation(name) is not None
+        return not is_registered or name in self.registry.leaving
+
+    def _record_crash(self, engine: str, at: datetime) -> None:
+        if self.quarantine.record_crash(engine, at):
+            self.broadcast(EngineCrashed(engine=engine))
+
+    def _announce_quarantine(self, quarantine: Quarantine) -> None:
+        self.broadcast(
+            SegmentQuarantined(
+                name=quarantine.name,
+                left=quarantine.until - quarantine.since,
+                relapses=quarantine.relapses,
+            )
+        )
+
+    def _announce_release(self, name: str) -> None:
+        self.broadcast(SegmentReleased(name=name))
+
+    def find_quarantine(self, metadata: RequestMetadata) -> Quarantine | None:
+        """Return the quarantine that forbids a request to be sent, or None."""
+        if metadata.demand is None:
+            return None
+        return self.quarantine.find(metadata.demand.shared_names)
+
     def record_request(self, service: str) -> None:
         """Count a request, which adds a share of a retry to its service's budget."""
         self._budget(service).record_request(self.clock())
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -89,6 +89,8 @@
         When the first and the latest events were received.
     longest_gap : timedelta
         Longest time between events.
+    is_closed : bool
+        Whether the endpoint closed the connection of the latest send.
     events : int
         Reads of the latest send that completed events of its stream.
     """
@@ -107,6 +109,7 @@
         "last_at",
         "longest_gap",
         "events",
+        "is_closed",
         "answer",
         "selection",
     )
@@ -134,6 +137,7 @@
         self.last_at: datetime | None = None
         self.longest_gap = timedelta()
         self.events = 0
+        self.is_closed = False
         self.answer: Answer | None = None
         self.selection: Selection | None = None
 
@@ -153,9 +157,11 @@
         self.selection = selection
         self.tried.add(selection.endpoint.incarnation)
         self.events = 0
+        self.is_closed = False
         began = self.pool.clock()
         try:
             result = await self._send(selection.endpoint)
+            result.is_closed = self.is_closed
         finally:
             self.end_send()
         self.pool.record_result(selection, result)
@@ -263,6 +269,14 @@
         The timeout applies only if the retry budget allows the retry; otherwise this
         waits until a message arrives.
         """
+        message = await self._next_or_silence(answer)
+        if isinstance(message, AnswerEnd):
+            self.is_closed = message.is_closed
+        return message
+
+    async def _next_or_silence(
+        self, answer: Answer
+    ) -> AnswerHead | AnswerChunk | AnswerEnd:
         silence_timeout = self._silence_timeout()
         if silence_timeout is None:
             return await answer.next()
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -79,10 +79,14 @@
         Whether the body is complete according to its framing.
     problem : str
         Why the answer is incomplete; empty otherwise.
+    is_closed : bool
+        Whether the endpoint closed the connection before the end of a framed answer, or
+        at the end of one without a length.
     """
 
     is_complete: bool
     problem: str = ""
+    is_closed: bool = False
 
 
 AnswerMessage = AnswerHead | AnswerChunk | AnswerEnd
@@ -114,7 +118,11 @@
         # endpoint has read the whole request.  A body without a length ends when the
         # connection closes, but a reset leaves it incomplete.
         error = None if self.is_framed else self.stream.error
-        end = AnswerEnd(is_complete=error is None, problem=repr(error) if error else "")
+        end = AnswerEnd(
+            is_complete=error is None,
+            problem=repr(error) if error else "",
+            is_closed=not self.is_framed,
+        )
         self.end_task = asyncio.create_task(self.queue.put(end))
 
 
@@ -161,12 +169,15 @@
     async def _read(self, connection: HTTP1Connection) -> None:
         messages = _AnswerReader(queue=self.queue, stream=self.stream)
         problem = "malformed HTTP response"
+        is_closed = False
         try:
             await connection.read_response(messages)
         except (StreamClosedError, UnsatisfiableReadError, ValueError) as error:
             problem = repr(error)
+            is_closed = isinstance(error, StreamClosedError)
         if messages.end_task is None:
-            await self.queue.put(AnswerEnd(is_complete=False, problem=problem))
+            end = AnswerEnd(is_complete=False, problem=problem, is_closed=is_closed)
+            await self.queue.put(end)
 
 
 async def send_request(
--- a/zinniaramp/peers/__init__.py
+++ b/zinniaramp/peers/__init__.py
@@ -1,6 +1,23 @@
 """Exchange of load events and store items between gateway processes."""
 
 from .core import PeerMesh
-from .messages import LoadEvent, SendEnded, SendFirstEvent, SendStarted
+from .messages import (
+    EngineCrashed,
+    LoadEvent,
+    SegmentQuarantined,
+    SegmentReleased,
+    SendEnded,
+    SendFirstEvent,
+    SendStarted,
+)
 
-__all__ = ["LoadEvent", "PeerMesh", "SendEnded", "SendFirstEvent", "SendStarted"]
+__all__ = [
+    "EngineCrashed",
+    "LoadEvent",
+    "PeerMesh",
+    "SegmentQuarantined",
+    "SegmentReleased",
+    "SendEnded",
+    "SendFirstEvent",
+    "SendStarted",
+]
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -1,7 +1,7 @@
 """Connections between gateway processes that exchange load events and store items."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from datetime import timedelta
 from random import Random
 
@@ -127,6 +127,8 @@
         Holds the items of the store, which peers exchange.
     on_load_event : callable
         Receives the load events of peers, and None when a peer's connection closes.
+    current_events : callable
+        Returns the load events that a newly connected peer has to learn of.
     random : Random
         Source of jitter.
 
@@ -153,6 +155,7 @@
         "data_center",
         "registry",
         "on_load_event",
+        "current_events",
         "random",
         "known",
         "connect_tasks",
@@ -173,6 +176,7 @@
         seeds: tuple[Address, ...],
         registry: Registry,
         on_load_event: LoadListener,
+        current_events: Callable[[], Iterable[LoadEvent]],
         random: Random,
     ):
         self.own_address = own_address
@@ -180,6 +184,7 @@
         self.seeds = seeds
         self.registry = registry
         self.on_load_event = on_load_event
+        self.current_events = current_events
         self.random = random
         self.known: set[str] = set()
         self.connect_tasks: dict[str, asyncio.Task] = {}
@@ -258,7 +263,8 @@
             data_center=self.data_center,
             known_peers=tuple(self.known),
         )
-        self.write_queues[name] = bytearray(encode(hello))
+        first = (hello, *self.current_events())
+        self.write_queues[name] = bytearray(b"".join(map(encode, first)))
         self.write_events[name] = asyncio.Event()
         read_task = asyncio.create_task(self._read_snapshots(name, stream))
         problem = ""
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -9,6 +9,7 @@
 from ..registry.items import Item, Snapshot, StoreRevision
 
 __all__ = [
+    "EngineCrashed",
     "Heartbeat",
     "Hello",
     "ItemsRequest",
@@ -16,6 +17,8 @@
     "Message",
     "MessageDecoder",
     "MessageError",
+    "SegmentQuarantined",
+    "SegmentReleased",
     "SendEnded",
     "SendFirstEvent",
     "SendStarted",
@@ -136,7 +139,53 @@
     number: int
 
 
-LoadEvent = SendStarted | SendFirstEvent | SendEnded
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EngineCrashed:
+    """Load event: an engine closed its connections and refuses new ones.
+
+    Parameters
+    ----------
+    engine : str
+        Incarnation of the engine.
+    """
+
+    engine: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SegmentQuarantined:
+    """Load event: engines crash under a prompt segment.
+
+    Parameters
+    ----------
+    name : str
+        Name of the segment.
+    left : timedelta
+        Remaining time of its quarantine, in whole milliseconds.
+    relapses : int
+        Number of earlier quarantines that a crash followed.
+    """
+
+    name: str
+    left: timedelta
+    relapses: int
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class SegmentReleased:
+    """Load event: a quarantined segment is no cause of crashes.
+
+    Parameters
+    ----------
+    name : str
+        Name of the segment.
+    """
+
+    name: str
+
+
+CrashEvent = EngineCrashed | SegmentQuarantined | SegmentReleased
+LoadEvent = SendStarted | SendFirstEvent | SendEnded | CrashEvent
 Message = Hello | Heartbeat | ItemsRequest | Snapshot | LoadEvent
 
 (
@@ -147,7 +196,10 @@
     _SEND_STARTED,
     _SEND_FIRST_EVENT,
     _SEND_ENDED,
-) = range(7)
+    _ENGINE_CRASHED,
+    _SEGMENT_QUARANTINED,
+    _SEGMENT_RELEASED,
+) = range(10)
 
 
 def _revision_fields(revision: StoreRevision) -> list:
@@ -187,6 +239,19 @@
             return [_SEND_FIRST_EVENT, message.number]
         case SendEnded():
             return [_SEND_ENDED, message.number]
+        case _:
+            return _crash_event_as_array(message)
+
+
+def _crash_event_as_array(event: CrashEvent) -> list:
+    match event:
+        case EngineCrashed():
+            return [_ENGINE_CRASHED, event.engine]
+        case SegmentQuarantined():
+            left_ms = event.left // MILLISECOND
+            return [_SEGMENT_QUARANTINED, event.name, left_ms, event.relapses]
+        case SegmentReleased():
+            return [_SEGMENT_RELEASED, event.name]
 
 
 def encode(message: Message) -> bytes:
@@ -232,6 +297,13 @@
     _SEND_STARTED: _decode_send_started,
     _SEND_FIRST_EVENT: lambda number: SendFirstEvent(number=int(number)),
     _SEND_ENDED: lambda number: SendEnded(number=int(number)),
+    _ENGINE_CRASHED: lambda engine: EngineCrashed(engine=str(engine)),
+    _SEGMENT_QUARANTINED: lambda name, left_ms, relapses: SegmentQuarantined(
+        name=str(name),
+        left=int(left_ms) * MILLISECOND,
+        relapses=int(relapses),
+    ),
+    _SEGMENT_RELEASED: lambda name: SegmentReleased(name=str(name)),
 }
 
 
@@ -259,6 +331,7 @@
             msgpack.UnpackException,
             msgpack.BufferFull,
             KeyError,
+            OverflowError,
             TypeError,
             ValueError,
         ) as error:
--- a/zinniaramp/placement/prompts.py
+++ b/zinniaramp/placement/prompts.py
@@ -54,6 +54,11 @@
         """Segments that other requests may share: all but the last one."""
         return self.parts[:-1]
 
+    @property
+    def shared_names(self) -> tuple[str, ...]:
+        """Names of the segments that other requests may share."""
+        return tuple(segment.name for segment in self.shared_prefix)
+
     @property
     def own_tokens(self) -> int:
         """Tokens that no other request shares: the last segment and the output."""
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -35,7 +35,17 @@
 
 
 class ConnectError(ConnectionError):
-    """The connection could not be established; nothing was sent."""
+    """The connection could not be established; nothing was sent.
+
+    Attributes
+    ----------
+    is_refused : bool
+        Whether the host refused it, as it does when nothing listens at the port.
+    """
+
+    def __init__(self, message: str, *, is_refused: bool):
+        super().__init__(message)
+        self.is_refused = is_refused
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -109,8 +119,9 @@
         connecting = stream.connect((address.ip, address.port))
         await with_timeout(timeout, connecting, quiet_exceptions=StreamClosedError)
     except (TornadoTimeoutError, StreamClosedError, OSError) as error:
+        is_refused = isinstance(stream.error, ConnectionRefusedError)
         stream.close()
-        return Err(ConnectError(f"{address}: {error!r}"))
+        return Err(ConnectError(f"{address}: {error!r}", is_refused=is_refused))
     except BaseException:
         stream.close()
         raise
