--- /dev/null
+++ b/features/steps/gateway_limits_steps.py
@@ -0,0 +1,56 @@
+"""Steps for servers that name a limit of requests."""
+
+from behave import given, then, when
+
+from features.gateway.rig import request
+
+WINDOW_SECONDS = 4
+LIMIT_FACTOR = 1.5
+EXTRA_REQUESTS = 5
+
+
+@given('the server "{name}" names the limit "{limit}" in all answers')
+@when('the server "{name}" names the limit "{limit}" in all answers')
+@when('the server "{name}" names no limit any more')
+def name_limit(context, name, limit=""):
+    context.rig.servers[name].limit = limit
+
+
+async def send_in_turn(rig, count, text, prefix):
+    """Send requests to the gateways in turn and return the replies."""
+    method, path = text.split()
+    replies = []
+    for number in range(count):
+        daemon = rig.daemons[number % len(rig.daemons)]
+        data = request(path, name=f"{prefix}-{number}", method=method)
+        replies.append(await rig.exchange(data, daemon.settings.callers))
+    return replies
+
+
+@when('{count:d} requests "{text}" are sent to the gateways in turn')
+def send_requests(context, count, text):
+    context.rounds = getattr(context, "rounds", 0) + 1
+    rig = context.rig
+    context.replies = rig.run(send_in_turn(rig, count, text, f"l{context.rounds}"))
+
+
+def highest_count(arrivals):
+    """Return the largest number of arrivals within the window."""
+    times = sorted(one.received_at for one in arrivals)
+    return max(
+        sum(first <= time < first + WINDOW_SECONDS for time in times) for first in times
+    )
+
+
+@then('in no 4 s "{name}" received over 1.5 times its limit and 5 requests')
+def check_limit(context, name):
+    server = context.rig.servers[name]
+    allowed = LIMIT_FACTOR * WINDOW_SECONDS * float(server.limit) + EXTRA_REQUESTS
+    seen = highest_count(server.arrivals)
+    assert seen <= allowed, (seen, allowed)
+
+
+@then("all callers got the server's answer")
+def check_all_answered(context):
+    statuses = [reply.status for reply in context.replies]
+    assert set(statuses) == {200}, statuses
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -161,6 +161,8 @@
         Whether the server has crashed.
     connections : set of IOStream
         Connections of the requests in progress.
+    limit : str
+        Value of ``Server-Limit`` in all answers; empty omits it.
     refuses_reads : bool
         Whether a model server sheds the calls that read its cached segments.
     reads : int
@@ -194,6 +196,7 @@
     is_unframed: bool = False
     has_ended: bool = False
     connections: set[IOStream] = field(default_factory=set)
+    limit: str = ""
     refuses_reads: bool = False
     reads: int = 0
     events: int = 4
@@ -274,6 +277,8 @@
         """Answer before the body is received if the next behaviour is ``early``."""
         if self.standin.is_leaving:
             self.set_header("Server-Leaving", "1")
+        if self.standin.limit:
+            self.set_header("Server-Limit", self.standin.limit)
         behaviours = self.standin.behaviours
         if not behaviours or behaviours[0] is not ServerBehaviour.EARLY:
             return
