Keep to the limits that endpoints name for all gateways together

What callers saw: nothing; a server in need got up to 4 requests a second where it takes 1.

Cause: the header Server-Limit is new, and no line read it. Class of fault: a bound that holds for the sum over all gateways, which no gateway can keep by counting its own sends.

Change: the header is decoded in platform/ into a typed field. routing/shared_limits.py, without a network, spaces the requests of all gateways by the interval of the rate, with a second's burst, from its own sends and those that the mesh reports. A gateway that hears of a part of the others uses that part of the rate; a random delay keeps gateways from using the same moment. A limit is told to the others and to starting gateways, and is lifted only by an answer with the request's id. With no endpoint open callers get 503 at once and the time to the first one. Event 2016 (endpoint-limited).

Ruled out: equal shares for all gateways, which leave most of the rate unused where the load is uneven, and allow too much at once with 68 gateways that have each saved a request (by calculation, not run); waiting at the gateway for the rate.

--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -1,5 +1,7 @@
 """Steps for servers that name a limit of requests."""
 
+from datetime import timedelta
+
 from behave import given, then, when
 
 from features.gateway.rig import request
@@ -54,3 +56,48 @@
 def check_all_answered(context):
     statuses = [reply.status for reply in context.replies]
     assert set(statuses) == {200}, statuses
+
+
+@then("the other callers get 503 with a time when the server takes a request")
+def check_refused(context):
+    refused = [reply for reply in context.replies if reply.status != 200]
+    assert refused
+    for reply in refused:
+        assert reply.status == 503, reply
+        assert float(reply.headers["retry-after"]) > 0, reply
+
+
+@when("{seconds:d} seconds pass for the limits of all gateways")
+def pass_time(context, seconds):
+    for daemon in context.rig.daemons:
+        limits = daemon.gateway.pool.shared_limits
+        clock = limits.clock
+        limits.clock = lambda clock=clock: clock() + timedelta(seconds=seconds)
+
+
+@when("another gateway starts")
+def start_another(context):
+    rig = context.rig
+    seeds = [rig.daemons[0].settings.peers]
+    rig.run(rig.add_daemon(seeds=seeds))
+
+
+def known_limits(daemon, name):
+    """Return the limits that a gateway knows for a server."""
+    limits = daemon.gateway.pool.shared_limits.limits
+    return [one.rate for key, one in limits.items() if key.startswith(f"{name}@")]
+
+
+@then('it knows a limit of {rate:g} for the server "{name}"')
+def check_known(context, rate, name):
+    rig = context.rig
+    rig.run(rig.wait_until(lambda: known_limits(rig.daemons[-1], name) == [rate]))
+
+
+@then('the gateways know the limits "{rates}" for the server "{name}"')
+@then('the gateways know the limits "" for the server "{name}"')
+def check_all_know(context, name, rates=""):
+    rig = context.rig
+    expected = [float(rate) for rate in rates.split()]
+    for daemon in rig.daemons:
+        rig.run(rig.wait_until(lambda one=daemon: known_limits(one, name) == expected))
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -163,6 +163,7 @@
             registry=registry,
             codec=codec,
             limits=self._retry_limits,
+            visible_share=lambda: self.mesh.visible_share,
             data_center=settings.data_center,
             clock=clock,
             random=random,
@@ -256,6 +257,7 @@
 
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
+        self.pool.shared_limits.keep(tuple(self.registry.incarnations))
         self.mesh.announce_revision()
         if self.registry.configuration is not None:
             self.configured.set()
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -9,6 +9,7 @@
     "ENDPOINT_CHOSEN",
     "ENDPOINT_COOLDOWN",
     "ENDPOINT_LEFT_OUT",
+    "ENDPOINT_LIMITED",
     "HOLDINGS_READ",
     "HOLDINGS_UNKNOWN",
     "LISTENER_LATE",
@@ -177,3 +178,12 @@
     "for `seconds`.",
     fields=("endpoint", "seconds"),
 )
+ENDPOINT_LIMITED = declare_event(
+    number=2016,
+    name="endpoint-limited",
+    level="INFO",
+    meaning="An endpoint takes only `per_s` requests per second from all gateways "
+    "together, or, if that is null, has no limit any more; `peer` is the gateway that "
+    "reported it, if it was another one.",
+    fields=("endpoint", "per_s", "peer"),
+)
--- a/zinniaramp/gateway/messages.py
+++ b/zinniaramp/gateway/messages.py
@@ -86,6 +86,11 @@
     retry_after : timedelta or None
         Time for which the addressed endpoint, which has shed the request, asks to get
         nothing more from this process; None if it asks for none.
+    limit : float or None
+        Requests per second that the addressed endpoint takes from all processes
+        together; None if it names no limit, or none that can be understood.
+    states_no_limit : bool
+        Whether the answer is from the addressed endpoint and names no limit.
     """
 
     request_id: str
@@ -93,6 +98,8 @@
     reports_not_run: bool
     reports_leaving: bool = False
     retry_after: timedelta | None = None
+    limit: float | None = None
+    states_no_limit: bool = False
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/zinniaramp/gateway/peer_events.py
+++ b/zinniaramp/gateway/peer_events.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable
 
 from ..peers import (
+    CrashEvent,
+    EndpointLimited,
+    EndpointUsed,
     EngineCrashed,
+    LimitEvent,
     LoadEvent,
     SegmentQuarantined,
     SegmentReleased,
@@ -60,12 +64,23 @@
             case SendEnded(number=number):
                 pool.remove_send((peer, number))
                 self.sends.get(peer, set()).discard((peer, number))
+            case _:
+                self._apply_report(peer, event)
+
+    def _apply_report(self, peer: str, event: CrashEvent | LimitEvent) -> None:
+        """Apply what another process has found out about an endpoint or a segment."""
+        pool = self.pool
+        match event:
             case EngineCrashed(engine=engine):
                 pool.quarantine.record_crash(engine, pool.clock())
             case SegmentQuarantined(name=name, left=left, relapses=relapses):
                 pool.quarantine.impose(name, left, relapses, peer)
             case SegmentReleased(name=name):
                 pool.quarantine.release(name)
+            case EndpointLimited(endpoint=endpoint, rate=rate):
+                pool.apply_limit(endpoint, rate, peer=peer)
+            case EndpointUsed(endpoint=endpoint):
+                pool.shared_limits.record(endpoint)
 
     def current(self) -> Iterable[LoadEvent]:
         """Return the events that a newly connected process has to learn of."""
@@ -76,8 +91,11 @@
                 left=quarantine.until - now,
                 relapses=quarantine.relapses,
             )
+        for name, limit in self.pool.shared_limits.limits.items():
+            yield EndpointLimited(endpoint=name, rate=limit.rate)
 
     def _add_send(self, peer: str, event: SendStarted) -> None:
+        self.pool.shared_limits.record(event.engine)
         endpoint = self.pool.registry.by_incarnation(event.engine)
         traits = endpoint and self.pool.engine_traits(endpoint.service)
         if not traits:
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -9,6 +9,8 @@
 from ..clock import Clock
 from ..observability import emit
 from ..peers import (
+    EndpointLimited,
+    EndpointUsed,
     EngineCrashed,
     LoadEvent,
     SegmentQuarantined,
@@ -29,8 +31,9 @@
 from ..routing.budget import WindowRetryBudget
 from ..routing.cooldown import Cooldowns
 from ..routing.ejection import Ejections
+from ..routing.shared_limits import SharedLimits
 from .crashes import CrashDetector
-from .events import ENDPOINT_COOLDOWN, ENDPOINT_LEFT_OUT
+from .events import ENDPOINT_COOLDOWN, ENDPOINT_LEFT_OUT, ENDPOINT_LIMITED
 from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
 from .metrics import RETRIES
 from .outcomes import SendOutcome, SendResult
@@ -116,6 +119,8 @@
         Functions that read and write the platform's headers.
     limits : callable
         Returns the retry budget in force.
+    visible_share : callable
+        Returns the share of the gateways whose load events arrive here.
     data_center : str
         The process's data centre; its endpoints are preferred.
     clock : Clock
@@ -131,6 +136,8 @@
         Outlier ejection of endpoints whose sends fail.
     cooldowns : Cooldowns
         Endpoints that asked to be left alone for some time.
+    shared_limits : SharedLimits
+        Request rates that endpoints have named for all gateways together.
     budgets : dict of WindowRetryBudget
         Retry budget by service.
     in_flight : dict of int
@@ -157,6 +164,7 @@
         "placement",
         "ejections",
         "cooldowns",
+        "shared_limits",
         "budgets",
         "in_flight",
         "send_numbers",
@@ -173,6 +181,7 @@
         registry: Registry,
         codec: HeaderCodec,
         limits: Callable[[], RetryLimits],
+        visible_share: Callable[[], float],
         data_center: str,
         clock: Clock,
         random: Random,
@@ -186,6 +195,9 @@
         self.placement = Placement()
         self.ejections = Ejections(clock=clock, random_source=random)
         self.cooldowns = Cooldowns(clock=clock)
+        self.shared_limits = SharedLimits(
+            clock=clock, random=random, visible_share=visible_share
+        )
         self.budgets: dict[str, WindowRetryBudget] = {}
         self.in_flight: dict[str, int] = {}
         self.send_numbers = count()
@@ -205,10 +217,11 @@
         """Select an endpoint for a send and count the send as in flight.
 
         Endpoints in `tried` are selected only if no other is usable.  Returns None if
-        no endpoint is ready, or all of them are in a cooldown.
+        no endpoint is ready, or none of them takes a request now.
         """
         by_name = {one.incarnation: one for one in self.registry.ready(service)}
-        usable = self.ejections.usable(self.cooldowns.usable(list(by_name)))
+        taking = self.shared_limits.usable(self.cooldowns.usable(list(by_name)))
+        usable = self.ejections.usable(taking)
         names = [one for one in usable if one not in tried] or usable
         ready = [by_name[name] for name in names]
         if not ready:
@@ -220,20 +233,55 @@
         else:
             selection = self._select_least_loaded(metadata, ready)
         name = selection.endpoint.incarnation
+        self.shared_limits.record(name)
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
 
     def may_receive(self, name: str) -> bool:
         """Return whether anything may be sent to an endpoint, a probe for example."""
-        return not self.cooldowns.is_active(name)
+        return not self.cooldowns.is_active(name) and not self.is_limited(name)
+
+    def is_limited(self, name: str) -> bool:
+        """Return whether an endpoint has named a limit of requests."""
+        return self.shared_limits.is_limited(name)
+
+    def apply_hints(
+        self, endpoint: Endpoint, metadata: AnswerMetadata, request_id: str
+    ) -> None:
+        """Apply what an endpoint reports of itself in the headers of an answer.
 
-    def apply_hints(self, endpoint: Endpoint, metadata: AnswerMetadata) -> None:
-        """Apply what an endpoint reports of itself in the headers of an answer."""
+        Only an answer with the id of the request shows that a limit is lifted.
+        """
+        is_lifted = metadata.states_no_limit and metadata.request_id == request_id
+        if metadata.limit is not None or is_lifted:
+            self._apply_own_limit(endpoint.incarnation, metadata.limit)
         if metadata.reports_leaving:
             self.registry.mark_leaving(endpoint.incarnation)
         if metadata.retry_after is not None:
             self.start_cooldown(endpoint.incarnation, metadata.retry_after)
 
+    def _apply_own_limit(self, name: str, rate: float | None) -> None:
+        if self.apply_limit(name, rate, peer=""):
+            self.broadcast(EndpointLimited(endpoint=name, rate=rate))
+
+    def apply_limit(self, name: str, rate: float | None, *, peer: str) -> bool:
+        """Apply an endpoint's limit, or its end; return whether it has changed.
+
+        Parameters
+        ----------
+        name : str
+            Incarnation of the endpoint.
+        rate : float or None
+            Requests per second from all gateways together; None without a limit.
+        peer : str
+            Gateway that reported it; empty if the endpoint did.
+        """
+        is_registered = self.registry.by_incarnation(name) is not None
+        if not is_registered or not self.shared_limits.apply(name, rate):
+            return False
+        emit(ENDPOINT_LIMITED, endpoint=name, per_s=rate, peer=peer)
+        return True
+
     def start_cooldown(self, name: str, duration: timedelta) -> None:
         """Send nothing to an endpoint for some time, which it asked for."""
         if self.cooldowns.start(name, duration):
@@ -318,6 +366,8 @@
             return in_flight + self._is_remote(endpoint) + self.random.random() / 2
 
         endpoint = min(ready, key=load)
+        if self.is_limited(endpoint.incarnation):
+            self.broadcast(EndpointUsed(endpoint=endpoint.incarnation))
         return Selection(
             endpoint=endpoint,
             number=next(self.send_numbers),
@@ -357,7 +407,8 @@
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
             self.quarantine.discard(selection.number)
         is_engine = selection.metadata.demand is not None
-        if is_engine and result.is_closed and self.may_receive(name):
+        in_cooldown = self.cooldowns.is_active(name)
+        if is_engine and result.is_closed and not in_cooldown:
             self.crashes.check(selection.endpoint)
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.UNKNOWN):
             self._eject(name, result.problem)
@@ -417,21 +468,26 @@
         Parameters
         ----------
         service : str or None
-            Service of the request.  If all its endpoints are in a cooldown, the caller
-            learns when the first one ends, whatever time the caller has left.
+            Service of the request.  If none of its endpoints takes a request now, the
+            caller learns when the first one does, whatever time the caller has left.
         left : timedelta or None
             Time until the request's deadline; None if it is not known.
         """
         ready = [one.incarnation for one in self.registry.ready(service or "")]
-        cooldown = self.cooldowns.time_left(ready)
-        if cooldown is not None:
+        closed_for = min(map(self._closed_for, ready), default=timedelta())
+        if closed_for:
             spread = self.random.uniform(1, 1 + COOLDOWN_SPREAD)
-            return cooldown.total_seconds() * spread
+            return closed_for.total_seconds() * spread
         wait = self.random.uniform(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         if left is None:
             return wait
         return max(0.0, min(wait, left.total_seconds() * MAX_RETRY_AFTER_SHARE))
 
+    def _closed_for(self, name: str) -> timedelta:
+        """Return the time until an endpoint takes a request; 0 if it does now."""
+        times = (self.cooldowns.time_left([name]), self.shared_limits.time_left([name]))
+        return max(time or timedelta() for time in times)
+
     def _budget(self, service: str) -> WindowRetryBudget:
         if service not in self.budgets:
             self.budgets[service] = WindowRetryBudget(
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -253,8 +253,9 @@
             problem = getattr(message, "problem", "body before headers")
             return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
         metadata = self.pool.codec.read_answer(message.status, message.headers)
-        self.pool.apply_hints(self.selection.endpoint, metadata)
-        result = classify_answer(message, metadata, self.matched.metadata.id)
+        request_id = self.matched.metadata.id
+        self.pool.apply_hints(self.selection.endpoint, metadata, request_id)
+        result = classify_answer(message, metadata, request_id)
         if result.outcome is SendOutcome.ANSWERED and self.relay is not None:
             return await self._relay_stream(answer, result)
         if result.head is None:
--- a/zinniaramp/peers/__init__.py
+++ b/zinniaramp/peers/__init__.py
@@ -2,7 +2,11 @@
 
 from .core import PeerMesh
 from .messages import (
+    CrashEvent,
+    EndpointLimited,
+    EndpointUsed,
     EngineCrashed,
+    LimitEvent,
     LoadEvent,
     SegmentQuarantined,
     SegmentReleased,
@@ -12,7 +16,11 @@
 )
 
 __all__ = [
+    "CrashEvent",
+    "EndpointLimited",
+    "EndpointUsed",
     "EngineCrashed",
+    "LimitEvent",
     "LoadEvent",
     "PeerMesh",
     "SegmentQuarantined",
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -214,6 +214,12 @@
         """Known gateway processes, including this one; some may have stopped."""
         return 1 + len(self.known)
 
+    @property
+    def visible_share(self) -> float:
+        """Share of the known gateway processes whose load events arrive here."""
+        heard = 1 + len(self.inbound_peers)
+        return heard / max(heard, self.entry_count)
+
     def add_peer(self, address: str) -> None:
         """Count a peer, and start connecting to it unless the limit is reached.
 
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -1,5 +1,6 @@
 """Messages between gateway processes, encoded as MessagePack arrays."""
 
+import math
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -9,10 +10,14 @@
 from ..registry.items import Item, Snapshot, StoreRevision
 
 __all__ = [
+    "CrashEvent",
+    "EndpointLimited",
+    "EndpointUsed",
     "EngineCrashed",
     "Heartbeat",
     "Hello",
     "ItemsRequest",
+    "LimitEvent",
     "LoadEvent",
     "Message",
     "MessageDecoder",
@@ -184,8 +189,38 @@
     name: str
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EndpointLimited:
+    """Load event: an endpoint has named a limit for all gateways, or names none now.
+
+    Parameters
+    ----------
+    endpoint : str
+        Incarnation of the endpoint.
+    rate : float or None
+        Requests per second from all gateways together; None without a limit.
+    """
+
+    endpoint: str
+    rate: float | None
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class EndpointUsed:
+    """Load event: a request without a prompt is sent to an endpoint with a limit.
+
+    Parameters
+    ----------
+    endpoint : str
+        Incarnation of the endpoint.
+    """
+
+    endpoint: str
+
+
+LimitEvent = EndpointLimited | EndpointUsed
 CrashEvent = EngineCrashed | SegmentQuarantined | SegmentReleased
-LoadEvent = SendStarted | SendFirstEvent | SendEnded | CrashEvent
+LoadEvent = SendStarted | SendFirstEvent | SendEnded | CrashEvent | LimitEvent
 Message = Hello | Heartbeat | ItemsRequest | Snapshot | LoadEvent
 
 (
@@ -199,7 +234,9 @@
     _ENGINE_CRASHED,
     _SEGMENT_QUARANTINED,
     _SEGMENT_RELEASED,
-) = range(10)
+    _ENDPOINT_LIMITED,
+    _ENDPOINT_USED,
+) = range(12)
 
 
 def _revision_fields(revision: StoreRevision) -> list:
@@ -240,11 +277,15 @@
         case SendEnded():
             return [_SEND_ENDED, message.number]
         case _:
-            return _crash_event_as_array(message)
+            return _endpoint_event_as_array(message)
 
 
-def _crash_event_as_array(event: CrashEvent) -> list:
+def _endpoint_event_as_array(event: CrashEvent | LimitEvent) -> list:
     match event:
+        case EndpointLimited():
+            return [_ENDPOINT_LIMITED, event.endpoint, event.rate]
+        case EndpointUsed():
+            return [_ENDPOINT_USED, event.endpoint]
         case EngineCrashed():
             return [_ENGINE_CRASHED, event.engine]
         case SegmentQuarantined():
@@ -285,6 +326,13 @@
     )
 
 
+def _decode_endpoint_limited(endpoint, rate) -> EndpointLimited:
+    decoded = None if rate is None else float(rate)
+    if decoded is not None and not 0 <= decoded < math.inf:
+        raise ValueError(f"rate {rate!r} is not a number of requests per second")
+    return EndpointLimited(endpoint=str(endpoint), rate=decoded)
+
+
 _DECODERS = {
     _HELLO: lambda address, data_center, known_peers: Hello(
         address=str(address),
@@ -304,6 +352,8 @@
         relapses=int(relapses),
     ),
     _SEGMENT_RELEASED: lambda name: SegmentReleased(name=str(name)),
+    _ENDPOINT_LIMITED: _decode_endpoint_limited,
+    _ENDPOINT_USED: lambda endpoint: EndpointUsed(endpoint=str(endpoint)),
 }
 
 
--- a/zinniaramp/platform/headers.py
+++ b/zinniaramp/platform/headers.py
@@ -26,6 +26,7 @@
 INSTANCE_ID = "Zinniaramp-Instance-Id"
 NOT_EXECUTED = "Zinniaramp-Not-Executed"
 SERVER_LEAVING = "Server-Leaving"
+SERVER_LIMIT = "Server-Limit"
 EXPECT_INSTANCE = "Zinniaramp-Expect-Instance"
 WORKSPACE = "Zinniaramp-Tenant"
 URGENCY_LEVEL = "Zinniaramp-Urgency-Level"
@@ -168,16 +169,26 @@
     return sent
 
 
+def _parse_limit(text: str) -> float | None:
+    """Return a limit in requests per second; None if it is not a decimal number."""
+    is_decimal = text.isascii() and text.replace(".", "", 1).isdigit()
+    return float(text) if is_decimal and len(text) <= MAX_DIGITS else None
+
+
 def _read_answer(status: int, headers: HTTPHeaders) -> AnswerMetadata:
     # Another endpoint than the one addressed answers that a request is misdirected.
     is_other = status == MISDIRECTED_REQUEST
     is_shed = status == SERVICE_UNAVAILABLE
+    limit_text = None if is_other else headers.get(SERVER_LIMIT)
+    limit = None if limit_text is None else _parse_limit(limit_text)
     return AnswerMetadata(
         request_id=headers.get(REQUEST_ID, ""),
         is_signed=SERVER_STAMP in headers,
         reports_not_run=NOT_EXECUTED in headers or is_other,
         reports_leaving=headers.get(SERVER_LEAVING) == LEAVING and not is_other,
         retry_after=parse_retry_after(headers) if is_shed else None,
+        limit=limit,
+        states_no_limit=limit_text is None and not is_other,
     )
 
 
