Don't take a stream without a length and without events for complete

What callers saw: an engine that ends after the headers of a stream that has neither a length nor chunks closes the connection, and the caller got a complete, empty success.

Cause: the end of the connection is the end of such an answer, whatever came before it. Class of fault: absence of bytes read as an end. A stream without any event is now incomplete, unless it is resumed and all its events are known; one that ends inside an event was so before.

Ruled out: asking the endpoint before each such end, which costs a connection an answer.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -14,6 +14,18 @@
     When "GET /tell/x" is sent
     Then the reply is 200 with every event once and in order
 
+  Scenario Outline: A stream without a length that ends too early is not complete
+    Given every server behaves as "<behaviour>"
+    When "GET /tell/x" is sent
+    Then the reply is not a complete success
+    When "GET /resume/x" is sent and the other server answers
+    Then the reply is 200 with every event once and in order
+
+    Examples:
+      | behaviour      |
+      | unframed-tear  |
+      | unframed-empty |
+
   Scenario: A stream that breaks and is not resumable is forwarded as incomplete
     Given every server behaves as "tear"
     When "GET /tell/x" is sent
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -361,3 +361,33 @@
 @given("the connection of the first answer without a length is reset")
 def unframed_reset(context):
     first_server_behaves(context, "reset")
+
+
+@then("the reply is not a complete success")
+def check_no_complete_success(context):
+    reply = context.reply
+    assert not (reply.status == 200 and reply.is_complete), reply
+
+
+@when('"{text}" is sent and the other server answers')
+def send_with_good_server(context, text):
+    behaviours = list(context.rig.servers.values())[0].behaviours
+    first = behaviours[0]
+    for server in context.rig.servers.values():
+        server.behaviours.clear()
+    first_server_behaves(context, first.value)
+    send(context, text)
+
+
+@then(
+    "the server that sent bytes without an end was disconnected after "
+    "{megabytes:d} MB at most"
+)
+def check_disconnected(context, megabytes):
+    rig = context.rig
+    servers = rig.servers.values()
+    arrivals = [arrival for server in servers for arrival in server.arrivals]
+    assert arrivals
+    rig.run(rig.wait_until(lambda: all(one.was_disconnected for one in arrivals)))
+    sent = sum(server.endless_bytes for server in servers)
+    assert sent <= megabytes * 1024 * 1024, sent
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -333,13 +333,23 @@
                         outcome=SendOutcome.UNKNOWN, problem="events out of order"
                     )
                 continue
-            if message.is_complete and not self.relay.pending:
+            problem = self._end_problem(message)
+            if not problem:
                 await self._finish_stream(result.head)
                 return result
-            return SendResult(
-                outcome=SendOutcome.UNKNOWN,
-                problem=message.problem or "incomplete event",
-            )
+            return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
+
+    def _end_problem(self, end: AnswerEnd) -> str:
+        """Return why the end of a stream is not that of a complete one, or nothing."""
+        if not end.is_complete:
+            return end.problem
+        if self.relay.pending:
+            return "incomplete event"
+        is_resumed = self.relay.last_event_id is not None
+        if end.is_closed and not self.events and not is_resumed:
+            # An endpoint that ends before its first event also closes the connection.
+            return "connection closed before the first event"
+        return ""
 
     async def _forward_events(self, data: bytes, head: AnswerHead) -> None:
         whole = self.relay.feed(data)
--- a/zinniaramp/standins/platform/__init__.py
+++ b/zinniaramp/standins/platform/__init__.py
@@ -1,8 +1,9 @@
 """Stand-ins for the platform's store and its servers, and a gateway process."""
 
+from .behaviour import ServerBehaviour, expected_body, expected_events
 from .engine import SegmentEngine
 from .process import GatewayProcess
-from .server import ServerBehaviour, ServerStandin, expected_body, expected_events
+from .server import ServerStandin
 from .store import StoreStandin
 
 __all__ = [
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -6,7 +6,6 @@
 import time
 from collections import deque
 from dataclasses import dataclass, field
-from enum import Enum
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream, StreamClosedError
@@ -14,9 +13,10 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from ..engine.core import EngineRequest, Token
+from .behaviour import Arrival, ServerBehaviour, expected_body, expected_events
 from .engine import SegmentEngine, parse_segments
 
-__all__ = ["ServerBehaviour", "ServerStandin", "expected_body", "expected_events"]
+__all__ = ["ServerStandin"]
 
 LOOPBACK = "127.0.0.1"
 """Address on which the stand-in listens."""
@@ -24,116 +24,8 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Largest accepted request body, in bytes."""
 
-
-class ServerBehaviour(Enum):
-    """Behaviour of a server for one request.
-
-    A signed answer has the request's id and the server's stamp in its headers.
-    """
-
-    ANSWER = "answer"
-    """Answers normally."""
-
-    FAIL = "fail"
-    """Executes the request and answers a signed 500."""
-
-    SHED = "shed"
-    """Answers 503 and reports that the request was not executed."""
-
-    UNAVAILABLE = "unavailable"
-    """Executes the request and answers a signed 503."""
-
-    CLOSE = "close"
-    """Executes the request and closes the connection without an answer."""
-
-    TEAR = "tear"
-    """Closes the connection within the body or within an event of the stream."""
-
-    FOREIGN = "foreign"
-    """Answers with the id of another request."""
-
-    UNSIGNED = "unsigned"
-    """Answers without the server's stamp."""
-
-    ENCODED = "encoded"
-    """Declares a content encoding that the body does not have."""
-
-    GARBAGE = "garbage"
-    """Executes the request and sends bytes that are not an HTTP answer."""
-
-    EXTRA = "extra"
-    """Sends the answer twice on the connection."""
-
-    UNFRAMED = "unframed"
-    """Answers without a length; the end of the connection ends the body."""
-
-    RESET = "reset"
-    """Sends an incomplete answer without a length and resets the connection."""
-
-    EARLY = "early"
-    """Answers a signed 500 before the body has been received."""
-
-    HOLD = "hold"
-    """Delays the answer until ``ServerStandin.released`` is set."""
-
-    STALL = "stall"
-    """Stops within an event of the stream; the connection stays open."""
-
-    REPEAT = "repeat"
-    """Sends one event of the stream twice."""
-
-
-@dataclass(slots=True, kw_only=True)
-class Arrival:
-    """One request that reached the server.
-
-    Parameters
-    ----------
-    received_at : float
-        Time of arrival on the monotonic clock, in seconds.
-    method, target : str
-        HTTP method and request target.
-    headers : dict of str
-        Headers of the request.
-    body : bytes
-        Body of the request.
-    was_executed : bool
-        Whether the server started to execute the request.
-    ended : bool
-        Whether the server has finished the answer.
-    was_disconnected : bool
-        Whether the caller closed its connection before the answer ended.
-    """
-
-    received_at: float
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    was_executed: bool = False
-    ended: bool = False
-    was_disconnected: bool = False
-
-
-def expected_body(request_id: str) -> bytes:
-    """Return the body of the plain answer to a request."""
-    return f"result of {request_id}\n".encode()
-
-
-def expected_events(request_id: str, first: int, last: int) -> bytes:
-    """Return the server-sent events of a streamed answer, from `first` to `last`.
-
-    Parameters
-    ----------
-    request_id : str
-        Id of the request.
-    first, last : int
-        Ids of the first and the last event, counted from 1.
-    """
-    return b"".join(
-        f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
-        for number in range(first, last + 1)
-    )
+ENDLESS_CHUNK_BYTES = 64 * 1024
+"""Bytes that an answer without an end is extended by at a time."""
 
 
 @dataclass(slots=True, kw_only=True)
@@ -161,6 +53,8 @@
         Whether the server has crashed.
     connections : set of IOStream
         Connections of the requests in progress.
+    endless_bytes : int
+        Number of bytes that answers without an end have had so far.
     limit : str
         Value of ``Server-Limit`` in all answers; empty omits it.
     refuses_reads : bool
@@ -196,6 +90,7 @@
     is_unframed: bool = False
     has_ended: bool = False
     connections: set[IOStream] = field(default_factory=set)
+    endless_bytes: int = 0
     limit: str = ""
     refuses_reads: bool = False
     reads: int = 0
@@ -338,6 +233,12 @@
             await self._write_raw(b"\x00\x01 not an answer\r\n\r\n")
         elif behaviour is ServerBehaviour.RESET:
             await self._reset()
+        elif behaviour is ServerBehaviour.ENDLESS_HEAD:
+            await self._write_endlessly(b"")
+        elif behaviour is ServerBehaviour.ENDLESS_BODY:
+            await self._write_endlessly(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
+        elif behaviour is ServerBehaviour.UNFRAMED_EMPTY:
+            await self._write_raw(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
         elif behaviour in (ServerBehaviour.FAIL, ServerBehaviour.UNAVAILABLE):
             self.set_status(500 if behaviour is ServerBehaviour.FAIL else 503)
             self._sign()
@@ -393,6 +294,11 @@
         if behaviour is ServerBehaviour.UNFRAMED:
             await self._stream_unframed(first)
             return
+        if behaviour is ServerBehaviour.UNFRAMED_TEAR:
+            head = self._raw_answer(ServerBehaviour.UNFRAMED, b"")
+            events = expected_events(self._request_id(), first, first + 1)
+            await self._write_raw(head + events[:-4])
+            return
         if behaviour is ServerBehaviour.REPEAT:
             start = expected_events(self._request_id(), first, first + 1)
             events = expected_events(self._request_id(), first + 1, self.standin.events)
@@ -475,6 +381,17 @@
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         stream.close()
 
+    async def _write_endlessly(self, head: bytes) -> None:
+        """Send bytes that never end until the caller closes the connection."""
+        stream = self.detach()
+        try:
+            await stream.write(head)
+            while True:
+                await stream.write(b"x" * ENDLESS_CHUNK_BYTES)
+                self.standin.endless_bytes += ENDLESS_CHUNK_BYTES
+        except StreamClosedError:
+            self.arrival.was_disconnected = True
+
     async def _write_raw(self, data: bytes) -> None:
         stream = self.detach()
         try:
