Read answers without an end up to a limit

A host of 160 to 300 MB would have lost its process with all its requests.

Cause: limits applied to what a length declares, or to what was already read. Class of fault: input bounded after it has been buffered.

Change: 8 MB for a body that is forwarded only when it is complete, 1 MB for an event of a stream, and the reader of lists and of the store has the limits of its parser: 64 KB and 4 MB. Ruled out: a limit on streams as a whole, whose events are forwarded as they come. Interim responses without end are refused by the library already (read, not run).

--- a/features/gateway/outcomes.feature
+++ b/features/gateway/outcomes.feature
@@ -39,6 +39,25 @@
     When "GET /read/x" is sent
     Then the reply is 200 with the server's body and signature
 
+  Scenario Outline: Bytes without an end are read up to a limit
+    Given every server behaves as "<behaviour>"
+    When "<request>" is sent
+    Then the reply is not a complete success
+    And the server that sent bytes without an end was disconnected after 32 MB at most
+
+    Examples:
+      | behaviour    | request      |
+      | endless-head | POST /book/x |
+      | endless-head | GET /tell/x  |
+      | endless-body | POST /book/x |
+      | endless-body | GET /read/x  |
+      | endless-body | GET /tell/x  |
+      | endless-body | GET /resume/x |
+
+  Scenario: A list of cached segments without an end is read up to a limit
+    Given a model server whose list of cached segments never ends
+    Then the server that sent the list was disconnected after 16 MB at most
+
   Scenario: A rejected request is answered as not run, with a Retry-After header
     Given every server behaves as "shed"
     When "POST /book/x" is sent
--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -158,10 +158,17 @@
         return server
 
     async def add_model_server(
-        self, name, *, slots, start_engine=True, refuses_reads_for=None, born=1000
+        self,
+        name,
+        *,
+        slots,
+        start_engine=True,
+        refuses_reads_for=None,
+        has_endless_reads=False,
+        born=1000,
     ):
         """Start a model server with a batching engine and publish its entry."""
-        server = ServerStandin(id=name)
+        server = ServerStandin(id=name, has_endless_reads=has_endless_reads)
         if refuses_reads_for is not None:
             server.refuses_reads = True
             server.retry_after = refuses_reads_for
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -391,3 +391,16 @@
     rig.run(rig.wait_until(lambda: all(one.was_disconnected for one in arrivals)))
     sent = sum(server.endless_bytes for server in servers)
     assert sent <= megabytes * 1024 * 1024, sent
+
+
+@given("a model server whose list of cached segments never ends")
+def list_endless_server(context):
+    rig = context.rig
+    rig.run(rig.add_model_server("m-1", slots=1, has_endless_reads=True))
+
+
+@then("the server that sent the list was disconnected after {megabytes:d} MB at most")
+def check_list_closed(context, megabytes):
+    server = context.rig.servers["m-1"]
+    context.rig.run(context.rig.wait_until(lambda: server.endless_answers))
+    assert server.endless_bytes <= megabytes * 1024 * 1024, server.endless_bytes
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -20,7 +20,7 @@
 from .metrics import ADDED_SECONDS, SENDS
 from .outcomes import SendOutcome, SendResult, classify_answer
 from .pool import EndpointPool, Selection
-from .streams import EventRelay
+from .streams import MAX_EVENT_BYTES, EventRelay
 from .upstream import (
     Answer,
     AnswerChunk,
@@ -49,6 +49,10 @@
 """Timeout for each further event of a resumable stream, as a multiple of the route's
 target gap.  Callers wait for eight gaps."""
 
+MAX_BUFFERED_BYTES = 8 * 1024 * 1024
+"""Largest body that is forwarded only when it is complete, in bytes.  A host with
+200 MB holds a dozen of them; the platform's bodies have a few kilobytes."""
+
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of durations in the log."""
 
@@ -305,11 +309,15 @@
         return route.target * FIRST_EVENT_TIMEOUT_TARGETS or None
 
     async def _read_body(self, answer: Answer, result: SendResult) -> SendResult:
-        parts = []
+        parts, size = [], 0
         while True:
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 parts.append(message.data)
+                size += len(message.data)
+                if size > MAX_BUFFERED_BYTES:
+                    problem = f"body with more than {MAX_BUFFERED_BYTES} bytes"
+                    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
                 continue
             if isinstance(message, AnswerEnd) and message.is_complete:
                 result.body = b"".join(parts)
@@ -328,10 +336,9 @@
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 await self._forward_events(message.data, result.head)
-                if not self.relay.in_order:
-                    return SendResult(
-                        outcome=SendOutcome.UNKNOWN, problem="events out of order"
-                    )
+                problem = self._event_problem()
+                if problem:
+                    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
                 continue
             problem = self._end_problem(message)
             if not problem:
@@ -339,6 +346,14 @@
                 return result
             return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
+    def _event_problem(self) -> str:
+        """Return why the events so far can't be those of the stream, or nothing."""
+        if not self.relay.in_order:
+            return "events out of order"
+        if self.relay.is_overlong:
+            return f"event with more than {MAX_EVENT_BYTES} bytes"
+        return ""
+
     def _end_problem(self, end: AnswerEnd) -> str:
         """Return why the end of a stream is not that of a complete one, or nothing."""
         if not end.is_complete:
--- a/zinniaramp/gateway/streams.py
+++ b/zinniaramp/gateway/streams.py
@@ -1,6 +1,6 @@
 """Splitting of a stream of server-sent events, and its resume position."""
 
-__all__ = ["EventRelay"]
+__all__ = ["MAX_EVENT_BYTES", "EventRelay"]
 
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 """Blank lines that terminate an event."""
@@ -9,6 +9,10 @@
 """Start of the line that carries an event's id."""
 
 
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event, in bytes; those of the platform have a few hundred."""
+
+
 class EventRelay:
     """Splits a stream's bytes after complete events and tracks the last event's id.
 
@@ -51,6 +55,11 @@
         position = data.rfind(mark)
         return position + len(mark) if position >= 0 else 0
 
+    @property
+    def is_overlong(self) -> bool:
+        """Whether the event that is not complete yet is too long."""
+        return len(self.pending) > MAX_EVENT_BYTES
+
     def _record_ids(self, whole: bytes) -> None:
         for line in whole.splitlines():
             if not line.startswith(ID_FIELD_PREFIX):
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -33,8 +33,7 @@
 """Limit on the header block of an answer, in bytes."""
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
-"""Limit on the body of an answer, in bytes; bodies in the platform's specification
-have a few kilobytes."""
+"""Limit on the body of an answer with a length or chunks, in bytes."""
 
 MAX_QUEUED_MESSAGES = 8
 """Messages of an answer that are buffered for a slow caller before reading pauses."""
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -12,6 +12,7 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..reads import (
+    MAX_ANSWER_BYTES,
     JsonAnswer,
     ReadAnswer,
     ReadError,
@@ -40,6 +41,9 @@
 MAX_CONCURRENT_CALLS = 64
 """Maximum number of concurrent calls; a watch occupies one for its whole wait."""
 
+MAX_HEADER_BYTES = 64 * 1024
+"""Limit on the header block of an answer, in bytes."""
+
 ALL_KEYS_PREFIX = ""
 """Prefix that matches all keys: one watch covers configuration and endpoints."""
 
@@ -106,7 +110,10 @@
 
 def _make_client() -> SimpleAsyncHTTPClient:
     client = SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=MAX_CONCURRENT_CALLS
+        force_instance=True,
+        max_clients=MAX_CONCURRENT_CALLS,
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=MAX_ANSWER_BYTES,
     )
     client.tcp_client = _DirectConnections()
     return client
--- a/zinniaramp/reads/__init__.py
+++ b/zinniaramp/reads/__init__.py
@@ -1,6 +1,7 @@
 """Reading JSON over HTTP with timeouts, polling intervals and backoff."""
 
 from .core import (
+    MAX_ANSWER_BYTES,
     Backoff,
     JsonAnswer,
     ReadAnswer,
@@ -13,6 +14,7 @@
 )
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "Backoff",
     "JsonAnswer",
     "ReadAnswer",
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -14,6 +14,7 @@
 from tornado.iostream import StreamClosedError
 
 __all__ = [
+    "MAX_ANSWER_BYTES",
     "Backoff",
     "JsonAnswer",
     "ReadAnswer",
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -53,8 +53,10 @@
         Whether the server has crashed.
     connections : set of IOStream
         Connections of the requests in progress.
-    endless_bytes : int
-        Number of bytes that answers without an end have had so far.
+    has_endless_reads : bool
+        Whether the answers to these calls never end.
+    endless_bytes, endless_answers : int
+        Bytes in answers without an end so far, and how many of these were closed.
     limit : str
         Value of ``Server-Limit`` in all answers; empty omits it.
     refuses_reads : bool
@@ -90,7 +92,9 @@
     is_unframed: bool = False
     has_ended: bool = False
     connections: set[IOStream] = field(default_factory=set)
+    has_endless_reads: bool = False
     endless_bytes: int = 0
+    endless_answers: int = 0
     limit: str = ""
     refuses_reads: bool = False
     reads: int = 0
@@ -132,6 +136,27 @@
         return [arrival for arrival in self.arrivals if arrival.was_executed]
 
 
+async def write_endlessly(standin: ServerStandin, stream: IOStream, head: bytes):
+    """Send bytes that never end until the caller closes the connection.
+
+    Parameters
+    ----------
+    standin : ServerStandin
+        Server that counts the bytes.
+    stream : IOStream
+        Connection of the caller.
+    head : bytes
+        Status line and headers; empty if the bytes are no answer from the start.
+    """
+    try:
+        await stream.write(head)
+        while True:
+            await stream.write(b"x" * ENDLESS_CHUNK_BYTES)
+            standin.endless_bytes += ENDLESS_CHUNK_BYTES
+    except StreamClosedError:
+        standin.endless_answers += 1
+
+
 class CachedSegmentsHandler(RequestHandler):
     """Handler of ``GET /kv-list``."""
 
@@ -139,9 +164,13 @@
         """Keep a reference to the stand-in."""
         self.standin = standin
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Answer with the prompt segments in the engine's KV cache."""
         self.standin.reads += 1
+        if self.standin.has_endless_reads:
+            head = b"HTTP/1.1 200 OK\r\n\r\n"
+            await write_endlessly(self.standin, self.detach(), head)
+            return
         if self.standin.refuses_reads:
             self.set_status(503)
             self.set_header("Retry-After", str(self.standin.retry_after))
@@ -152,7 +181,7 @@
 class ReportHandler(CachedSegmentsHandler):
     """Handler of ``GET /report``."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Answer with the engine's load and capacity."""
         self.finish(self.standin.engine.report())
 
@@ -382,15 +411,8 @@
         stream.close()
 
     async def _write_endlessly(self, head: bytes) -> None:
-        """Send bytes that never end until the caller closes the connection."""
-        stream = self.detach()
-        try:
-            await stream.write(head)
-            while True:
-                await stream.write(b"x" * ENDLESS_CHUNK_BYTES)
-                self.standin.endless_bytes += ENDLESS_CHUNK_BYTES
-        except StreamClosedError:
-            self.arrival.was_disconnected = True
+        await write_endlessly(self.standin, self.detach(), head)
+        self.arrival.was_disconnected = True
 
     async def _write_raw(self, data: bytes) -> None:
         stream = self.detach()
