Split the gateway's pool: restrictions and crashes have modules of their own

Change: restrictions.py has what endpoints ask for (cooldowns and shared limits), crashes.py the crash check and the quarantine's announcements, streams.py the reasons why bytes can't be a stream's. No behaviour changes. Ruled out: a class that subclasses the pool. Result: all features of features/gateway pass.

--- a/features/steps/gateway_hints_steps.py
+++ b/features/steps/gateway_hints_steps.py
@@ -66,7 +66,7 @@
 @when('{seconds:d} seconds have passed and the server "{name}" sheds no more')
 def pass_time(context, seconds, name):
     context.rig.servers[name].behaviours.clear()
-    cooldowns = context.rig.daemons[0].gateway.pool.cooldowns
+    cooldowns = context.rig.daemons[0].gateway.pool.restrictions.cooldowns
     clock = cooldowns.clock
     cooldowns.clock = lambda: clock() + timedelta(seconds=seconds)
 
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -70,7 +70,7 @@
 @when("{seconds:d} seconds pass for the limits of all gateways")
 def pass_time(context, seconds):
     for daemon in context.rig.daemons:
-        limits = daemon.gateway.pool.shared_limits
+        limits = daemon.gateway.pool.restrictions.shared_limits
         clock = limits.clock
         limits.clock = lambda clock=clock: clock() + timedelta(seconds=seconds)
 
@@ -84,7 +84,7 @@
 
 def known_limits(daemon, name):
     """Return the limits that a gateway knows for a server."""
-    limits = daemon.gateway.pool.shared_limits.limits
+    limits = daemon.gateway.pool.restrictions.shared_limits.limits
     return [one.rate for key, one in limits.items() if key.startswith(f"{name}@")]
 
 
--- a/zinniaramp/gateway/cached_segments.py
+++ b/zinniaramp/gateway/cached_segments.py
@@ -62,7 +62,7 @@
             traits = self.pool.engine_traits(endpoint.service)
             name = endpoint.incarnation
             is_pending = name not in self.queried
-            if traits and is_pending and self.pool.may_receive(name):
+            if traits and is_pending and self.pool.restrictions.may_probe(name):
                 self.queried.add(name)
                 task = asyncio.create_task(self._query(endpoint, traits))
                 self.tasks.add(task)
@@ -77,4 +77,4 @@
             case Err(error):
                 emit(HOLDINGS_UNKNOWN, endpoint=name, problem=str(error))
                 if error.retry_after is not None:
-                    self.pool.start_cooldown(name, error.retry_after)
+                    self.pool.restrictions.start_cooldown(name, error.retry_after)
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -257,7 +257,7 @@
 
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
-        self.pool.shared_limits.keep(tuple(self.registry.incarnations))
+        self.pool.restrictions.shared_limits.keep(tuple(self.registry.incarnations))
         self.mesh.announce_revision()
         if self.registry.configuration is not None:
             self.configured.set()
--- a/zinniaramp/gateway/crashes.py
+++ b/zinniaramp/gateway/crashes.py
@@ -7,55 +7,62 @@
 from result import Err
 
 from ..clock import Clock
-from ..registry import Endpoint
+from ..peers import EngineCrashed, LoadEvent, SegmentQuarantined, SegmentReleased
+from ..quarantine import Quarantine, SegmentQuarantine
+from ..registry import Endpoint, Registry
 from ..sockets import open_stream
 
-__all__ = ["CrashDetector"]
+__all__ = ["CrashWatch"]
 
 CHECK_TIMEOUT = timedelta(milliseconds=300)
 """Timeout of the connection attempt that tells a crash from a closed connection; a
 host that answers does so within 2 ms, one in another region within 100 ms."""
 
 
-class CrashDetector:
-    """Checks whether an engine that has closed a connection still accepts others.
+class CrashWatch:
+    """Detects crashes of engines and the prompt segments that cause them.
 
-    A closed connection alone does not show a crash: endpoints also break off single
-    answers, and connections are reset on their way.
+    When an engine has closed a connection, a connection attempt tells a crash from a
+    single answer that was broken off, or a connection that was reset on its way.
 
     Parameters
     ----------
+    registry : Registry
+        Known endpoints; one that leaves is expected to end.
     clock : Clock
         The process's clock.
-    is_expected : callable
-        Returns whether an endpoint may end without having crashed.
-    on_crash : callable
-        Receives the engine's incarnation and the time of the closed connection.
+    broadcast : callable
+        Sends a load event to the other gateway processes.
 
     Attributes
     ----------
+    quarantine : SegmentQuarantine
+        Prompt segments whose requests are refused because engines crash under them.
     checks : dict of asyncio.Task
-        Checks in progress by the engine's incarnation.
+        Connection attempts in progress by the engine's incarnation.
     """
 
-    __slots__ = ("clock", "is_expected", "on_crash", "checks")
+    __slots__ = ("registry", "clock", "broadcast", "quarantine", "checks")
 
     def __init__(
         self,
         *,
+        registry: Registry,
         clock: Clock,
-        is_expected: Callable[[Endpoint], bool],
-        on_crash: Callable[[str, datetime], None],
+        broadcast: Callable[[LoadEvent], None],
     ):
+        self.registry = registry
         self.clock = clock
-        self.is_expected = is_expected
-        self.on_crash = on_crash
+        self.broadcast = broadcast
+        self.quarantine = SegmentQuarantine(clock=clock)
+        self.quarantine.on_quarantine = self._announce_quarantine
+        self.quarantine.on_release = self._announce_release
         self.checks: dict[str, asyncio.Task] = {}
 
     def check(self, endpoint: Endpoint) -> None:
-        """Start a check of an engine that has just closed a connection."""
+        """Check whether an engine that has just closed a connection has crashed."""
         name = endpoint.incarnation
-        if name in self.checks or self.is_expected(endpoint):
+        if name in self.checks or self._may_end(name):
             return
         task = asyncio.create_task(self._connect(endpoint, self.clock()))
         self.checks[name] = task
@@ -63,7 +70,27 @@
 
     async def _connect(self, endpoint: Endpoint, closed_at: datetime) -> None:
         opened = await open_stream(endpoint.address, timeout=CHECK_TIMEOUT)
+        name = endpoint.incarnation
         if not isinstance(opened, Err):
             opened.ok_value.close()
-        elif opened.err_value.is_refused and not self.is_expected(endpoint):
-            self.on_crash(endpoint.incarnation, closed_at)
+            return
+        is_crash = opened.err_value.is_refused and not self._may_end(name)
+        if is_crash and self.quarantine.record_crash(name, closed_at):
+            self.broadcast(EngineCrashed(engine=name))
+
+    def _may_end(self, name: str) -> bool:
+        """Return whether an endpoint leaves or has left the registry."""
+        is_registered = self.registry.by_incarnation(name) is not None
+        return not is_registered or name in self.registry.leaving
+
+    def _announce_quarantine(self, quarantine: Quarantine) -> None:
+        self.broadcast(
+            SegmentQuarantined(
+                name=quarantine.name,
+                left=quarantine.until - quarantine.since,
+                relapses=quarantine.relapses,
+            )
+        )
+
+    def _announce_release(self, name: str) -> None:
+        self.broadcast(SegmentReleased(name=name))
--- a/zinniaramp/gateway/peer_events.py
+++ b/zinniaramp/gateway/peer_events.py
@@ -59,8 +59,7 @@
             case SendStarted():
                 self._add_send(peer, event)
             case SendFirstEvent(number=number):
-                pool.placement.record_first_event((peer, number), pool.clock())
-                pool.quarantine.record_first_event((peer, number))
+                pool.record_first_event_of((peer, number))
             case SendEnded(number=number):
                 pool.remove_send((peer, number))
                 self.sends.get(peer, set()).discard((peer, number))
@@ -72,30 +71,30 @@
         pool = self.pool
         match event:
             case EngineCrashed(engine=engine):
-                pool.quarantine.record_crash(engine, pool.clock())
+                pool.crash_watch.quarantine.record_crash(engine, pool.clock())
             case SegmentQuarantined(name=name, left=left, relapses=relapses):
-                pool.quarantine.impose(name, left, relapses, peer)
+                pool.crash_watch.quarantine.impose(name, left, relapses, peer)
             case SegmentReleased(name=name):
-                pool.quarantine.release(name)
+                pool.crash_watch.quarantine.release(name)
             case EndpointLimited(endpoint=endpoint, rate=rate):
-                pool.apply_limit(endpoint, rate, peer=peer)
+                pool.restrictions.apply_limit(endpoint, rate, peer=peer)
             case EndpointUsed(endpoint=endpoint):
-                pool.shared_limits.record(endpoint)
+                pool.restrictions.shared_limits.record(endpoint)
 
     def current(self) -> Iterable[LoadEvent]:
         """Return the events that a newly connected process has to learn of."""
         now = self.pool.clock()
-        for quarantine in self.pool.quarantine.active():
+        for quarantine in self.pool.crash_watch.quarantine.active():
             yield SegmentQuarantined(
                 name=quarantine.name,
                 left=quarantine.until - now,
                 relapses=quarantine.relapses,
             )
-        for name, limit in self.pool.shared_limits.limits.items():
+        for name, limit in self.pool.restrictions.shared_limits.limits.items():
             yield EndpointLimited(endpoint=name, rate=limit.rate)
 
     def _add_send(self, peer: str, event: SendStarted) -> None:
-        self.pool.shared_limits.record(event.engine)
+        self.pool.restrictions.shared_limits.record(event.engine)
         endpoint = self.pool.registry.by_incarnation(event.engine)
         traits = endpoint and self.pool.engine_traits(endpoint.service)
         if not traits:
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -2,23 +2,13 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 from itertools import count
 from random import Random
 
 from ..clock import Clock
 from ..observability import emit
-from ..peers import (
-    EndpointLimited,
-    EndpointUsed,
-    EngineCrashed,
-    LoadEvent,
-    SegmentQuarantined,
-    SegmentReleased,
-    SendEnded,
-    SendFirstEvent,
-    SendStarted,
-)
+from ..peers import LoadEvent, SendEnded, SendFirstEvent, SendStarted
 from ..placement import (
     Demand,
     EngineCandidate,
@@ -26,17 +16,16 @@
     EngineTraits,
     Placement,
 )
-from ..quarantine import Quarantine, SegmentQuarantine
+from ..quarantine import Quarantine
 from ..registry import Endpoint, Registry
 from ..routing.budget import WindowRetryBudget
-from ..routing.cooldown import Cooldowns
 from ..routing.ejection import Ejections
-from ..routing.shared_limits import SharedLimits
-from .crashes import CrashDetector
-from .events import ENDPOINT_COOLDOWN, ENDPOINT_LEFT_OUT, ENDPOINT_LIMITED
+from .crashes import CrashWatch
+from .events import ENDPOINT_LEFT_OUT
 from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
 from .metrics import RETRIES
 from .outcomes import SendOutcome, SendResult
+from .restrictions import EndpointRestrictions
 
 __all__ = ["Selection", "RetryLimits", "EndpointPool"]
 
@@ -134,10 +123,8 @@
         Model of the engines' load and KV caches, which places prompts.
     ejections : Ejections
         Outlier ejection of endpoints whose sends fail.
-    cooldowns : Cooldowns
-        Endpoints that asked to be left alone for some time.
-    shared_limits : SharedLimits
-        Request rates that endpoints have named for all gateways together.
+    restrictions : EndpointRestrictions
+        Cooldowns and request rates that endpoints have asked for.
     budgets : dict of WindowRetryBudget
         Retry budget by service.
     in_flight : dict of int
@@ -148,10 +135,8 @@
         Whether new requests are refused, because the process is about to exit.
     broadcast : callable
         Sends a load event of this process to the other gateway processes.
-    quarantine : SegmentQuarantine
-        Prompt segments whose requests are refused because engines crash under them.
-    crashes : CrashDetector
-        Tells crashes from single connections that engines close.
+    crash_watch : CrashWatch
+        Crashes of engines, and the prompt segments that cause them.
     """
 
     __slots__ = (
@@ -163,16 +148,14 @@
         "random",
         "placement",
         "ejections",
-        "cooldowns",
-        "shared_limits",
+        "restrictions",
         "budgets",
         "in_flight",
         "send_numbers",
         "started_at",
         "is_refusing",
         "broadcast",
-        "quarantine",
-        "crashes",
+        "crash_watch",
     )
 
     def __init__(
@@ -194,9 +177,15 @@
         self.random = random
         self.placement = Placement()
         self.ejections = Ejections(clock=clock, random_source=random)
-        self.cooldowns = Cooldowns(clock=clock)
-        self.shared_limits = SharedLimits(
-            clock=clock, random=random, visible_share=visible_share
+        self.restrictions = EndpointRestrictions(
+            registry=registry,
+            clock=clock,
+            random=random,
+            visible_share=visible_share,
+            broadcast=self._broadcast,
+        )
+        self.crash_watch = CrashWatch(
+            registry=registry, clock=clock, broadcast=self._broadcast
         )
         self.budgets: dict[str, WindowRetryBudget] = {}
         self.in_flight: dict[str, int] = {}
@@ -204,12 +193,9 @@
         self.started_at = clock()
         self.is_refusing = False
         self.broadcast: Callable[[LoadEvent], None] = _discard_event
-        self.quarantine = SegmentQuarantine(clock=clock)
-        self.quarantine.on_quarantine = self._announce_quarantine
-        self.quarantine.on_release = self._announce_release
-        self.crashes = CrashDetector(
-            clock=clock, is_expected=self._may_end, on_crash=self._record_crash
-        )
+
+    def _broadcast(self, event: LoadEvent) -> None:
+        self.broadcast(event)
 
     def select(
         self, *, service: str, metadata: RequestMetadata, tried: set[str]
@@ -220,73 +206,31 @@
         no endpoint is ready, or none of them takes a request now.
         """
         by_name = {one.incarnation: one for one in self.registry.ready(service)}
-        taking = self.shared_limits.usable(self.cooldowns.usable(list(by_name)))
-        usable = self.ejections.usable(taking)
+        usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
         names = [one for one in usable if one not in tried] or usable
         ready = [by_name[name] for name in names]
         if not ready:
             return None
         traits = self.engine_traits(service)
-        if metadata.demand is not None and traits is not None:
+        is_prompt = metadata.demand is not None and traits is not None
+        if is_prompt:
             choice = self._choose_engine(traits, metadata.demand, ready)
             selection = self._start_send(traits, metadata, choice, len(ready))
         else:
             selection = self._select_least_loaded(metadata, ready)
         name = selection.endpoint.incarnation
-        self.shared_limits.record(name)
+        self.restrictions.record_send(name, is_announced=is_prompt)
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
 
-    def may_receive(self, name: str) -> bool:
-        """Return whether anything may be sent to an endpoint, a probe for example."""
-        return not self.cooldowns.is_active(name) and not self.is_limited(name)
-
-    def is_limited(self, name: str) -> bool:
-        """Return whether an endpoint has named a limit of requests."""
-        return self.shared_limits.is_limited(name)
-
     def apply_hints(
         self, endpoint: Endpoint, metadata: AnswerMetadata, request_id: str
     ) -> None:
-        """Apply what an endpoint reports of itself in the headers of an answer.
-
-        Only an answer with the id of the request shows that a limit is lifted.
-        """
-        is_lifted = metadata.states_no_limit and metadata.request_id == request_id
-        if metadata.limit is not None or is_lifted:
-            self._apply_own_limit(endpoint.incarnation, metadata.limit)
+        """Apply what an endpoint reports of itself in the headers of an answer."""
+        name = endpoint.incarnation
         if metadata.reports_leaving:
-            self.registry.mark_leaving(endpoint.incarnation)
-        if metadata.retry_after is not None:
-            self.start_cooldown(endpoint.incarnation, metadata.retry_after)
-
-    def _apply_own_limit(self, name: str, rate: float | None) -> None:
-        if self.apply_limit(name, rate, peer=""):
-            self.broadcast(EndpointLimited(endpoint=name, rate=rate))
-
-    def apply_limit(self, name: str, rate: float | None, *, peer: str) -> bool:
-        """Apply an endpoint's limit, or its end; return whether it has changed.
-
-        Parameters
-        ----------
-        name : str
-            Incarnation of the endpoint.
-        rate : float or None
-            Requests per second from all gateways together; None without a limit.
-        peer : str
-            Gateway that reported it; empty if the endpoint did.
-        """
-        is_registered = self.registry.by_incarnation(name) is not None
-        if not is_registered or not self.shared_limits.apply(name, rate):
-            return False
-        emit(ENDPOINT_LIMITED, endpoint=name, per_s=rate, peer=peer)
-        return True
-
-    def start_cooldown(self, name: str, duration: timedelta) -> None:
-        """Send nothing to an endpoint for some time, which it asked for."""
-        if self.cooldowns.start(name, duration):
-            seconds = duration.total_seconds()
-            emit(ENDPOINT_COOLDOWN, endpoint=name, seconds=seconds)
+            self.registry.mark_leaving(name)
+        self.restrictions.apply_answer(name, metadata, request_id=request_id)
 
     def engine_traits(self, service: str) -> EngineTraits | None:
         """Return the properties of a service's engines; None if it has no engines."""
@@ -350,12 +294,17 @@
         The parameters are those of `Placement.add`.
         """
         self.placement.add(key, engine, demand, traits=traits, now=self.clock())
-        self.quarantine.add(key, engine, demand.shared_names)
+        self.crash_watch.quarantine.add(key, engine, demand.shared_names)
+
+    def record_first_event_of(self, key: object) -> None:
+        """Record the first event of a send to an engine; unknown keys are ignored."""
+        self.placement.record_first_event(key, self.clock())
+        self.crash_watch.quarantine.record_first_event(key)
 
     def remove_send(self, key: object) -> None:
         """Record the end of a send to an engine; unknown keys are ignored."""
         self.placement.remove(key)
-        self.quarantine.record_end(key)
+        self.crash_watch.quarantine.record_end(key)
 
     def _select_least_loaded(
         self, metadata: RequestMetadata, ready: list[Endpoint]
@@ -366,8 +315,6 @@
             return in_flight + self._is_remote(endpoint) + self.random.random() / 2
 
         endpoint = min(ready, key=load)
-        if self.is_limited(endpoint.incarnation):
-            self.broadcast(EndpointUsed(endpoint=endpoint.incarnation))
         return Selection(
             endpoint=endpoint,
             number=next(self.send_numbers),
@@ -381,8 +328,7 @@
     def record_first_event(self, selection: Selection) -> None:
         """Record that a send's first event was received."""
         if selection.number in self.placement.engine_by_send:
-            self.placement.record_first_event(selection.number, self.clock())
-            self.quarantine.record_first_event(selection.number)
+            self.record_first_event_of(selection.number)
             self.broadcast(SendFirstEvent(number=selection.number))
 
     def record_event(self, selection: Selection, gap: timedelta) -> None:
@@ -405,11 +351,11 @@
         """Update outlier ejection and crash detection with the result of a send."""
         name = selection.endpoint.incarnation
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
-            self.quarantine.discard(selection.number)
+            self.crash_watch.quarantine.discard(selection.number)
         is_engine = selection.metadata.demand is not None
-        in_cooldown = self.cooldowns.is_active(name)
+        in_cooldown = self.restrictions.cooldowns.is_active(name)
         if is_engine and result.is_closed and not in_cooldown:
-            self.crashes.check(selection.endpoint)
+            self.crash_watch.check(selection.endpoint)
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.UNKNOWN):
             self._eject(name, result.problem)
         elif result.outcome is SendOutcome.ANSWERED:
@@ -421,33 +367,11 @@
             seconds = time.total_seconds()
             emit(ENDPOINT_LEFT_OUT, endpoint=name, seconds=seconds, problem=problem)
 
-    def _may_end(self, endpoint: Endpoint) -> bool:
-        """Return whether an endpoint leaves or has left the registry."""
-        name = endpoint.incarnation
-        is_registered = self.registry.by_incarnation(name) is not None
-        return not is_registered or name in self.registry.leaving
-
-    def _record_crash(self, engine: str, at: datetime) -> None:
-        if self.quarantine.record_crash(engine, at):
-            self.broadcast(EngineCrashed(engine=engine))
-
-    def _announce_quarantine(self, quarantine: Quarantine) -> None:
-        self.broadcast(
-            SegmentQuarantined(
-                name=quarantine.name,
-                left=quarantine.until - quarantine.since,
-                relapses=quarantine.relapses,
-            )
-        )
-
-    def _announce_release(self, name: str) -> None:
-        self.broadcast(SegmentReleased(name=name))
-
     def find_quarantine(self, metadata: RequestMetadata) -> Quarantine | None:
         """Return the quarantine that forbids a request to be sent, or None."""
         if metadata.demand is None:
             return None
-        return self.quarantine.find(metadata.demand.shared_names)
+        return self.crash_watch.quarantine.find(metadata.demand.shared_names)
 
     def record_request(self, service: str) -> None:
         """Count a request, which adds a share of a retry to its service's budget."""
@@ -474,20 +398,15 @@
             Time until the request's deadline; None if it is not known.
         """
         ready = [one.incarnation for one in self.registry.ready(service or "")]
-        closed_for = min(map(self._closed_for, ready), default=timedelta())
-        if closed_for:
+        closed = self.restrictions.time_closed(ready)
+        if closed:
             spread = self.random.uniform(1, 1 + COOLDOWN_SPREAD)
-            return closed_for.total_seconds() * spread
+            return closed.total_seconds() * spread
         wait = self.random.uniform(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
         if left is None:
             return wait
         return max(0.0, min(wait, left.total_seconds() * MAX_RETRY_AFTER_SHARE))
 
-    def _closed_for(self, name: str) -> timedelta:
-        """Return the time until an endpoint takes a request; 0 if it does now."""
-        times = (self.cooldowns.time_left([name]), self.shared_limits.time_left([name]))
-        return max(time or timedelta() for time in times)
-
     def _budget(self, service: str) -> WindowRetryBudget:
         if service not in self.budgets:
             self.budgets[service] = WindowRetryBudget(
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -20,7 +20,7 @@
 from .metrics import ADDED_SECONDS, SENDS
 from .outcomes import SendOutcome, SendResult, classify_answer
 from .pool import EndpointPool, Selection
-from .streams import MAX_EVENT_BYTES, EventRelay
+from .streams import EventRelay
 from .upstream import (
     Answer,
     AnswerChunk,
@@ -336,9 +336,10 @@
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 await self._forward_events(message.data, result.head)
-                problem = self._event_problem()
-                if problem:
-                    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
+                if self.relay.problem:
+                    return SendResult(
+                        outcome=SendOutcome.UNKNOWN, problem=self.relay.problem
+                    )
                 continue
             problem = self._end_problem(message)
             if not problem:
@@ -346,14 +347,6 @@
                 return result
             return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
-    def _event_problem(self) -> str:
-        """Return why the events so far can't be those of the stream, or nothing."""
-        if not self.relay.in_order:
-            return "events out of order"
-        if self.relay.is_overlong:
-            return f"event with more than {MAX_EVENT_BYTES} bytes"
-        return ""
-
     def _end_problem(self, end: AnswerEnd) -> str:
         """Return why the end of a stream is not that of a complete one, or nothing."""
         if not end.is_complete:
--- a/zinniaramp/gateway/streams.py
+++ b/zinniaramp/gateway/streams.py
@@ -1,6 +1,6 @@
 """Splitting of a stream of server-sent events, and its resume position."""
 
-__all__ = ["MAX_EVENT_BYTES", "EventRelay"]
+__all__ = ["EventRelay"]
 
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 """Blank lines that terminate an event."""
@@ -56,9 +56,13 @@
         return position + len(mark) if position >= 0 else 0
 
     @property
-    def is_overlong(self) -> bool:
-        """Whether the event that is not complete yet is too long."""
-        return len(self.pending) > MAX_EVENT_BYTES
+    def problem(self) -> str:
+        """Why the bytes so far can't be those of the stream; empty if they can."""
+        if not self.in_order:
+            return "events out of order"
+        if len(self.pending) > MAX_EVENT_BYTES:
+            return f"event with more than {MAX_EVENT_BYTES} bytes"
+        return ""
 
     def _record_ids(self, whole: bytes) -> None:
         for line in whole.splitlines():
