--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -21,7 +21,13 @@
     GATEWAY_STOPPING,
 )
 from .messages import HeaderCodec
-from .metrics import CONFIGURATION, IN_FLIGHT, make_metrics
+from .metrics import (
+    CONFIGURATION,
+    IN_FLIGHT,
+    LIMITED,
+    QUARANTINED,
+    make_metrics,
+)
 from .peer_events import PeerEvents
 from .pool import EndpointPool, RetryLimits
 from .readiness import make_readiness
@@ -201,6 +207,10 @@
         metrics = self.settings.metrics
         make_metrics().listen(metrics.port, metrics.ip)
         IN_FLIGHT.set_function(lambda: len(self.callers.tasks))
+        quarantine = self.pool.crash_watch.quarantine
+        QUARANTINED.set_function(lambda: len(quarantine.active()))
+        shared_limits = self.pool.restrictions.shared_limits
+        LIMITED.set_function(lambda: len(shared_limits.limits))
         self.mesh.start()
         emit(
             GATEWAY_STARTED,
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -11,6 +11,8 @@
     "CONFIGURATION",
     "FIRST_EVENT_SECONDS",
     "IN_FLIGHT",
+    "LIMITED",
+    "QUARANTINED",
     "RETRIES",
     "SENDS",
     "STORE_LOST",
@@ -43,6 +45,14 @@
 CONFIGURATION = Gauge(
     "zinniaramp_gateway_configuration_version", "Version of the configuration in force."
 )
+QUARANTINED = Gauge(
+    "zinniaramp_gateway_quarantined_segments",
+    "Prompt segments whose requests are refused because engines crash under them.",
+)
+LIMITED = Gauge(
+    "zinniaramp_gateway_limited_endpoints",
+    "Endpoints that take a limited number of requests per second.",
+)
 STORE_LOST = Gauge(
     "zinniaramp_gateway_store_lost", "1 while the store gives no valid response."
 )
