Let other streams have their turn while one peer's messages are handled

Cause: all messages of one read were handled without a pause, and further reads too as long as bytes were there. Class: one peer's input delays all.

Change: Connection.receive returns 256 messages at most and lets other tasks run in between; the entry's streams and the endpoint's use it both. Messages not yet handled are dropped when the stream is closed here.

--- a/zinniaramp/links/core.py
+++ b/zinniaramp/links/core.py
@@ -1,6 +1,7 @@
 """One stream of messages between two processes."""
 
 import asyncio
+from collections import deque
 from datetime import datetime
 
 from result import Err, Ok, Result
@@ -23,6 +24,9 @@
 READ_BYTES = 64 * 1024
 """Maximum number of bytes of one read from the socket."""
 
+MAX_MESSAGES_PER_TURN = 256
+"""Maximum number of messages of one peer that are handled before other tasks run."""
+
 MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
 """Maximum number of bytes buffered for a peer; a stream that exceeds it is closed."""
 
@@ -49,6 +53,8 @@
         The peer's incarnation; empty until the handshake is complete.
     last_received : datetime
         When bytes were last received; initially the time of creation.
+    received : deque of Message
+        Decoded messages that `receive` has not returned yet.
     outgoing : list of bytes
         Encoded messages that the next `flush` writes.
     is_closed : bool
@@ -62,6 +68,7 @@
         "incarnation",
         "last_received",
         "decoder",
+        "received",
         "outgoing",
         "is_closed",
     )
@@ -73,6 +80,7 @@
         self.incarnation = ""
         self.last_received: datetime = clock()
         self.decoder = Decoder()
+        self.received: deque[Message] = deque()
         self.outgoing: list[bytes] = []
         self.is_closed = False
         stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
@@ -109,7 +117,10 @@
             self.close(reason="closed by peer")
 
     async def receive(self) -> Result[list[Message], LinkError]:
-        """Wait for bytes and return the messages that they complete.
+        """Wait for bytes and return some of the messages that they complete.
+
+        At most `MAX_MESSAGES_PER_TURN` are returned, and other tasks run before the
+        next ones are, so that one peer's messages don't delay the heartbeats of others.
 
         Returns
         -------
@@ -117,6 +128,19 @@
             Messages in order, possibly none; or `LinkError` if the stream was closed
             or the bytes are not valid messages.
         """
+        await asyncio.sleep(0)
+        if self.is_closed:
+            return Err(LinkError(f"stream to {self.peer} closed"))
+        if not self.received:
+            read = await self._read()
+            if isinstance(read, Err):
+                return read
+            self.received.extend(read.ok_value)
+        count = min(len(self.received), MAX_MESSAGES_PER_TURN)
+        return Ok([self.received.popleft() for _ in range(count)])
+
+    async def _read(self) -> Result[list[Message], LinkError]:
+        """Wait for bytes and return all messages that they complete."""
         try:
             data = await self.stream.read_bytes(READ_BYTES, partial=True)
         except StreamClosedError as error:
