Try a waiting quarantine decision every 50 ms, not at each request

Cause: while a decision waited for an answer to last, each request repeated the whole evaluation of the crashes, for up to half a second. Change: the next try has a time. Ruled out: deciding only at crashes, which would leave the last one undecided.

--- a/zinniaramp/quarantine/core.py
+++ b/zinniaramp/quarantine/core.py
@@ -32,6 +32,9 @@
 
 In recorded cases, engines ended 0.05 to 0.1 s after they had begun the answer."""
 
+DECISION_INTERVAL = timedelta(milliseconds=50)
+"""Time after which a decision is tried again that waits for an answer to last."""
+
 CRASH_GROUP_TIME = timedelta(milliseconds=50)
 """Time within which several crashes count as one, because a rack, a data centre or a
 network path may fail as a whole."""
@@ -158,8 +161,11 @@
         Approximate number of sends by segment.
     quarantines : dict of Quarantine
         Quarantined segments, and those whose quarantine is over, by name.
-    on_quarantine : callable
-        Receives each quarantine that this process imposes itself.
+    on_quarantine, on_release : callable
+        Receive each quarantine that this process imposes itself, and the name of each
+        segment that another one explains better.
+    decide_at : datetime or None
+        Time of the next decision; None if the crashes are all considered.
     """
 
     __slots__ = (
@@ -173,7 +179,7 @@
         "quarantines",
         "on_quarantine",
         "on_release",
-        "is_undecided",
+        "decide_at",
     )
 
     def __init__(self, *, clock: Clock):
@@ -187,7 +193,7 @@
         self.quarantines: dict[str, Quarantine] = {}
         self.on_quarantine: Callable[[Quarantine], None] = lambda quarantine: None
         self.on_release: Callable[[str], None] = lambda name: None
-        self.is_undecided = False
+        self.decide_at: datetime | None = None
 
     def add(self, key: object, engine: str, names: Sequence[str]) -> None:
         """Record a send of this or another gateway.
@@ -278,7 +284,7 @@
             segments=sorted(crash.depths),
         )
         self._confirm(crash)
-        self.is_undecided = True
+        self.decide_at = self.clock()
         return True
 
     def impose(self, name: str, left: timedelta, relapses: int, peer: str) -> None:
@@ -309,11 +315,11 @@
     def find(self, names: Iterable[str]) -> Quarantine | None:
         """Return the quarantine of the first segment that has one, or None."""
         self._expire()
-        if self.is_undecided:
+        now = self.clock()
+        if self.decide_at is not None and self.decide_at <= now:
             self._decide()
         if not self.quarantines:
             return None
-        now = self.clock()
         found = (self.quarantines.get(name) for name in names)
         return next((one for one in found if one is not None and now < one.until), None)
 
@@ -361,7 +367,7 @@
 
         The decision waits while an answer has begun that may show a segment sound.
         """
-        self.is_undecided = False
+        self.decide_at = None
         crashes_by_name = self._crashes_by_name()
         causes: dict[str, set[str]] = {}
         while crashes_by_name:
@@ -370,7 +376,7 @@
             if len(engines) < self._crashes_needed(name, crashes_by_name):
                 break
             if any(name in self.sends[key].names for key in self._begun_keys()):
-                self.is_undecided = True
+                self.decide_at = self.clock() + DECISION_INTERVAL
                 break
             causes[name] = engines
             left = {other: ended - engines for other, ended in crashes_by_name.items()}
