Split the quarantine: records, the search for causes, and the decisions

Change: records.py has what is remembered, explanation.py the search for the segments that explain crashes, a function of the crashes and of how often segments are sent. No behaviour changes. Ruled out: one class for each.

--- a/zinniaramp/quarantine/__init__.py
+++ b/zinniaramp/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Detection of prompt segments that crash engines; does no I/O."""
 
-from .core import Quarantine, SegmentQuarantine
+from .core import SegmentQuarantine
+from .records import Quarantine
 
 __all__ = ["Quarantine", "SegmentQuarantine"]
--- a/zinniaramp/quarantine/core.py
+++ b/zinniaramp/quarantine/core.py
@@ -2,7 +2,6 @@
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
 from ..clock import Clock
@@ -13,32 +12,14 @@
     SEGMENT_QUARANTINED,
     SEGMENT_RELEASED,
 )
+from .explanation import find_causes
+from .records import SURVIVAL_TIME, Crash, Quarantine, SendTrace
 
-__all__ = ["Quarantine", "SegmentQuarantine"]
-
-MIN_CRASHES = 3
-"""Crashes that a segment has to explain before it is quarantined.
-
-Two may coincide: a frequent segment is begun on most engines at any time."""
-
-MIN_AMBIGUOUS_CRASHES = 4
-"""The same if another segment explains as many."""
-
-FREQUENCY_RATIO = 2
-"""Ratio of their sends above which one of two segments is much more frequent."""
-
-SURVIVAL_TIME = timedelta(seconds=0.5)
-"""Time from the first event of an answer after which its segments are sound.
-
-In recorded cases, engines ended 0.05 to 0.1 s after they had begun the answer."""
+__all__ = ["SegmentQuarantine"]
 
 DECISION_INTERVAL = timedelta(milliseconds=50)
 """Time after which a decision is tried again that waits for an answer to last."""
 
-CRASH_GROUP_TIME = timedelta(milliseconds=50)
-"""Time within which several crashes count as one, because a rack, a data centre or a
-network path may fail as a whole."""
-
 EVIDENCE_TIME = timedelta(minutes=5)
 """Time for which a crash is evidence."""
 
@@ -61,78 +42,6 @@
 """Number of segments whose sends are counted, above which all counts are halved."""
 
 
-@dataclass(slots=True, kw_only=True)
-class SendTrace:
-    """What is known about one send to an engine.
-
-    Parameters
-    ----------
-    engine : str
-        Incarnation of the engine.
-    names : tuple of str
-        Names of the prompt segments that other requests may share, in order.
-    started_at : datetime
-        When the send was started, or when this process learnt of it.
-    first_at, ended_at : datetime or None
-        When the first event arrived and when the send ended.
-    """
-
-    engine: str
-    names: tuple[str, ...]
-    started_at: datetime
-    first_at: datetime | None = None
-    ended_at: datetime | None = None
-
-    def may_have_crashed(self, at: datetime) -> bool:
-        """Return whether the engine may have begun to answer just before a time."""
-        earliest = at - SURVIVAL_TIME
-        is_fresh = self.first_at is None or self.first_at > earliest
-        is_current = self.ended_at is None or self.ended_at >= earliest
-        return self.started_at <= at and is_fresh and is_current
-
-
-@dataclass(slots=True, kw_only=True)
-class Crash:
-    """One crash of an engine.
-
-    Parameters
-    ----------
-    engine : str
-        Incarnation of the engine.
-    at : datetime
-        When its connections were closed.
-    depths : dict of int
-        Position in the prompt of each segment that may be the cause, by name.
-    """
-
-    engine: str
-    at: datetime
-    depths: dict[str, int] = field(default_factory=dict)
-
-
-@dataclass(slots=True, kw_only=True)
-class Quarantine:
-    """A segment whose requests are refused.
-
-    Parameters
-    ----------
-    name : str
-        Name of the segment.
-    since, until : datetime
-        Start and end of the current quarantine.
-    relapses : int
-        Number of earlier quarantines that a crash followed.
-    engines : tuple of str
-        Engines whose crashes are the evidence; empty if another gateway has it.
-    """
-
-    name: str
-    since: datetime
-    until: datetime
-    relapses: int
-    engines: tuple[str, ...] = ()
-
-
 class SegmentQuarantine:
     """Finds prompt segments that crash engines, from the sends of all gateways.
 
@@ -269,7 +178,7 @@
         suspects = [
             trace.names
             for trace in (self.sends[key] for key in keys)
-            if trace.may_have_crashed(at)
+            if trace.is_suspect(at)
         ]
         for key in keys:
             self.discard(key)
@@ -368,19 +277,12 @@
         The decision waits while an answer has begun that may show a segment sound.
         """
         self.decide_at = None
-        crashes_by_name = self._crashes_by_name()
         causes: dict[str, set[str]] = {}
-        while crashes_by_name:
-            name = max(crashes_by_name, key=self._make_ranking(crashes_by_name))
-            engines = crashes_by_name[name]
-            if len(engines) < self._crashes_needed(name, crashes_by_name):
-                break
+        for name, engines in find_causes(self.crashes.values(), self.frequencies):
             if any(name in self.sends[key].names for key in self._begun_keys()):
                 self.decide_at = self.clock() + DECISION_INTERVAL
                 break
             causes[name] = engines
-            left = {other: ended - engines for other, ended in crashes_by_name.items()}
-            crashes_by_name = {other: ended for other, ended in left.items() if ended}
         self._release_explained(causes)
         for name, engines in causes.items():
             if name not in self.quarantines:
@@ -389,47 +291,6 @@
     def _begun_keys(self) -> list:
         return [key for _, key in self.begun if key in self.sends]
 
-    def _crashes_by_name(self) -> dict[str, set[str]]:
-        """Return the engines whose crash each segment may have caused.
-
-        Of crashes at the same time only the first counts.
-        """
-        engines: dict[str, set[str]] = {}
-        latest: dict[str, datetime] = {}
-        for crash in self.crashes.values():
-            for name in crash.depths:
-                if name in latest and crash.at < latest[name] + CRASH_GROUP_TIME:
-                    continue
-                latest[name] = crash.at
-                engines.setdefault(name, set()).add(crash.engine)
-        return engines
-
-    def _make_ranking(self, crashes_by_name: dict[str, set[str]]):
-        depths: dict[str, int] = {}
-        for crash in self.crashes.values():
-            depths.update(crash.depths)
-
-        def rank(name: str) -> tuple[int, int, int]:
-            return len(crashes_by_name[name]), -self.frequencies[name], depths[name]
-
-        return rank
-
-    def _crashes_needed(self, name: str, crashes_by_name: dict[str, set[str]]) -> int:
-        """Return how many crashes a segment has to explain.
-
-        These are more if another one that is not much more frequent explains as many.
-        """
-        engines = crashes_by_name[name]
-        frequency = FREQUENCY_RATIO * self.frequencies[name]
-        rivals = [
-            other
-            for other, ended in crashes_by_name.items()
-            if other != name
-            and len(ended) == len(engines)
-            and self.frequencies[other] < frequency
-        ]
-        return MIN_AMBIGUOUS_CRASHES if rivals else MIN_CRASHES
-
     def _release_explained(self, causes: dict[str, set[str]]) -> None:
         """Release segments whose crashes are explained by a better cause."""
         for name, quarantine in tuple(self.quarantines.items()):
--- /dev/null
+++ b/zinniaramp/quarantine/records.py
@@ -0,0 +1,83 @@
+"""What is remembered about sends, crashes and quarantines."""
+
+from dataclasses import dataclass, field
+from datetime import datetime, timedelta
+
+__all__ = ["SURVIVAL_TIME", "Crash", "Quarantine", "SendTrace"]
+
+SURVIVAL_TIME = timedelta(seconds=0.5)
+"""Time from the first event of an answer after which its segments are sound.
+
+In recorded cases, engines ended 0.05 to 0.1 s after they had begun the answer."""
+
+
+@dataclass(slots=True, kw_only=True)
+class SendTrace:
+    """What is known about one send to an engine.
+
+    Parameters
+    ----------
+    engine : str
+        Incarnation of the engine.
+    names : tuple of str
+        Names of the prompt segments that other requests may share, in order.
+    started_at : datetime
+        When the send was started, or when this process learnt of it.
+    first_at, ended_at : datetime or None
+        When the first event arrived and when the send ended.
+    """
+
+    engine: str
+    names: tuple[str, ...]
+    started_at: datetime
+    first_at: datetime | None = None
+    ended_at: datetime | None = None
+
+    def is_suspect(self, at: datetime) -> bool:
+        """Return whether the engine may have begun the answer just before a time."""
+        earliest = at - SURVIVAL_TIME
+        is_fresh = self.first_at is None or self.first_at > earliest
+        is_current = self.ended_at is None or self.ended_at >= earliest
+        return self.started_at <= at and is_fresh and is_current
+
+
+@dataclass(slots=True, kw_only=True)
+class Crash:
+    """One crash of an engine.
+
+    Parameters
+    ----------
+    engine : str
+        Incarnation of the engine.
+    at : datetime
+        When its connections were closed.
+    depths : dict of int
+        Position in the prompt of each segment that may be the cause, by name.
+    """
+
+    engine: str
+    at: datetime
+    depths: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, kw_only=True)
+class Quarantine:
+    """A segment whose requests are refused.
+
+    Parameters
+    ----------
+    name : str
+        Name of the segment.
+    since, until : datetime
+        Start and end of the current quarantine.
+    relapses : int
+        Number of earlier quarantines that a crash followed.
+    engines : tuple of str
+        Engines whose crashes are the evidence; empty if another gateway has it.
+    """
+
+    name: str
+    since: datetime
+    until: datetime
+    relapses: int
+    engines: tuple[str, ...] = ()
