--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -9,7 +9,6 @@
 from result import Err
 
 from ..observability import emit
-from ..placement import Demand
 from ..registry import Endpoint
 from ..routes import RetryPolicy
 from .caller import CallerConnection
@@ -60,11 +59,6 @@
 """Remaining time below which nothing is sent; no answer arrives in so short a time."""
 
 
-def _shared_names(demand: Demand | None) -> list[str]:
-    """Return the names of the prompt segments that other requests may share."""
-    return [segment.name for segment in demand.shared_prefix] if demand else []
-
-
 class Sender:
     """Sends one request to endpoints, one send at a time.
 
@@ -190,6 +184,7 @@
         )
         if selection is None:
             return None
+        demand = matched.metadata.demand
         emit(
             ENDPOINT_CHOSEN,
             request=matched.metadata.id,
@@ -204,7 +199,7 @@
             left_ms=(matched.deadline - self.pool.clock()) // MILLISECOND,
             wait_ms=selection.predicted_ttft // MILLISECOND,
             to_read=selection.prefill_tokens,
-            segments=_shared_names(matched.metadata.demand),
+            segments=demand.shared_names if demand else (),
         )
         return selection
 
