Wait for all gateways before a lifted limit is checked

Cause: the check, not the gateways. The first request lifts the limit at one gateway; the other two hear of it by the mesh some milliseconds later, and until then 503 is right. Change: one request is sent, then each gateway has to know no limit, then all ten callers have to get the server's answer. As strict as before, and each gateway is now looked at by itself. Ruled out: a pause, which would depend on the machine.

--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -26,7 +26,10 @@
     Then the other callers get 503 with a time when the server takes a request
     When the server "s-1" names no limit any more
     And 60 seconds pass for the limits of all gateways
-    And 10 requests "GET /read/x" are sent to the gateways in turn
+    And 1 requests "GET /read/x" are sent to the gateways in turn
+    Then all callers got the server's answer
+    And the gateways know the limits "" for the server "s-1"
+    When 10 requests "GET /read/x" are sent to the gateways in turn
     Then all callers got the server's answer
 
   Scenario: A gateway that starts learns the limits from the others
