Give processes blocks of ports that no other process uses

Cause: free_port began at a number that follows from the process id and went on from there, so the ranges of processes that run at the same time overlap after 100 ports. A port was only probed: until the daemon that got it listens, about half a second later, another process gets it as well. Change: a process reserves a block of 100 ports by keeping the block's first port bound. The kernel frees it when the process ends, and sockets of Python are not inherited by the daemons. Ruled out: another attempt with another port, which would hide a daemon that listens twice; port 0, since addresses are written into settings before the processes start. Left: a fleet that outlives the script that started it no longer has its block reserved; its ports are then protected only while its processes listen.

--- a/features/standins/fleet.feature
+++ b/features/standins/fleet.feature
@@ -12,3 +12,7 @@
   Scenario: A fleet that fails to start leaves no process running
     When the script brings up a fleet whose files cannot be written
     Then the script fails and no process of the fleet is running
+
+  Scenario: Processes that choose ports at the same time never choose the same one
+    When 8 processes choose 250 free ports each and keep running
+    Then no port was chosen twice
--- a/features/steps/standins_fleet_steps.py
+++ b/features/steps/standins_fleet_steps.py
@@ -11,6 +11,13 @@
 from zinniaramp.settings import read_settings
 from zinniaramp.standins.fleet import read_fleet
 
+CHOOSE_PORTS = """
+import sys
+from zinniaramp.standins.processes import free_port
+print(*[free_port() for _ in range(int(sys.argv[1]))], flush=True)
+sys.stdin.read()
+"""
+
 ROOT = Path(__file__).resolve().parents[2]
 
 
@@ -95,3 +102,20 @@
     context.fleet = read_fleet(context.directory)
     assert context.fleet
     assert not any(map(is_running, context.fleet))
+
+
+@when("{count:d} processes choose {ports:d} free ports each and keep running")
+def choose_ports(context, count, ports):
+    command = [sys.executable, "-c", CHOOSE_PORTS, str(ports)]
+    pipes = {"stdin": subprocess.PIPE, "stdout": subprocess.PIPE}
+    processes = [subprocess.Popen(command, text=True, **pipes) for _ in range(count)]
+    context.ports = [process.stdout.readline().split() for process in processes]
+    for process in processes:
+        process.communicate()
+    assert [len(chosen) for chosen in context.ports] == [ports] * count
+
+
+@then("no port was chosen twice")
+def check_different_ports(context):
+    chosen = [port for ports in context.ports for port in ports]
+    assert len(set(chosen)) == len(chosen), len(chosen) - len(set(chosen))
--- a/zinniaramp/standins/processes.py
+++ b/zinniaramp/standins/processes.py
@@ -42,11 +42,9 @@
 LAST_PORT = 32_000
 """Upper bound of the ports of a fleet, exclusive."""
 
-PORTS_PER_PROCESS = 100
-"""Distance between the first candidate ports of processes with successive ids.
-
-Fleets that are started at the same time therefore begin at different ports.
-"""
+BLOCK_PORTS = 100
+"""Number of ports in a block.  The first one is not given out: the process that uses
+the block keeps it bound, so that no other process uses the same block."""
 
 FLEET_FILE = "fleet.json"
 """Name of the file that lists a fleet's processes."""
@@ -92,32 +90,66 @@
     address: str = ""
 
 
-def _candidate_ports() -> Iterator[int]:
-    span = LAST_PORT - FIRST_PORT
-    start = os.getpid() * PORTS_PER_PROCESS % span
-    while True:
-        for offset in range(span):
-            yield FIRST_PORT + (start + offset) % span
+def _bind(port: int) -> socket.socket | None:
+    """Return a socket that is bound to a loopback port, or None if it is in use."""
+    bound = socket.socket()
+    try:
+        bound.bind(("127.0.0.1", port))
+    except OSError:
+        bound.close()
+        return None
+    return bound
+
+
+def _block_starts() -> Iterator[int]:
+    """Yield the first ports of all blocks, in an order that depends on the process."""
+    count = (LAST_PORT - FIRST_PORT) // BLOCK_PORTS
+    for number in range(count):
+        yield FIRST_PORT + (os.getpid() + number) % count * BLOCK_PORTS
+
+
+def _ports_of_own_blocks() -> Iterator[int]:
+    """Yield the ports of one free block after another, then those ports again."""
+    for start in _block_starts():
+        # The socket is closed when the process ends, which frees the block.
+        if (guard := _bind(start)) is not None:
+            _BLOCK_GUARDS[start] = guard
+            yield from range(start + 1, start + BLOCK_PORTS)
+    while _BLOCK_GUARDS:
+        for start in _BLOCK_GUARDS:
+            yield from range(start + 1, start + BLOCK_PORTS)
 
 
 def _can_bind(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind(("127.0.0.1", port))
-        except OSError:
-            return False
+    bound = _bind(port)
+    if bound is None:
+        return False
+    bound.close()
     return True
 
 
-_PORTS = _candidate_ports()
+_BLOCK_GUARDS: dict[int, socket.socket] = {}
+_PORTS = _ports_of_own_blocks()
 
 
 def free_port() -> int:
     """Return a free loopback port, a different one at each call.
 
-    Ports are returned again only after the whole range has been used.
+    No other process gets the same port from this function while this process runs.
+    Ports are returned again only after all free ones have been used.
+
+    Raises
+    ------
+    FleetError
+        All blocks of ports are in use.
     """
-    return next(port for port in _PORTS if _can_bind(port))
+    port = next(filter(_can_bind, _PORTS), None)
+    if port is None:
+        raise FleetError(
+            f"no free block of {BLOCK_PORTS} ports from {FIRST_PORT} to {LAST_PORT}; "
+            "end processes of earlier fleets"
+        )
+    return port
 
 
 @dataclass(slots=True, kw_only=True)
