Let gateways agree on a limit although reports about it cross

Callers: a gateway could hold a limit that an endpoint no longer names. It then sends elsewhere, or answers 503 if all endpoints are limited. Cause: each gateway that learns a limit reports it. A report that was on its way when another gateway had heard the end of the limit was applied after it, and the reverse. An answer that says what the gateway already knows causes no report, so nothing corrected the others; a gateway that kept the limit counted the sends of those that did not, and its own turn never came. Change: a report carries the number of changes of the limit; the higher one holds, of equal ones the lower rate, so the order of arrival does not matter. A gateway passes on what is new to it, because not every pair is connected. Ends of limits are told to new connections as well. Ruled out: limits that expire unless confirmed (each gateway would then try now and then, with 330 gateways more than the limit); times instead of numbers (clocks of the hosts differ); answering a report that is outdated (many gateways would answer at once).

--- a/features/routing/shared_limits.feature
+++ b/features/routing/shared_limits.feature
@@ -37,3 +37,17 @@
     When 20 requests per second are offered to them for 60 s
     Then no 4 s have more than 1.5 times the rate and 5 requests
     And at least 3 requests are sent
+
+  Scenario Outline: Gateways agree on a limit although reports about it cross
+    Given <gateways> gateways that hear of <peers> others, up to 0.5 s late
+    And an endpoint whose rate changes every 0.1 s for 10 s and is <rate> from then on
+    When <demand> requests per second are sent to it and answered for 60 s
+    Then all gateways know the rate <rate> in all of 20 plays
+
+    Examples:
+      | gateways | peers | rate | demand |
+      | 3        | 2     | none | 50     |
+      | 3        | 2     | 2.0  | 50     |
+      | 8        | 7     | none | 100    |
+      | 12       | 4     | none | 100    |
+      | 12       | 4     | 0.5  | 100    |
--- a/zinniaramp/gateway/peer_events.py
+++ b/zinniaramp/gateway/peer_events.py
@@ -76,8 +76,8 @@
                 pool.crash_watch.quarantine.impose(name, left, relapses, peer)
             case SegmentReleased(name=name):
                 pool.crash_watch.quarantine.release(name)
-            case EndpointLimited(endpoint=endpoint, rate=rate):
-                pool.restrictions.apply_limit(endpoint, rate, peer=peer)
+            case EndpointLimited(report=report):
+                pool.restrictions.apply_report(report, peer=peer)
             case EndpointUsed(endpoint=endpoint):
                 pool.restrictions.shared_limits.record(endpoint)
 
@@ -90,8 +90,8 @@
                 left=quarantine.until - now,
                 relapses=quarantine.relapses,
             )
-        for name, limit in self.pool.restrictions.shared_limits.limits.items():
-            yield EndpointLimited(endpoint=name, rate=limit.rate)
+        for report in self.pool.restrictions.shared_limits.reports():
+            yield EndpointLimited(report=report)
 
     def _add_send(self, peer: str, event: SendStarted) -> None:
         self.pool.restrictions.shared_limits.record(event.engine)
--- a/zinniaramp/gateway/restrictions.py
+++ b/zinniaramp/gateway/restrictions.py
@@ -9,7 +9,7 @@
 from ..peers import EndpointLimited, EndpointUsed, LoadEvent
 from ..registry import Registry
 from ..routing.cooldown import Cooldowns
-from ..routing.shared_limits import SharedLimits
+from ..routing.shared_limits import LimitReport, SharedLimits
 from .events import ENDPOINT_COOLDOWN, ENDPOINT_LIMITED
 from .messages import AnswerMetadata
 
@@ -100,31 +100,35 @@
         Only an answer with the id of the request shows that a limit is lifted.
         """
         is_lifted = metadata.states_no_limit and metadata.request_id == request_id
-        has_changed = (metadata.limit is not None or is_lifted) and self.apply_limit(
-            name, metadata.limit, peer=""
-        )
-        if has_changed:
-            self.broadcast(EndpointLimited(endpoint=name, rate=metadata.limit))
+        if metadata.limit is not None or is_lifted:
+            self._apply_named_limit(name, metadata.limit)
         if metadata.retry_after is not None:
             self.start_cooldown(name, metadata.retry_after)
 
-    def apply_limit(self, name: str, rate: float | None, *, peer: str) -> bool:
-        """Apply an endpoint's limit, or its end; return whether it has changed.
+    def _apply_named_limit(self, name: str, rate: float | None) -> None:
+        is_registered = self.registry.by_incarnation(name) is not None
+        if is_registered and self.shared_limits.apply(name, rate):
+            emit(ENDPOINT_LIMITED, endpoint=name, per_s=rate, peer="")
+            report = self.shared_limits.report(name)
+            self.broadcast(EndpointLimited(report=report))
+
+    def apply_report(self, report: LimitReport, *, peer: str) -> None:
+        """Apply another gateway's report about a limit, and pass it on if it is new.
 
         Parameters
         ----------
-        name : str
-            Incarnation of the endpoint.
-        rate : float or None
-            Requests per second from all gateways together; None without a limit.
+        report : LimitReport
+            The report, by the endpoint's incarnation.
         peer : str
-            Gateway that reported it; empty if the endpoint did.
+            Gateway that sent it.
         """
-        is_registered = self.registry.by_incarnation(name) is not None
-        if not is_registered or not self.shared_limits.apply(name, rate):
-            return False
-        emit(ENDPOINT_LIMITED, endpoint=name, per_s=rate, peer=peer)
-        return True
+        before = self.shared_limits.report(report.name)
+        is_registered = self.registry.by_incarnation(report.name) is not None
+        if not is_registered or not self.shared_limits.apply_report(report):
+            return
+        if report.rate != before.rate:
+            emit(ENDPOINT_LIMITED, endpoint=report.name, per_s=report.rate, peer=peer)
+        self.broadcast(EndpointLimited(report=report))
 
     def start_cooldown(self, name: str, duration: timedelta) -> None:
         """Send nothing to an endpoint for some time, which it asked for."""
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -8,6 +8,7 @@
 
 from ..placement.prompts import PromptSegment
 from ..registry.items import Item, Snapshot, StoreRevision
+from ..routing.shared_limits import LimitReport
 
 __all__ = [
     "CrashEvent",
@@ -191,18 +192,15 @@
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EndpointLimited:
-    """Load event: an endpoint has named a limit for all gateways, or names none now.
+    """Load event: the limit of an endpoint for all gateways has changed.
 
     Parameters
     ----------
-    endpoint : str
-        Incarnation of the endpoint.
-    rate : float or None
-        Requests per second from all gateways together; None without a limit.
+    report : LimitReport
+        The limit, by the endpoint's incarnation.
     """
 
-    endpoint: str
-    rate: float | None
+    report: LimitReport
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -283,7 +281,8 @@
 def _endpoint_event_as_array(event: CrashEvent | LimitEvent) -> list:
     match event:
         case EndpointLimited():
-            return [_ENDPOINT_LIMITED, event.endpoint, event.rate]
+            report = event.report
+            return [_ENDPOINT_LIMITED, report.name, report.rate, report.version]
         case EndpointUsed():
             return [_ENDPOINT_USED, event.endpoint]
         case EngineCrashed():
@@ -326,11 +325,12 @@
     )
 
 
-def _decode_endpoint_limited(endpoint, rate) -> EndpointLimited:
+def _decode_endpoint_limited(endpoint, rate, version) -> EndpointLimited:
     decoded = None if rate is None else float(rate)
     if decoded is not None and not 0 <= decoded < math.inf:
         raise ValueError(f"rate {rate!r} is not a number of requests per second")
-    return EndpointLimited(endpoint=str(endpoint), rate=decoded)
+    report = LimitReport(name=str(endpoint), rate=decoded, version=int(version))
+    return EndpointLimited(report=report)
 
 
 _DECODERS = {
--- a/zinniaramp/routing/shared_limits.py
+++ b/zinniaramp/routing/shared_limits.py
@@ -1,13 +1,14 @@
 """Limits on the request rate of endpoints, kept by all gateways together."""
 
-from collections.abc import Callable, Sequence
+import math
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from random import Random
 
 from ..clock import Clock
 
-__all__ = ["SharedLimits"]
+__all__ = ["LimitReport", "SharedLimits"]
 
 MIN_RATE = 0.1
 """Lowest rate, in requests per second, also if an endpoint names a lower one.
@@ -28,6 +29,35 @@
 the same moment must not all use it."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class LimitReport:
+    """What a gateway knows of the limit of an endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the endpoint.
+    rate : float or None
+        Requests per second from all gateways together; None without a limit.
+    version : int
+        Number of changes of the limit that led to this one; 0 if none is known.
+    """
+
+    name: str
+    rate: float | None
+    version: int
+
+    def supersedes(self, other: "LimitReport") -> bool:
+        """Return whether this report replaces another one of the same endpoint.
+
+        Of two changes with the same version, the one with the lower rate does.
+        """
+        return self._rank() > other._rank()
+
+    def _rank(self) -> tuple[int, float]:
+        return self.version, -math.inf if self.rate is None else -self.rate
+
+
 @dataclass(slots=True, kw_only=True)
 class SharedLimit:
     """Limit of one endpoint.
@@ -56,6 +86,10 @@
     that corresponds to the gateways that it hears of, so that groups of gateways that
     are cut off from each other keep to the limit together.
 
+    Reports about changes arrive in any order, also after answers that contradict them.
+    Gateways that have exchanged them know the same limits, since each applies the one
+    that supersedes all others.
+
     Parameters
     ----------
     clock : Clock
@@ -70,9 +104,11 @@
     ----------
     limits : dict of SharedLimit
         Limits in force, by the endpoint's name.
+    versions : dict of int
+        Number of changes of each limit, also of those that are no longer in force.
     """
 
-    __slots__ = ("clock", "random", "visible_share", "limits")
+    __slots__ = ("clock", "random", "visible_share", "limits", "versions")
 
     def __init__(
         self, *, clock: Clock, random: Random, visible_share: Callable[[], float]
@@ -81,9 +117,10 @@
         self.random = random
         self.visible_share = visible_share
         self.limits: dict[str, SharedLimit] = {}
+        self.versions: dict[str, int] = {}
 
     def apply(self, name: str, rate: float | None) -> bool:
-        """Set the limit of an endpoint, or lift it; return whether it has changed.
+        """Apply the limit that an endpoint's answer names; return if it is new.
 
         Parameters
         ----------
@@ -92,26 +129,55 @@
         rate : float or None
             Requests per second from all gateways together; None if there is no limit.
         """
-        known = self.limits.get(name)
-        if rate is None:
-            return self.limits.pop(name, None) is not None
-        if known is not None and known.rate == rate:
+        known = self.report(name)
+        if known.rate == rate:
             return False
-        if known is not None:
-            known.rate = rate
-            return True
+        self.versions[name] = known.version + 1
+        self._set(name, rate)
+        return True
+
+    def apply_report(self, report: LimitReport) -> bool:
+        """Apply another gateway's report if it is new; return whether it is.
+
+        A new report has to be sent on, because not every pair of gateways is connected.
+        """
+        if not report.supersedes(self.report(report.name)):
+            return False
+        self.versions[report.name] = report.version
+        self._set(report.name, report.rate)
+        return True
+
+    def report(self, name: str) -> LimitReport:
+        """Return what is known of the limit of an endpoint."""
+        limit = self.limits.get(name)
+        return LimitReport(
+            name=name,
+            rate=limit.rate if limit else None,
+            version=self.versions.get(name, 0),
+        )
+
+    def reports(self) -> Iterator[LimitReport]:
+        """Yield what is known of all endpoints that have or had a limit."""
+        return map(self.report, self.versions)
+
+    def _set(self, name: str, rate: float | None) -> None:
+        if rate is None:
+            self.limits.pop(name, None)
+            return
+        if name in self.limits:
+            self.limits[name].rate = rate
+            return
         limit = SharedLimit(rate=rate, due=self.clock(), spread=self.random.random())
         # Gateways that don't hear of each other must not all begin at once.
         limit.due += self.random.random() * self._interval(limit)
         self.limits[name] = limit
-        return True
 
     def keep(self, names: Sequence[str]) -> None:
         """Remove the limits of all endpoints except the named ones."""
         listed = set(names)
-        self.limits = {
-            name: limit for name, limit in self.limits.items() if name in listed
-        }
+        for name in self.versions.keys() - listed:
+            del self.versions[name]
+            self.limits.pop(name, None)
 
     def is_limited(self, name: str) -> bool:
         """Return whether an endpoint has a limit."""
