Report an endpoint that left while its stream was closed

Cause, of the symptom: an entry that learned of the leaving when it opened a stream logged nothing, and the test's endpoint told it only on the streams that it had at that moment. A stream that was closed then, for instance after a silence of 0.4 s on a busy machine, gives just this log. Change: the entry logs peer-leaving also then, once; the test's endpoint says on each new stream that it leaves, as endpoint processes do.

--- a/features/entry/fake_endpoint.py
+++ b/features/entry/fake_endpoint.py
@@ -85,6 +85,7 @@
         self.long_answer = None
         self.received_messages = []
         self.connections = []
+        self.is_leaving = False
         self.changed = threading.Condition()
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
@@ -120,7 +121,7 @@
         return Welcome(
             incarnation=self.incarnation,
             revision=INITIAL_REVISION,
-            leaving=False,
+            leaving=self.is_leaving,
             load=LOAD,
             serves=self.serves,
         )
@@ -205,10 +206,16 @@
         )
 
     def leave(self):
-        """Notify every entry that this endpoint is leaving."""
+        """Notify every entry that this endpoint is leaving, also on later streams."""
+        self.is_leaving = True
         for connection in self.connections:
             connection.send(Leaving(incarnation=self.incarnation))
 
+    def close_streams(self):
+        """Close all streams; the entries open new ones."""
+        for connection in list(self.connections):
+            connection.close(reason="fake closed its streams")
+
     def terminate(self):
         """Close the listener and all streams, like a killed process."""
         self.listener.stop()
@@ -220,8 +227,7 @@
         self.incarnation = f"{self.name}/{secrets.token_hex(3)}"
         self.behaviour = "refuses"
         self.cancel_reply_ran = False
-        for connection in list(self.connections):
-            connection.close(reason="fake restarted")
+        self.close_streams()
 
     def messages(self, kind):
         """Return the received messages of one type."""
--- a/features/entry/outcomes.feature
+++ b/features/entry/outcomes.feature
@@ -62,6 +62,14 @@
     Then every answer's text is "abc" and its outcome is "done"
     And endpoint "a" was offered 0 attempts
 
+  Scenario: An endpoint that begins to leave while its stream is closed is offered no more attempts
+    Given an entry with endpoint "a" that answers
+    And endpoint "b" that answers
+    When endpoint "a" closes its streams and announces that it is leaving
+    And 8 callers send non-streamed chat requests with different prompts
+    Then every answer's text is "abc" and its outcome is "done"
+    And endpoint "a" was offered 0 attempts
+
   Scenario Outline: A non-repeatable request without a ticket is not run
     Given an entry with endpoint "a" that answers
     When a caller sends key "<key>" with a non-streamed chat request of class "ledger"
--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -343,10 +343,24 @@
     get_entry(context)
     fake = context.fakes[name]
     fake.call(fake.leave)
+    wait_for_leaving(context)
+
+
+@when('endpoint "{name}" closes its streams and announces that it is leaving')
+def endpoint_leaves_without_streams(context, name):
+    get_entry(context)
+    fake = context.fakes[name]
+    fake.call(fake.close_streams)
+    fake.call(fake.leave)
+    wait_for_leaving(context)
+
+
+def wait_for_leaving(context):
+    """Wait until the entry's log has the event of a leaving endpoint."""
     log = context.directory / "entry-0.log"
     limit = time.monotonic() + WAIT_SECONDS
     while '"peer-leaving"' not in log.read_text():
-        assert time.monotonic() < limit
+        assert time.monotonic() < limit, log.read_text()[-2000:]
         time.sleep(POLL_SECONDS)
 
 
--- a/zinniaramp/entry/peers.py
+++ b/zinniaramp/entry/peers.py
@@ -180,7 +180,10 @@
         self.host = welcome.incarnation.partition("/")[0]
         self.serves = frozenset(welcome.serves)
         self.is_silent = False
-        self.is_leaving = welcome.leaving
+        if welcome.leaving:
+            self.mark_leaving("peer")
+        else:
+            self.is_leaving = False
         self.update_load(welcome.load)
         self.handle_revision(welcome.revision)
         self.dial_finished.set()
