--- a/features/steps/gateway_belief_steps.py
+++ b/features/steps/gateway_belief_steps.py
@@ -108,6 +108,7 @@
         return clock() + duration
 
     daemon.registry.clock = advanced_clock
+    daemon.registry.freshness.clock = advanced_clock
     daemon.follower.clock = advanced_clock
 
 
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import math
 import signal
 import sys
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 from ..clock import monotonic_clock
 from ..gateway import Gateway, GatewaySettings
 from ..gateway.events import LISTENER_LATE, SETTINGS_REFUSED, SETTINGS_RELOADED
-from ..gateway.metrics import STORE_LOST
+from ..gateway.metrics import STORE_AGE, STORE_LOST
 from ..observability import LogWriter, configure_logging, emit
 from ..platform.cached_segments import make_cached_segment_reader
 from ..platform.documents import decode_item
@@ -110,6 +111,7 @@
         STORE_LOST.set_function(
             lambda: float(self.follower.unreachable_since is not None)
         )
+        STORE_AGE.set_function(self._store_age_seconds)
         self.gateway = Gateway(
             settings=_make_gateway_settings(settings),
             registry=self.registry,
@@ -120,6 +122,10 @@
         )
         self.stopped = asyncio.Event()
 
+    def _store_age_seconds(self) -> float:
+        age = self.registry.freshness.age()
+        return math.inf if age is None else age.total_seconds()
+
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then drain the gateway and stop."""
         loop = asyncio.get_running_loop()
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -28,9 +28,10 @@
     level="INFO",
     meaning="An endpoint was selected for a send; `wait_ms` (time to first token) "
     "and `to_read` (prompt tokens to prefill) are predictions for an engine, `version` "
-    "is the configuration's version, `era` and `revision` are the store's, `ready` is "
-    "the number of endpoints that could be selected, and `segments` are the names of "
-    "the prompt segments that other requests may share.",
+    "is the configuration's version, `era` and `revision` are the store's, "
+    "`confirmed_ms` is the time since the store was last known to have no later one, "
+    "`ready` is the number of endpoints that could be selected, and `segments` are the "
+    "names of the prompt segments that other requests may share.",
     fields=(
         "request",
         "route",
@@ -39,6 +40,7 @@
         "version",
         "era",
         "revision",
+        "confirmed_ms",
         "ready",
         "waited_ms",
         "left_ms",
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -15,6 +15,7 @@
     "QUARANTINED",
     "RETRIES",
     "SENDS",
+    "STORE_AGE",
     "STORE_LOST",
     "make_metrics",
 ]
@@ -53,6 +54,10 @@
     "zinniaramp_gateway_limited_endpoints",
     "Endpoints that take a limited number of requests per second.",
 )
+STORE_AGE = Gauge(
+    "zinniaramp_gateway_store_confirmed_seconds",
+    "Time since the store was last known to have no later change.",
+)
 STORE_LOST = Gauge(
     "zinniaramp_gateway_store_lost", "1 while the store gives no valid response."
 )
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -185,6 +185,7 @@
         if selection is None:
             return None
         demand = matched.metadata.demand
+        confirmed = self.pool.registry.freshness.age()
         emit(
             ENDPOINT_CHOSEN,
             request=matched.metadata.id,
@@ -194,6 +195,7 @@
             version=matched.configuration.version,
             era=self.pool.registry.cache.revision.era,
             revision=self.pool.registry.cache.revision.number,
+            confirmed_ms=None if confirmed is None else confirmed // MILLISECOND,
             ready=selection.ready,
             waited_ms=(self.pool.clock() - self.request.received) // MILLISECOND,
             left_ms=(matched.deadline - self.pool.clock()) // MILLISECOND,
--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -2,11 +2,13 @@
 
 from .core import Endpoint, EndpointState, Registry
 from .follower import Source, StoreFollower
+from .freshness import Freshness
 from .items import Item, ItemCache, Snapshot, StoreRevision
 
 __all__ = [
     "Endpoint",
     "EndpointState",
+    "Freshness",
     "Item",
     "ItemCache",
     "Registry",
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -23,6 +23,7 @@
     STORE_ANSWER_OLD,
     STORE_RESTORED,
 )
+from .freshness import Freshness
 from .items import Item, ItemCache, Snapshot
 
 __all__ = [
@@ -126,6 +127,8 @@
     ----------
     cache : ItemCache
         Latest known revision of each item.
+    freshness : Freshness
+        How recently the store has confirmed the items.
     configuration : Configuration or None
         The active configuration.
     endpoints : dict of Endpoint
@@ -159,6 +162,7 @@
         "entry_lifetime",
         "clock",
         "cache",
+        "freshness",
         "configuration",
         "endpoints",
         "leaving",
@@ -185,6 +189,7 @@
         self.entry_lifetime = entry_lifetime
         self.clock = clock
         self.cache = ItemCache()
+        self.freshness = Freshness(cache=self.cache, clock=clock)
         self.configuration: Configuration | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.leaving: set[str] = set()
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -142,6 +142,7 @@
             snapshot.is_complete or snapshot.revision.era == self.revision.era
         )
         self.registry.apply(snapshot)
+        self.registry.freshness.confirm(snapshot.revision, age=timedelta())
         self.revision = snapshot.revision if is_continued else None
 
     async def _pause(self, snapshot: Snapshot) -> None:
