--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -9,3 +9,18 @@
     When the store is silent for 3 s by the gateway's clock
     And "GET /read/x" is sent
     Then the log of the send says that the store confirmed it over 3 s ago
+
+  Scenario Outline: Changes are in force although watches are never answered
+    Given <gateways> connected gateways
+    When <unanswered>
+    Then changes of the configuration and the servers are in force at every gateway
+
+    Examples:
+      | gateways | unanswered                                                |
+      | 1        | 1 watch is never answered                                 |
+      | 3        | 1 watch is never answered                                 |
+      | 3        | 3 watches are never answered                              |
+      | 3        | no watch is answered any more                             |
+      | 3        | the store is silent and answers no earlier watch after it |
+      | 1        | the store is restored and its watches go on waiting       |
+      | 3        | the store is restored and its watches go on waiting       |
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -4,8 +4,12 @@
 
 from behave import then, when
 
+from features.gateway.rig import configuration, store_revision
 from features.steps.gateway_belief_steps import advance_clock
 
+LOST_REVISIONS = 40
+"""Changes that the restored store lacks; more than a scenario makes after it."""
+
 
 @when("the store is silent for {seconds:d} s by the gateway's clock")
 def pass_time_in_silence(context, seconds):
@@ -17,3 +21,67 @@
 def check_logged_age(context, seconds):
     (chosen,) = context.rig.logged_events("endpoint-chosen")
     assert chosen["confirmed_ms"] >= seconds * 1000, chosen
+
+
+def wait_for_watches(rig):
+    """Wait until the watch of every gateway waits at the store."""
+    count = len(rig.daemons)
+    rig.run(rig.wait_until(lambda: len(rig.store.waiting) == count))
+
+
+@when("{count:d} watch is never answered")
+@when("{count:d} watches are never answered")
+def abandon_watches(context, count):
+    wait_for_watches(context.rig)
+    context.rig.store.abandon_watches(count)
+
+
+@when("no watch is answered any more")
+def ignore_watches(context):
+    abandon_watches(context, len(context.rig.daemons))
+    context.rig.store.ignores_watches = True
+
+
+@when("the store is silent and answers no earlier watch after it")
+def lose_watches_in_outage(context):
+    store = context.rig.store
+    store.is_silent = True
+    abandon_watches(context, len(context.rig.daemons))
+    store.put("op/config", configuration(8))
+    store.is_silent = False
+    store.wake_watches()
+
+
+@when("the store is restored and its watches go on waiting")
+def restore_under_watches(context):
+    rig = context.rig
+    copy = rig.store.copy()
+    for number in range(LOST_REVISIONS):
+        rig.store.put(f"unrelated/{number}", {})
+    wait_for_all_gateways(rig)
+    wait_for_watches(rig)
+    rig.store.restore(copy, keeps_watches=True)
+
+
+def wait_for_all_gateways(rig):
+    """Wait until every gateway has the latest revision of the store."""
+    revision = store_revision(rig.store)
+    for daemon in rig.daemons:
+        cache = daemon.registry.cache
+        rig.run(rig.wait_until(lambda cache=cache: cache.revision >= revision))
+
+
+@then("changes of the configuration and the servers are in force at every gateway")
+def check_changes_in_force(context):
+    rig = context.rig
+    rig.store.put("op/config", configuration(9, keys=["other-key"]))
+    wait_for_all_gateways(rig)
+    rig.publish("s-1", state="draining")
+    wait_for_all_gateways(rig)
+    rig.run(rig.add_server("s-3"))
+    wait_for_all_gateways(rig)
+    for daemon in rig.daemons:
+        registry = daemon.registry
+        assert registry.configuration.version == 9, registry.configuration.version
+        ready = sorted(one.id for one in registry.ready("plain"))
+        assert ready == ["s-2", "s-3"], ready
--- a/zinniaramp/standins/platform/store.py
+++ b/zinniaramp/standins/platform/store.py
@@ -50,6 +50,10 @@
         Whether calls are answered 503.
     is_silent : bool
         Whether calls are not answered until it is cleared.
+    ignores_watches : bool
+        Whether new watches are never answered; their connections stay open.
+    waiting : list of WatchHandler
+        Watches that wait for a change, in order of arrival.
     compacted_revision : int
         Revision of the last compaction; watches from earlier ones are answered 410.
     page_items : int
@@ -70,6 +74,8 @@
     era: int = FIRST_ERA
     refuses: bool = False
     is_silent: bool = False
+    ignores_watches: bool = False
+    waiting: list["WatchHandler"] = field(default_factory=list)
     compacted_revision: int = 0
     page_items: int = PAGE_ITEMS
     calls: list[str] = field(default_factory=list)
@@ -121,8 +127,25 @@
         """Return a copy of the content."""
         return StoreCopy(items=dict(self.items), revision=self.revision)
 
-    def restore(self, copy: StoreCopy) -> None:
-        """Replace the content by a copy; later changes are lost, revisions too."""
+    def abandon_watches(self, count: int) -> None:
+        """Never answer the first waiting watches; their connections stay open."""
+        for watch in self.waiting[:count]:
+            watch.is_abandoned = True
+        self.wake_watches()
+
+    def restore(self, copy: StoreCopy, *, keeps_watches: bool = False) -> None:
+        """Replace the content by a copy; later changes are lost, revisions too.
+
+        Parameters
+        ----------
+        copy : StoreCopy
+            Content of the restored store.
+        keeps_watches : bool
+            Whether the waiting watches go on waiting for their revisions; by default
+            they are answered.
+        """
+        for watch in self.waiting:
+            watch.survives_restore = keeps_watches
         self.era += 1
         self.items = dict(copy.items)
         self.revision = copy.revision
@@ -199,24 +222,39 @@
         """
         after = int(self.get_query_argument("after"))
         wait = int(self.get_query_argument("wait_ms")) / 1000
-        store, era = self.store, self.store.era
-        events = []
+        self.is_abandoned = self.store.ignores_watches
+        self.survives_restore = False
+        self.store.waiting.append(self)
         try:
             async with asyncio.timeout(wait):
-                while self._has_history(after) and not events and store.era == era:
-                    events = self._changes_after(after)
-                    if not events:
-                        await store.changed.wait()
+                events = await self._wait_for_changes(after)
         except TimeoutError:
             events = []
-        self.set_header("Store-Era", str(store.era))
+        finally:
+            self.store.waiting.remove(self)
+        if self.is_abandoned:
+            await asyncio.Event().wait()
+        self.set_header("Store-Era", str(self.store.era))
         if not self._has_history(after):
             self.set_status(410)
             self.finish({"error": "history is gone"})
             return
-        self.finish({"events": events, "store_revision": store.revision})
+        self.finish({"events": events, "store_revision": self.store.revision})
+
+    async def _wait_for_changes(self, after: int) -> list[dict]:
+        """Return the changes after a revision; none if the watch has to be ended."""
+        store, era = self.store, self.store.era
+        while self._has_history(after) and not self.is_abandoned:
+            is_ended = store.era != era and not self.survives_restore
+            events = self._changes_after(after)
+            if events or is_ended:
+                return events
+            await store.changed.wait()
+        return []
 
     def _has_history(self, after: int) -> bool:
+        if self.survives_restore and after >= self.store.revision:
+            return True
         return self.store.compacted_revision <= after <= self.store.revision
 
     def _changes_after(self, after: int) -> list[dict]:
