--- /dev/null
+++ b/features/freshness/freshness.feature
@@ -0,0 +1,34 @@
+Feature: Changes of the store are known in time whichever of its answers are missing
+  Simulated gateways with their real mesh, in virtual time.  The store acknowledges changes
+  at seconds 12, 14.04, 14.31, 16 and 18; unanswered watches keep their connections.
+
+  Scenario Outline: Changes are known in time: <what>
+    Given <gateways> simulated gateways, each connected to <peers> others
+    And the store leaves the watches of <unanswered> gateways from second <from> to <to> unanswered
+    And the store is <away>
+    When the load is played with 8 seeds
+    Then every gateway has each change within 2 s, or 3 s after the store's return
+
+    Examples:
+      | what                                      | gateways | peers | unanswered | from | to   | away                            |
+      | one gateway, no watch is ever answered    | 1        | 0     | 1          | 0    | 99   | never away                      |
+      | all watches lost once                     | 5        | 4     | 5          | 6    | 11.4 | never away                      |
+      | no watch is ever answered                 | 5        | 4     | 5          | 0    | 99   | never away                      |
+      | only one gateway's watches are answered   | 5        | 4     | 4          | 0    | 99   | never away                      |
+      | watches lost in a silent outage           | 5        | 4     | 5          | 6    | 11.4 | silent from second 6 to 11.4    |
+      | watches lost in an outage that refuses    | 5        | 4     | 5          | 6    | 11.4 | refusing from second 6 to 11.4  |
+      | no watch is answered after an outage      | 5        | 4     | 5          | 6    | 99   | silent from second 6 to 11.4    |
+      | one gateway, watch lost in an outage      | 1        | 0     | 1          | 6    | 11.4 | silent from second 6 to 11.4    |
+      | two outages, watches lost in both         | 5        | 4     | 5          | 2    | 11.4 | silent from second 10.5 to 11.4 |
+      | gateways that are cut off from each other | 5        | 0     | 5          | 6    | 99   | silent from second 6 to 11.4    |
+      | each gateway knows two others             | 12       | 2     | 12         | 0    | 99   | never away                      |
+
+  Scenario Outline: On a calm day <gateways> gateways use a thousandth of the platform's rate
+    Given <gateways> simulated gateways, each connected to <peers> others
+    When the load is played with 1 seed and no changes
+    Then the store gets at most <calls> calls per second
+
+    Examples:
+      | gateways | peers | calls |
+      | 5        | 4     | 2     |
+      | 30       | 29    | 6     |
--- /dev/null
+++ b/features/steps/freshness_steps.py
@@ -0,0 +1,66 @@
+"""Steps for the simulation of a store whose answers are missing."""
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.freshness.play import Load, play
+
+CHANGES = (12.0, 14.04, 14.31, 16.0, 18.0)
+SETTLED_SECONDS = 5
+"""Time after which the first reads of all gateways are over."""
+
+
+@given("{gateways:d} simulated gateways, each connected to {peers:d} others")
+def make_load(context, gateways, peers):
+    context.load = Load(gateways=gateways, peers=peers, changes=CHANGES)
+
+
+@given(
+    "the store leaves the watches of {count:d} gateways from second {start:g} "
+    "to {end:g} unanswered"
+)
+def leave_unanswered(context, count, start, end):
+    context.load.unanswered = count
+    context.load.unanswered_from, context.load.unanswered_to = start, end
+
+
+@given("the store is never away")
+def never_away(context):
+    pass
+
+
+@given("the store is {kind} from second {start:g} to {end:g}")
+def away(context, kind, start, end):
+    context.load.refuses = kind == "refusing"
+    context.load.away_from, context.load.away_to = start, end
+
+
+@when("the load is played with {count:d} seeds")
+def play_seeds(context, count):
+    seeds = range(1, count + 1)
+    context.reports = [play(replace(context.load, seed=seed)) for seed in seeds]
+
+
+@when("the load is played with 1 seed and no changes")
+def play_calm(context):
+    context.reports = [play(replace(context.load, changes=()))]
+
+
+@then(
+    "every gateway has each change within {seconds:g} s, or {after:g} s after the "
+    "store's return"
+)
+def check_delays(context, seconds, after):
+    for seed, report in enumerate(context.reports, start=1):
+        assert list(report.delays) == list(CHANGES)
+        for at, delays in report.delays.items():
+            limit = max(at + seconds, context.load.away_to + after)
+            assert at + max(delays) <= limit, (seed, at, delays)
+
+
+@then("the store gets at most {count:d} calls per second")
+def check_calls(context, count):
+    (report,) = context.reports
+    rate = report.calls_per_second(SETTLED_SECONDS, context.load.seconds)
+    assert rate <= count, rate
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -21,7 +21,7 @@
 from ..platform.listening import EarlyListener
 from ..platform.settings import HostSettings, SettingsError, read_host_settings
 from ..platform.store import make_json_reader, make_store_source
-from ..registry import Registry, StoreFollower
+from ..registry import Registry, RevisionChecker, StoreFollower
 from ..sockets import Address
 from .tasks import log_library_messages, log_uncaught_exceptions, supervise
 
@@ -80,6 +80,7 @@
         "registry",
         "follower",
         "gateway",
+        "checker",
         "stopped",
         "listener",
     )
@@ -120,6 +121,13 @@
             random=random,
             read_cached_segments=make_cached_segment_reader(make_json_reader()),
         )
+        self.checker = RevisionChecker(
+            follower=self.follower,
+            freshness=self.registry.freshness,
+            on_confirmed=self.gateway.mesh.announce_revision,
+            clock=self.clock,
+            random=random,
+        )
         self.stopped = asyncio.Event()
 
     def _store_age_seconds(self) -> float:
@@ -135,6 +143,7 @@
         self.gateway.start(self.listener.socket if self.listener else None)
         tasks = [
             asyncio.create_task(supervise("store", self.follower.run)),
+            asyncio.create_task(supervise("store revision", self.checker.run)),
             asyncio.create_task(supervise("settings", self._poll_settings)),
         ]
         await self.stopped.wait()
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -287,7 +287,7 @@
     async def _write_messages(self, name: str, stream: IOStream) -> None:
         queue, data_ready = self.write_queues[name], self.write_events[name]
         while True:
-            queue += encode(Heartbeat(revision=self.registry.cache.revision))
+            queue += encode(self._heartbeat())
             if len(queue) > MAX_QUEUED_BYTES:
                 raise TimeoutError("the peer does not read; its write queue is full")
             data = bytes(queue)
@@ -297,6 +297,11 @@
                 await stream.write(data)
             await self._wait_for_data(data_ready)
 
+    def _heartbeat(self) -> Heartbeat:
+        registry = self.registry
+        age = registry.freshness.age()
+        return Heartbeat(revision=registry.cache.revision, age=age)
+
     async def _wait_for_data(self, data_ready: asyncio.Event) -> None:
         try:
             async with asyncio.timeout(HEARTBEAT_INTERVAL.total_seconds()):
@@ -336,17 +341,20 @@
             items=len(snapshot.items),
         )
 
-    def record_revision(self, name: str, revision: StoreRevision) -> None:
+    def record_heartbeat(self, name: str, heartbeat: Heartbeat) -> None:
         """Record a peer's revision; catch up if the local watch does not deliver it.
 
         Parameters
         ----------
         name : str
             Address of the peer.
-        revision : StoreRevision
-            Revision that the peer has.
+        heartbeat : Heartbeat
+            Revision that the peer has, and when the store confirmed it.
         """
+        revision = heartbeat.revision
         self.peer_revisions[name] = revision
+        if heartbeat.age is not None:
+            self.registry.freshness.confirm(revision, age=heartbeat.age)
         is_idle = self.catch_up_task is None or self.catch_up_task.done()
         if revision > self.registry.cache.revision and is_idle:
             self.catch_up_task = asyncio.create_task(self._catch_up())
@@ -433,10 +441,10 @@
             case Hello():
                 mesh.inbound_peers[connection] = message
                 self._add_peers((message.address, *message.known_peers))
-            case Heartbeat(revision=revision):
+            case Heartbeat():
                 hello = mesh.inbound_peers.get(connection)
                 if hello is not None:
-                    mesh.record_revision(hello.address, revision)
+                    mesh.record_heartbeat(hello.address, message)
             case ItemsRequest(after=after):
                 await stream.write(encode(mesh.registry.cache.changes_since(after)))
             case Snapshot():
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -73,9 +73,13 @@
     ----------
     revision : StoreRevision
         Revision of the store up to which the sender has all items.
+    age : timedelta or None
+        Time since the store was last known to have no later revision, in whole
+        milliseconds; None if the sender has not had an answer of the store.
     """
 
     revision: StoreRevision
+    age: timedelta | None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -251,7 +255,8 @@
             peers = list(message.known_peers)
             return [_HELLO, message.address, message.data_center, peers]
         case Heartbeat():
-            return [_HEARTBEAT, *_revision_fields(message.revision)]
+            age_ms = None if message.age is None else message.age // MILLISECOND
+            return [_HEARTBEAT, *_revision_fields(message.revision), age_ms]
         case ItemsRequest():
             return [_ITEMS_REQUEST, *_revision_fields(message.after)]
         case Snapshot():
@@ -333,13 +338,18 @@
     return EndpointLimited(report=report)
 
 
+def _decode_heartbeat(era, number, age_ms) -> Heartbeat:
+    age = None if age_ms is None else int(age_ms) * MILLISECOND
+    return Heartbeat(revision=_decode_revision(era, number), age=age)
+
+
 _DECODERS = {
     _HELLO: lambda address, data_center, known_peers: Hello(
         address=str(address),
         data_center=str(data_center),
         known_peers=tuple(str(peer) for peer in known_peers),
     ),
-    _HEARTBEAT: lambda *fields: Heartbeat(revision=_decode_revision(*fields)),
+    _HEARTBEAT: _decode_heartbeat,
     _ITEMS_REQUEST: lambda *fields: ItemsRequest(after=_decode_revision(*fields)),
     _SNAPSHOT: _decode_snapshot,
     _SEND_STARTED: _decode_send_started,
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store: range reads and watches."""
 
+import asyncio
 import binascii
 from base64 import b64decode
 from datetime import timedelta
@@ -32,6 +33,9 @@
 RANGE_TIMEOUT = timedelta(seconds=2)
 """Timeout of one page; a slow store takes about 400 ms, 100 times the usual time."""
 
+REVISION_TIMEOUT = timedelta(seconds=1)
+"""Timeout of a read of the revision; a slow store takes about 400 ms."""
+
 WATCH_MARGIN = timedelta(seconds=1.5)
 """Time added to the requested wait of a watch to get its timeout."""
 
@@ -47,6 +51,9 @@
 ALL_KEYS_PREFIX = ""
 """Prefix that matches all keys: one watch covers configuration and endpoints."""
 
+NO_KEY_PREFIX = "~"
+"""Prefix that matches no key: a read of it has the store's revision and no items."""
+
 ERA_HEADER = "Store-Era"
 """Header of all answers; its number rises when the store is restored from a copy."""
 
@@ -58,13 +65,22 @@
     """TCP client that connects to IP addresses without a DNS resolver.
 
     The connections use keep-alive probes.
+
+    Attributes
+    ----------
+    latest : IOStream or None
+        The connection that was opened last.
     """
 
+    def __init__(self):
+        self.latest: IOStream | None = None
+
     async def connect(self, host: str, port: int, *_, **__) -> IOStream:
         """Return a connected stream; `SimpleAsyncHTTPClient` calls this."""
         opened = await open_stream(Address(ip=host, port=port), timeout=CONNECT_TIMEOUT)
         match opened:
             case Ok(stream):
+                self.latest = stream
                 return stream
             case Err(error):
                 raise StreamClosedError(real_error=error)
@@ -72,6 +88,11 @@
     def close(self) -> None:
         """Do nothing, because each call closes its own connection."""
 
+    def close_latest(self) -> None:
+        """Close the connection that was opened last."""
+        if self.latest is not None:
+            self.latest.close()
+
 
 def _decode_item(entry: object) -> Item:
     if not isinstance(entry, dict):
@@ -108,25 +129,27 @@
     return Snapshot(revision=known, items=items, is_complete=False)
 
 
-def _make_client() -> SimpleAsyncHTTPClient:
+def _make_client(connections: _DirectConnections) -> SimpleAsyncHTTPClient:
     client = SimpleAsyncHTTPClient(
         force_instance=True,
         max_clients=MAX_CONCURRENT_CALLS,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_ANSWER_BYTES,
     )
-    client.tcp_client = _DirectConnections()
+    client.tcp_client = connections
     return client
 
 
 def make_json_reader() -> ReadJson:
     """Return a function that reads JSON from a server by IP address."""
-    return make_http_reader(_make_client())
+    return make_http_reader(_make_client(_DirectConnections()))
 
 
 def make_store_source(address: Address) -> Source:
     """Return the functions that read and watch the store at an address."""
-    read = make_answer_reader(_make_client())
+    read = make_answer_reader(_make_client(_DirectConnections()))
+    watch_connections = _DirectConnections()
+    read_watch = make_answer_reader(_make_client(watch_connections))
     base = f"http://{address}"
 
     async def read_all() -> Result[Snapshot, ReadError]:
@@ -139,12 +162,25 @@
         query = urlencode(
             {"prefix": ALL_KEYS_PREFIX, "after": after.number, "wait_ms": wait_ms}
         )
-        answer = await read(f"{base}/kv-watch?{query}", wait + WATCH_MARGIN)
+        url = f"{base}/kv-watch?{query}"
+        reading = asyncio.ensure_future(read_watch(url, wait + WATCH_MARGIN))
+        try:
+            answer = await asyncio.shield(reading)
+        except asyncio.CancelledError:
+            # The client has no other way to end a call before its timeout.
+            watch_connections.close_latest()
+            raise
         if answer.is_err() and answer.err_value.status == HTTP_GONE:
             return Ok(None)
         return answer.and_then(partial(_parse_snapshot, field="events"))
 
-    return Source(read_all=read_all, watch=watch)
+    async def read_revision() -> Result[StoreRevision, ReadError]:
+        query = urlencode({"prefix": NO_KEY_PREFIX})
+        answer = await read(f"{base}/kv-range?{query}", REVISION_TIMEOUT)
+        page = answer.and_then(partial(_parse_snapshot, field="items"))
+        return page.map(lambda snapshot: snapshot.revision)
+
+    return Source(read_all=read_all, watch=watch, read_revision=read_revision)
 
 
 def _parse_snapshot(answer: JsonAnswer, *, field: str) -> Result[Snapshot, ReadError]:
--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -4,6 +4,7 @@
 from .follower import Source, StoreFollower
 from .freshness import Freshness
 from .items import Item, ItemCache, Snapshot, StoreRevision
+from .revision_checks import RevisionChecker
 
 __all__ = [
     "Endpoint",
@@ -12,6 +13,7 @@
     "Item",
     "ItemCache",
     "Registry",
+    "RevisionChecker",
     "Snapshot",
     "Source",
     "StoreFollower",
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -15,6 +15,7 @@
     "STORE_ANSWER_OLD",
     "STORE_LOST",
     "STORE_REGAINED",
+    "WATCH_OVERDUE",
     "STORE_RESTORED",
 ]
 
@@ -118,3 +119,11 @@
     "requests.",
     fields=("endpoint",),
 )
+WATCH_OVERDUE = declare_event(
+    number=1913,
+    name="watch-overdue",
+    level="WARNING",
+    meaning="The store has a later revision than the process knows, and the watch that "
+    "waits has not delivered it; the watch is ended and all items are read.",
+    fields=("era", "revision", "store_era", "store_revision"),
+)
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -12,7 +12,7 @@
 from ..observability import emit
 from ..reads import Backoff, ReadError
 from .core import Registry
-from .events import STORE_LOST, STORE_REGAINED
+from .events import STORE_LOST, STORE_REGAINED, WATCH_OVERDUE
 from .items import NO_REVISION, Snapshot, StoreRevision
 
 __all__ = ["Source", "StoreFollower"]
@@ -20,9 +20,8 @@
 WATCH_TIMEOUT = timedelta(seconds=20)
 """Long-poll timeout of one watch.
 
-Each call is billed, so the timeout is long.  It need not be short to detect a dead
-connection, because keep-alive probes do that.  It bounds how late a restore of the
-store is noticed if the watch survives it."""
+Each call is billed, so the timeout is long.  A watch that the store doesn't answer is
+ended earlier, when a read of the revision shows a change."""
 
 WATCH_PAUSE = timedelta(milliseconds=250)
 """Pause before the next watch after one that returned changes.
@@ -56,12 +55,15 @@
         Takes a revision and a timeout; returns the changes after the revision, at
         the latest after the timeout.  Returns `Ok(None)` if the store's history no
         longer covers the revision.
+    read_revision : callable
+        Returns the store's current revision.
     """
 
     read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
     watch: Callable[
         [StoreRevision, timedelta], Awaitable[Result[Snapshot | None, ReadError]]
     ]
+    read_revision: Callable[[], Awaitable[Result[StoreRevision, ReadError]]]
 
 
 class StoreFollower:
@@ -85,6 +87,8 @@
     unreachable_since : datetime or None
         Time of the first failed call since the last successful one; None if the
         last call succeeded.
+    watch : asyncio.Task or None
+        The watch that waits for an answer; None between two watches.
     """
 
     __slots__ = (
@@ -94,6 +98,7 @@
         "backoff",
         "revision",
         "unreachable_since",
+        "watch",
     )
 
     def __init__(
@@ -105,6 +110,7 @@
         self.backoff = Backoff(first=BACKOFF_FIRST, limit=BACKOFF_LIMIT, random=random)
         self.revision: StoreRevision | None = None
         self.unreachable_since: datetime | None = None
+        self.watch: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Replicate the store until cancelled."""
@@ -117,6 +123,7 @@
                     self.revision = None
                     await asyncio.sleep(self.backoff.next_wait().total_seconds())
                 case Ok(snapshot):
+                    self.backoff.reset()
                     self._record_success()
                     self._apply(snapshot)
                     await self._pause(snapshot)
@@ -127,7 +134,41 @@
     async def _read_next(self) -> Result[Snapshot | None, ReadError]:
         if self.revision is None:
             return await self.source.read_all()
-        return await self.source.watch(self.revision, WATCH_TIMEOUT)
+        watching = self.source.watch(self.revision, WATCH_TIMEOUT)
+        self.watch = asyncio.ensure_future(watching)
+        try:
+            await asyncio.wait([self.watch])
+            return Ok(None) if self.watch.cancelled() else self.watch.result()
+        finally:
+            self.watch.cancel()
+            self.watch = None
+
+    async def read_revision(self) -> Result[StoreRevision, ReadError]:
+        """Return the store's current revision, beside a watch that may be waiting."""
+        read = await self.source.read_revision()
+        match read:
+            case Ok():
+                self._record_success()
+            case Err(error):
+                self._record_failure(error)
+        return read
+
+    def end_watch(self, revision: StoreRevision) -> None:
+        """End the waiting watch, so that all items are read.
+
+        Parameters
+        ----------
+        revision : StoreRevision
+            Revision of the store that the watch has not delivered.
+        """
+        emit(
+            WATCH_OVERDUE,
+            era=self._last_revision.era,
+            revision=self._last_revision.number,
+            store_era=revision.era,
+            store_revision=revision.number,
+        )
+        self.watch.cancel()
 
     def _is_old(self, snapshot: Snapshot) -> bool:
         return snapshot.revision.era < self.registry.cache.revision.era
@@ -151,7 +192,6 @@
             await asyncio.sleep(WATCH_PAUSE.total_seconds())
 
     def _record_success(self) -> None:
-        self.backoff.reset()
         if self.unreachable_since is None:
             return
         outage = self.clock() - self.unreachable_since
