--- a/features/gateway/logging.feature
+++ b/features/gateway/logging.feature
@@ -14,3 +14,13 @@
     And the server of the first send behaves as "fail"
     When "GET /read/x" is sent
     Then `explain` shows both sends and the answer from prefixed lines
+
+  Scenario: The log tells repetitions of a request from other requests
+    Given a store with the usual configuration
+    And the servers "s-1" are listed
+    And a gateway that is ready
+    When "POST /read/x" is sent with the body "a"
+    And "POST /read/x" is sent with the body "a"
+    And "POST /read/x" is sent with the body "b"
+    And "POST /read/y" is sent with the body "a"
+    Then the first 2 of 4 sends have the same fingerprint and the others have none of theirs
--- a/features/steps/gateway_logs_steps.py
+++ b/features/steps/gateway_logs_steps.py
@@ -76,3 +76,22 @@
     sends = ["endpoint-chosen", "send-ended"]
     assert names == sends + sends + ["answered"], names
     assert {line.source for line in events} == {"edge-1"}
+
+
+@when('"{text}" is sent with the body "{body}"')
+def send_with_body(context, text, body):
+    method, path = text.split()
+    call = context.rig.call(path, method=method, body=body.encode())
+    context.reply = context.rig.run(call)
+
+
+@then(
+    "the first {count:d} of {total:d} sends have the same fingerprint and the others "
+    "have none of theirs"
+)
+def check_fingerprints(context, count, total):
+    chosen = context.rig.logged_events("endpoint-chosen")
+    fingerprints = [event["fingerprint"] for event in chosen]
+    assert len(fingerprints) == total, fingerprints
+    assert len(set(fingerprints[:count])) == 1, fingerprints
+    assert len(set(fingerprints)) == total - count + 1, fingerprints
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -30,8 +30,9 @@
     "and `to_read` (prompt tokens to prefill) are predictions for an engine, `version` "
     "is the configuration's version, `era` and `revision` are the store's, "
     "`confirmed_ms` is the time since the store was last known to have no later one, "
-    "`ready` is the number of endpoints that could be selected, and `segments` are the "
-    "names of the prompt segments that other requests may share.",
+    "`ready` is the number of endpoints that could be selected, `segments` are the "
+    "names of the prompt segments that other requests may share, and `fingerprint` is "
+    "the same for each repetition of a request.",
     fields=(
         "request",
         "route",
@@ -47,6 +48,7 @@
         "wait_ms",
         "to_read",
         "segments",
+        "fingerprint",
     ),
 )
 SEND_ENDED = declare_event(
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from datetime import datetime, timedelta
+from hashlib import blake2b
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -19,6 +20,16 @@
 
 __all__ = ["CallerRequest", "MatchedRequest", "RefusalError", "match_request"]
 
+FINGERPRINT_PREFIX = "request:"
+"""Start of all fingerprints; no name of a prompt segment has a colon."""
+
+FINGERPRINT_BYTES = 8
+"""Size of the digest; 2 of 10 million requests have the same with a probability of
+3e-6."""
+
+LENGTH_BYTES = 8
+"""Size of the length that precedes each field in the digested bytes."""
+
 
 @dataclass(slots=True, kw_only=True)
 class CallerRequest:
@@ -82,6 +93,8 @@
         Name of the service that the route selects for this request.
     deadline : datetime
         The earlier of the caller's deadline and the route's timeout.
+    fingerprint : str
+        Digest of the request's content and workspace; the same for each repetition.
     """
 
     metadata: RequestMetadata
@@ -90,6 +103,7 @@
     workspace: Workspace | None
     service: str
     deadline: datetime
+    fingerprint: str
 
     @property
     def urgency(self) -> int:
@@ -106,6 +120,24 @@
     return replace(metadata, demand=demand)
 
 
+def compute_fingerprint(
+    request: CallerRequest, host: str, workspace: Workspace | None
+) -> str:
+    """Return the digest of a request's host, workspace, method, target and body."""
+    fields = (
+        host.encode(),
+        workspace.name.encode() if workspace else b"",
+        request.start_line.method.encode(),
+        request.start_line.path.encode(),
+        request.body,
+    )
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in fields:
+        digest.update(len(field).to_bytes(LENGTH_BYTES))
+        digest.update(field)
+    return FINGERPRINT_PREFIX + digest.hexdigest()
+
+
 def match_request(
     request: CallerRequest,
     metadata: RequestMetadata,
@@ -143,4 +175,5 @@
         workspace=workspace,
         service=service,
         deadline=request.received + limit,
+        fingerprint=compute_fingerprint(request, metadata.host, workspace),
     )
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -202,6 +202,7 @@
             wait_ms=selection.predicted_ttft // MILLISECOND,
             to_read=selection.prefill_tokens,
             segments=demand.shared_names if demand else (),
+            fingerprint=matched.fingerprint,
         )
         return selection
 
