--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -180,13 +180,19 @@
             self.start_engine(name)
         self.publish(name, service="model", born=born)
 
-    async def restart_model_server(self, name):
-        """Start a model server again after a crash, as another incarnation."""
+    async def restart_server(self, name):
+        """Start a server again after a crash, as another incarnation."""
         before = self.servers[name]
         self.restarts += 1
-        await self.add_model_server(name, slots=4, born=1000 + self.restarts)
+        born = 1000 + self.restarts
+        if before.engine is None:
+            await self.add_server(name, publish=False)
+            self.publish(name, born=born)
+        else:
+            await self.add_model_server(name, slots=4, born=born)
         server = self.servers[name]
         server.arrivals = before.arrivals
+        server.crash_request = before.crash_request
         server.crash_segment = before.crash_segment
         server.events_before_crash = before.events_before_crash
         server.is_unframed = before.is_unframed
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -54,7 +54,7 @@
     """Start all servers that have ended, and wait until the gateways know them."""
     for name, server in tuple(rig.servers.items()):
         if server.has_ended:
-            await rig.restart_model_server(name)
+            await rig.restart_server(name)
     await rig.wait_until(lambda: is_known_everywhere(rig))
 
 
--- a/zinniaramp/standins/platform/behaviour.py
+++ b/zinniaramp/standins/platform/behaviour.py
@@ -108,6 +108,34 @@
     was_disconnected: bool = False
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CrashRequest:
+    """Content of a request that ends each server which begins to run it.
+
+    Parameters
+    ----------
+    target : str
+        Request target.
+    workspace : str
+        Name of the caller's workspace.
+    body : bytes
+        Body of the request.
+    seconds : float
+        Time from the beginning of the run until the server ends.
+    """
+
+    target: str
+    workspace: str
+    body: bytes
+    seconds: float
+
+    def matches(self, arrival: Arrival) -> bool:
+        """Return whether a request that reached the server is this one."""
+        workspace = arrival.headers.get("Zinniaramp-Tenant", "")
+        received = (arrival.target, workspace, arrival.body)
+        return received == (self.target, self.workspace, self.body)
+
+
 def expected_body(request_id: str) -> bytes:
     """Return the body of the plain answer to a request."""
     return f"result of {request_id}\n".encode()
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -13,7 +13,13 @@
 from tornado.web import Application, RequestHandler, stream_request_body
 
 from ..engine.core import EngineRequest, Token
-from .behaviour import Arrival, ServerBehaviour, expected_body, expected_events
+from .behaviour import (
+    Arrival,
+    CrashRequest,
+    ServerBehaviour,
+    expected_body,
+    expected_events,
+)
 from .engine import SegmentEngine, parse_segments
 
 __all__ = ["ServerStandin"]
@@ -47,6 +53,8 @@
         them; empty if there is none.
     events_before_crash : int
         Number of events that such a request gets before the server ends.
+    crash_request : CrashRequest or None
+        Content of the request that ends the server once it has begun to run it.
     is_unframed : bool
         Whether streams of the engine have neither a length nor chunks.
     has_ended : bool
@@ -89,6 +97,7 @@
     is_leaving: bool = False
     crash_segment: str = ""
     events_before_crash: int = 0
+    crash_request: CrashRequest | None = None
     is_unframed: bool = False
     has_ended: bool = False
     connections: set[IOStream] = field(default_factory=set)
@@ -242,6 +251,11 @@
         self.arrival.was_executed = True
         if behaviour is ServerBehaviour.HOLD:
             await self.standin.released.wait()
+        crash_request = self.standin.crash_request
+        if crash_request is not None and crash_request.matches(self.arrival):
+            await asyncio.sleep(crash_request.seconds)
+            self.standin.crash()
+            return
         await self.run(behaviour)
         self.arrival.ended = True
 
