--- a/features/quarantine/play.py
+++ b/features/quarantine/play.py
@@ -7,7 +7,7 @@
 from itertools import count
 from random import Random
 
-from zinniaramp.quarantine import SegmentQuarantine
+from zinniaramp.quarantine import CrashQuarantine
 
 START = datetime(2026, 1, 1, tzinfo=UTC)
 COUNTED_CRASHES = 5
@@ -107,7 +107,7 @@
         self.order = count()
         self.keys = count()
         self.gateways = [
-            SegmentQuarantine(clock=self.clock) for _ in range(load.gateways)
+            CrashQuarantine(clock=self.clock) for _ in range(load.gateways)
         ]
         for number, gateway in enumerate(self.gateways):
             gateway.on_quarantine = self.make_announcer(number)
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from features.quarantine.play import START, Load, Play
-from zinniaramp.quarantine import SegmentQuarantine
+from zinniaramp.quarantine import CrashQuarantine
 
 FIRST_SEED = 1
 
@@ -116,7 +116,7 @@
 @given('a gateway that has seen {count:d} crashes under the segment "bad"')
 def see_crashes(context, count):
     context.clock = SteppedClock()
-    context.quarantine = SegmentQuarantine(clock=context.clock)
+    context.quarantine = CrashQuarantine(clock=context.clock)
     for number in range(1, count + 1):
         send_and_crash(context, number)
 
@@ -178,7 +178,7 @@
 
 @when("another gateway connects to it")
 def connect_other(context):
-    context.other = SegmentQuarantine(clock=context.clock)
+    context.other = CrashQuarantine(clock=context.clock)
     for one in context.quarantine.active():
         left = one.until - context.clock()
         context.other.impose(one.name, left, one.relapses, "10.0.0.1:1")
--- a/zinniaramp/gateway/crashes.py
+++ b/zinniaramp/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Detection of engine crashes by their closed and refused connections."""
+"""Detection of endpoints' crashes by their closed and refused connections."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,8 +7,14 @@
 from result import Err
 
 from ..clock import Clock
-from ..peers import EngineCrashed, LoadEvent, SegmentQuarantined, SegmentReleased
-from ..quarantine import Quarantine, SegmentQuarantine
+from ..peers import (
+    CauseQuarantined,
+    CauseReleased,
+    EndpointCrashed,
+    LoadEvent,
+    RequestSurvived,
+)
+from ..quarantine import CrashQuarantine, Quarantine
 from ..registry import Endpoint, Registry
 from ..sockets import open_stream
 
@@ -20,9 +26,9 @@
 
 
 class CrashWatch:
-    """Detects crashes of engines and the prompt segments that cause them.
+    """Detects crashes of endpoints, and the prompt segments and requests behind them.
 
-    When an engine has closed a connection, a connection attempt tells a crash from a
+    When an endpoint has closed a connection, a connection attempt tells a crash from a
     single answer that was broken off, or a connection that was reset on its way.
 
     Parameters
@@ -36,10 +42,11 @@
 
     Attributes
     ----------
-    quarantine : SegmentQuarantine
-        Prompt segments whose requests are refused because engines crash under them.
+    quarantine : CrashQuarantine
+        Prompt segments and requests that are refused because endpoints crash under
+        them.
     checks : dict of asyncio.Task
-        Connection attempts in progress by the engine's incarnation.
+        Connection attempts in progress by the endpoint's incarnation.
     """
 
     __slots__ = ("registry", "clock", "broadcast", "quarantine", "checks")
@@ -54,13 +61,14 @@
         self.registry = registry
         self.clock = clock
         self.broadcast = broadcast
-        self.quarantine = SegmentQuarantine(clock=clock)
+        self.quarantine = CrashQuarantine(clock=clock)
         self.quarantine.on_quarantine = self._announce_quarantine
         self.quarantine.on_release = self._announce_release
+        self.quarantine.on_survival = self._announce_survival
         self.checks: dict[str, asyncio.Task] = {}
 
     def check(self, endpoint: Endpoint) -> None:
-        """Check whether an engine that has just closed a connection has crashed."""
+        """Check whether an endpoint that has just closed a connection has crashed."""
         name = endpoint.incarnation
         if name in self.checks or self._may_end(name):
             return
@@ -76,16 +84,38 @@
             return
         is_crash = opened.err_value.is_refused and not self._may_end(name)
         if is_crash and self.quarantine.record_crash(name, closed_at):
-            self.broadcast(EngineCrashed(engine=name))
+            self._announce_crash(name)
+
+    async def finish_checks(self) -> None:
+        """Wait until the checks in progress have ended."""
+        if self.checks:
+            await asyncio.wait(tuple(self.checks.values()))
+
+    def apply_report(self, report: EndpointCrashed) -> None:
+        """Record a crash that another gateway reports.
+
+        This gateway reports it too if it had sent requests that may be the cause.
+        """
+        name = report.endpoint
+        is_new = self.quarantine.record_crash(name, self.clock(), report.fingerprints)
+        if is_new and self.quarantine.crashes[name].own_fingerprints:
+            self._announce_crash(name)
 
     def _may_end(self, name: str) -> bool:
         """Return whether an endpoint leaves or has left the registry."""
         is_registered = self.registry.by_incarnation(name) is not None
         return not is_registered or name in self.registry.leaving
 
+    def _announce_crash(self, name: str) -> None:
+        fingerprints = self.quarantine.crashes[name].own_fingerprints
+        self.broadcast(EndpointCrashed(endpoint=name, fingerprints=fingerprints))
+
+    def _announce_survival(self, fingerprint: str) -> None:
+        self.broadcast(RequestSurvived(fingerprint=fingerprint))
+
     def _announce_quarantine(self, quarantine: Quarantine) -> None:
         self.broadcast(
-            SegmentQuarantined(
+            CauseQuarantined(
                 name=quarantine.name,
                 left=quarantine.until - quarantine.since,
                 relapses=quarantine.relapses,
@@ -93,4 +123,4 @@
         )
 
     def _announce_release(self, name: str) -> None:
-        self.broadcast(SegmentReleased(name=name))
+        self.broadcast(CauseReleased(name=name))
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -95,16 +95,21 @@
             if not self.sender.may_retry(result):
                 await self._send_final_answer(result)
                 return
+            if result.is_closed:
+                # The retry would end the next endpoint if this request ended the last.
+                await self.pool.crash_watch.finish_checks()
 
     def _check_quarantine(self, matched: MatchedRequest) -> None:
-        """Raise a `RefusalError` if a segment of the prompt crashes engines."""
-        quarantine = self.pool.find_quarantine(matched.metadata)
+        """Raise a `RefusalError` if the request or a segment crashes endpoints."""
+        quarantine = self.pool.find_quarantine(matched)
         if quarantine is None:
             return
+        is_request = quarantine.name == matched.fingerprint
+        reason = "request-quarantined" if is_request else "segment-quarantined"
         if self.sender.may_have_run:
-            raise RefusalError(502, "segment-quarantined")
+            raise RefusalError(502, reason)
         left = quarantine.until - self.pool.clock()
-        raise RefusalError(503, "segment-quarantined", retry_after=left)
+        raise RefusalError(503, reason, retry_after=left)
 
     async def _send_final_answer(self, result: SendResult) -> None:
         """Answer with the last send's result, or abort an answer that has started.
--- a/zinniaramp/gateway/peer_events.py
+++ b/zinniaramp/gateway/peer_events.py
@@ -3,14 +3,15 @@
 from collections.abc import Iterable
 
 from ..peers import (
+    CauseQuarantined,
+    CauseReleased,
     CrashEvent,
+    EndpointCrashed,
     EndpointLimited,
     EndpointUsed,
-    EngineCrashed,
     LimitEvent,
     LoadEvent,
-    SegmentQuarantined,
-    SegmentReleased,
+    RequestSurvived,
     SendEnded,
     SendFirstEvent,
     SendStarted,
@@ -67,14 +68,16 @@
                 self._apply_report(peer, event)
 
     def _apply_report(self, peer: str, event: CrashEvent | LimitEvent) -> None:
-        """Apply what another process has found out about an endpoint or a segment."""
+        """Apply what another process has found out about an endpoint or a request."""
         pool = self.pool
         match event:
-            case EngineCrashed(engine=engine):
-                pool.crash_watch.quarantine.record_crash(engine, pool.clock())
-            case SegmentQuarantined(name=name, left=left, relapses=relapses):
+            case EndpointCrashed():
+                pool.crash_watch.apply_report(event)
+            case RequestSurvived(fingerprint=fingerprint):
+                pool.crash_watch.quarantine.clear(fingerprint)
+            case CauseQuarantined(name=name, left=left, relapses=relapses):
                 pool.crash_watch.quarantine.impose(name, left, relapses, peer)
-            case SegmentReleased(name=name):
+            case CauseReleased(name=name):
                 pool.crash_watch.quarantine.release(name)
             case EndpointLimited(report=report):
                 pool.restrictions.apply_report(report, peer=peer)
@@ -85,7 +88,7 @@
         """Return the events that a newly connected process has to learn of."""
         now = self.pool.clock()
         for quarantine in self.pool.crash_watch.quarantine.active():
-            yield SegmentQuarantined(
+            yield CauseQuarantined(
                 name=quarantine.name,
                 left=quarantine.until - now,
                 relapses=quarantine.relapses,
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -22,6 +22,7 @@
 from ..routing.ejection import Ejections
 from .crashes import CrashWatch
 from .events import ENDPOINT_LEFT_OUT
+from .matching import MatchedRequest
 from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
 from .metrics import RETRIES
 from .outcomes import SendOutcome, SendResult
@@ -136,7 +137,7 @@
     broadcast : callable
         Sends a load event of this process to the other gateway processes.
     crash_watch : CrashWatch
-        Crashes of engines, and the prompt segments that cause them.
+        Crashes of endpoints, and the prompt segments and requests that cause them.
     """
 
     __slots__ = (
@@ -197,14 +198,13 @@
     def _broadcast(self, event: LoadEvent) -> None:
         self.broadcast(event)
 
-    def select(
-        self, *, service: str, metadata: RequestMetadata, tried: set[str]
-    ) -> Selection | None:
+    def select(self, matched: MatchedRequest, tried: set[str]) -> Selection | None:
         """Select an endpoint for a send and count the send as in flight.
 
         Endpoints in `tried` are selected only if no other is usable.  Returns None if
         no endpoint is ready, or none of them takes a request now.
         """
+        service, metadata = matched.service, matched.metadata
         by_name = {one.incarnation: one for one in self.registry.ready(service)}
         usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
         names = [one for one in usable if one not in tried] or usable
@@ -219,6 +219,10 @@
         else:
             selection = self._select_least_loaded(metadata, ready)
         name = selection.endpoint.incarnation
+        segments = metadata.demand.shared_names if is_prompt else ()
+        self.crash_watch.quarantine.add(
+            selection.number, name, segments, matched.fingerprint
+        )
         self.restrictions.record_send(name, is_announced=is_prompt)
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
@@ -265,7 +269,9 @@
     ) -> Selection:
         demand = metadata.demand
         number = next(self.send_numbers)
-        self.add_send(number, choice.engine, demand, traits=traits)
+        self.placement.add(
+            number, choice.engine, demand, traits=traits, now=self.clock()
+        )
         self.broadcast(
             SendStarted(
                 number=number,
@@ -289,7 +295,7 @@
     def add_send(
         self, key: object, engine: str, demand: Demand, *, traits: EngineTraits
     ) -> None:
-        """Record a send by this or another gateway process to an engine.
+        """Record a send by another gateway process to an engine.
 
         The parameters are those of `Placement.add`.
         """
@@ -302,7 +308,7 @@
         self.crash_watch.quarantine.record_first_event(key)
 
     def remove_send(self, key: object) -> None:
-        """Record the end of a send to an engine; unknown keys are ignored."""
+        """Record the end of a send; unknown keys are ignored."""
         self.placement.remove(key)
         self.crash_watch.quarantine.record_end(key)
 
@@ -343,18 +349,21 @@
             self.in_flight[name] = left
         else:
             self.in_flight.pop(name, None)
-        if selection.number in self.placement.engine_by_send:
-            self.remove_send(selection.number)
+        is_prompt = selection.number in self.placement.engine_by_send
+        self.remove_send(selection.number)
+        if is_prompt:
             self.broadcast(SendEnded(number=selection.number))
 
     def record_result(self, selection: Selection, result: SendResult) -> None:
         """Update outlier ejection and crash detection with the result of a send."""
         name = selection.endpoint.incarnation
+        quarantine = self.crash_watch.quarantine
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.NOT_RUN):
-            self.crash_watch.quarantine.discard(selection.number)
-        is_engine = selection.metadata.demand is not None
+            quarantine.discard(selection.number)
+        elif result.outcome is not SendOutcome.UNKNOWN and not result.is_closed:
+            quarantine.record_answer(selection.number)
         in_cooldown = self.restrictions.cooldowns.is_active(name)
-        if is_engine and result.is_closed and not in_cooldown:
+        if result.is_closed and not in_cooldown:
             self.crash_watch.check(selection.endpoint)
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.UNKNOWN):
             self._eject(name, result.problem)
@@ -367,11 +376,11 @@
             seconds = time.total_seconds()
             emit(ENDPOINT_LEFT_OUT, endpoint=name, seconds=seconds, problem=problem)
 
-    def find_quarantine(self, metadata: RequestMetadata) -> Quarantine | None:
+    def find_quarantine(self, matched: MatchedRequest) -> Quarantine | None:
         """Return the quarantine that forbids a request to be sent, or None."""
-        if metadata.demand is None:
-            return None
-        return self.crash_watch.quarantine.find(metadata.demand.shared_names)
+        demand = matched.metadata.demand
+        segments = demand.shared_names if demand else ()
+        return self.crash_watch.quarantine.find((matched.fingerprint, *segments))
 
     def record_request(self, service: str) -> None:
         """Count a request, which adds a share of a retry to its service's budget."""
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -179,9 +179,7 @@
 
     def _select_endpoint(self) -> Selection | None:
         matched = self.matched
-        selection = self.pool.select(
-            service=matched.service, metadata=matched.metadata, tried=self.tried
-        )
+        selection = self.pool.select(matched, self.tried)
         if selection is None:
             return None
         demand = matched.metadata.demand
--- a/zinniaramp/peers/__init__.py
+++ b/zinniaramp/peers/__init__.py
@@ -2,29 +2,31 @@
 
 from .core import PeerMesh
 from .messages import (
+    CauseQuarantined,
+    CauseReleased,
     CrashEvent,
+    EndpointCrashed,
     EndpointLimited,
     EndpointUsed,
-    EngineCrashed,
     LimitEvent,
     LoadEvent,
-    SegmentQuarantined,
-    SegmentReleased,
+    RequestSurvived,
     SendEnded,
     SendFirstEvent,
     SendStarted,
 )
 
 __all__ = [
+    "CauseQuarantined",
+    "CauseReleased",
     "CrashEvent",
+    "EndpointCrashed",
     "EndpointLimited",
     "EndpointUsed",
-    "EngineCrashed",
     "LimitEvent",
     "LoadEvent",
     "PeerMesh",
-    "SegmentQuarantined",
-    "SegmentReleased",
+    "RequestSurvived",
     "SendEnded",
     "SendFirstEvent",
     "SendStarted",
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -11,10 +11,12 @@
 from ..routing.shared_limits import LimitReport
 
 __all__ = [
+    "CauseQuarantined",
+    "CauseReleased",
     "CrashEvent",
+    "EndpointCrashed",
     "EndpointLimited",
     "EndpointUsed",
-    "EngineCrashed",
     "Heartbeat",
     "Hello",
     "ItemsRequest",
@@ -23,8 +25,7 @@
     "Message",
     "MessageDecoder",
     "MessageError",
-    "SegmentQuarantined",
-    "SegmentReleased",
+    "RequestSurvived",
     "SendEnded",
     "SendFirstEvent",
     "SendStarted",
@@ -150,26 +151,42 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class EngineCrashed:
-    """Load event: an engine closed its connections and refuses new ones.
+class EndpointCrashed:
+    """Load event: an endpoint closed its connections and refuses new ones.
 
     Parameters
     ----------
-    engine : str
-        Incarnation of the engine.
+    endpoint : str
+        Incarnation of the endpoint.
+    fingerprints : tuple of str
+        Requests of the sender that the endpoint may have begun just before.
     """
 
-    engine: str
+    endpoint: str
+    fingerprints: tuple[str, ...]
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class SegmentQuarantined:
-    """Load event: engines crash under a prompt segment.
+class RequestSurvived:
+    """Load event: a request that was suspected of a crash has been answered.
+
+    Parameters
+    ----------
+    fingerprint : str
+        Fingerprint of the request.
+    """
+
+    fingerprint: str
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class CauseQuarantined:
+    """Load event: endpoints crash under a prompt segment or a request.
 
     Parameters
     ----------
     name : str
-        Name of the segment.
+        Name of the segment, or fingerprint of the request.
     left : timedelta
         Remaining time of its quarantine, in whole milliseconds.
     relapses : int
@@ -182,13 +199,13 @@
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
-class SegmentReleased:
-    """Load event: a quarantined segment is no cause of crashes.
+class CauseReleased:
+    """Load event: a quarantined segment or request is no cause of crashes.
 
     Parameters
     ----------
     name : str
-        Name of the segment.
+        Name of the segment, or fingerprint of the request.
     """
 
     name: str
@@ -221,7 +238,7 @@
 
 
 LimitEvent = EndpointLimited | EndpointUsed
-CrashEvent = EngineCrashed | SegmentQuarantined | SegmentReleased
+CrashEvent = EndpointCrashed | RequestSurvived | CauseQuarantined | CauseReleased
 LoadEvent = SendStarted | SendFirstEvent | SendEnded | CrashEvent | LimitEvent
 Message = Hello | Heartbeat | ItemsRequest | Snapshot | LoadEvent
 
@@ -233,12 +250,13 @@
     _SEND_STARTED,
     _SEND_FIRST_EVENT,
     _SEND_ENDED,
-    _ENGINE_CRASHED,
-    _SEGMENT_QUARANTINED,
-    _SEGMENT_RELEASED,
+    _ENDPOINT_CRASHED,
+    _CAUSE_QUARANTINED,
+    _CAUSE_RELEASED,
     _ENDPOINT_LIMITED,
     _ENDPOINT_USED,
-) = range(12)
+    _REQUEST_SURVIVED,
+) = range(13)
 
 
 def _revision_fields(revision: StoreRevision) -> list:
@@ -290,13 +308,15 @@
             return [_ENDPOINT_LIMITED, report.name, report.rate, report.version]
         case EndpointUsed():
             return [_ENDPOINT_USED, event.endpoint]
-        case EngineCrashed():
-            return [_ENGINE_CRASHED, event.engine]
-        case SegmentQuarantined():
+        case EndpointCrashed():
+            return [_ENDPOINT_CRASHED, event.endpoint, list(event.fingerprints)]
+        case RequestSurvived():
+            return [_REQUEST_SURVIVED, event.fingerprint]
+        case CauseQuarantined():
             left_ms = event.left // MILLISECOND
-            return [_SEGMENT_QUARANTINED, event.name, left_ms, event.relapses]
-        case SegmentReleased():
-            return [_SEGMENT_RELEASED, event.name]
+            return [_CAUSE_QUARANTINED, event.name, left_ms, event.relapses]
+        case CauseReleased():
+            return [_CAUSE_RELEASED, event.name]
 
 
 def encode(message: Message) -> bytes:
@@ -355,13 +375,17 @@
     _SEND_STARTED: _decode_send_started,
     _SEND_FIRST_EVENT: lambda number: SendFirstEvent(number=int(number)),
     _SEND_ENDED: lambda number: SendEnded(number=int(number)),
-    _ENGINE_CRASHED: lambda engine: EngineCrashed(engine=str(engine)),
-    _SEGMENT_QUARANTINED: lambda name, left_ms, relapses: SegmentQuarantined(
+    _ENDPOINT_CRASHED: lambda endpoint, fingerprints: EndpointCrashed(
+        endpoint=str(endpoint),
+        fingerprints=tuple(str(one) for one in fingerprints),
+    ),
+    _REQUEST_SURVIVED: lambda one: RequestSurvived(fingerprint=str(one)),
+    _CAUSE_QUARANTINED: lambda name, left_ms, relapses: CauseQuarantined(
         name=str(name),
         left=int(left_ms) * MILLISECOND,
         relapses=int(relapses),
     ),
-    _SEGMENT_RELEASED: lambda name: SegmentReleased(name=str(name)),
+    _CAUSE_RELEASED: lambda name: CauseReleased(name=str(name)),
     _ENDPOINT_LIMITED: _decode_endpoint_limited,
     _ENDPOINT_USED: lambda endpoint: EndpointUsed(endpoint=str(endpoint)),
 }
--- a/zinniaramp/quarantine/__init__.py
+++ b/zinniaramp/quarantine/__init__.py
@@ -1,6 +1,6 @@
-"""Detection of prompt segments that crash engines; does no I/O."""
+"""Detection of prompt segments and requests that crash endpoints; does no I/O."""
 
-from .core import SegmentQuarantine
+from .core import CrashQuarantine
 from .records import Quarantine
 
-__all__ = ["Quarantine", "SegmentQuarantine"]
+__all__ = ["Quarantine", "CrashQuarantine"]
--- a/zinniaramp/quarantine/core.py
+++ b/zinniaramp/quarantine/core.py
@@ -1,4 +1,4 @@
-"""Quarantine of the prompt segments under which engines crash."""
+"""Quarantine of the prompt segments and requests under which endpoints crash."""
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterable, Sequence
@@ -15,7 +15,7 @@
 from .explanation import find_causes
 from .records import SURVIVAL_TIME, Crash, Quarantine, SendTrace
 
-__all__ = ["SegmentQuarantine"]
+__all__ = ["CrashQuarantine"]
 
 DECISION_INTERVAL = timedelta(milliseconds=50)
 """Time after which a decision is tried again that waits for an answer to last."""
@@ -31,29 +31,34 @@
     timedelta(hours=2),
     timedelta(hours=24),
 )
-"""Duration of the first, second and each later quarantine of a segment.
+"""Duration of the first, second and each later quarantine of a cause.
 
-After each of them the segment is tried again; a single crash confirms it."""
+After each of them it is tried again; a single crash confirms it."""
 
 MAX_QUARANTINES = 256
-"""Maximum number of segments that are quarantined or remembered as such."""
+"""Maximum number of causes that are quarantined or remembered as such."""
 
-MAX_COUNTED_SEGMENTS = 10_000
-"""Number of segments whose sends are counted, above which all counts are halved."""
+MAX_COUNTED_CAUSES = 10_000
+"""Number of causes whose sends are counted, above which all counts are halved."""
 
 
-class SegmentQuarantine:
-    """Finds prompt segments that crash engines, from the sends of all gateways.
+class CrashQuarantine:
+    """Finds what crashes endpoints, from the sends of all gateways.
 
-    Answers the load of requests with one segment in common that crash each engine which
-    begins to answer them, whatever else their prompts contain: without a quarantine
-    they end one engine after the other, with all other requests on it.
+    Answers two loads: requests with one prompt segment in common that crash each engine
+    which begins to answer them, whatever else their prompts contain; and one request
+    that comes again and crashes each endpoint which begins to run it.  Without a
+    quarantine they end one endpoint after the other, with all other requests on it.
 
-    A segment explains a crash if the engine may have begun a request with it just
-    before.  A request whose engine survives shows that its segments are sound, and
-    takes back what they explained until then.  Of the segments that explain the most
-    crashes, the least frequent one is quarantined, because a frequent one is present in
-    many crashes by chance.  Its crashes are then no evidence against others.
+    A cause is a prompt segment, or a request's fingerprint.  It explains a crash if the
+    endpoint may have begun a request with it just before.  A request whose endpoint
+    survives shows that its causes are sound, and takes back what they explained until
+    then.  Of the causes that explain the most crashes, the least frequent one is
+    quarantined, because a frequent one is present in many crashes by chance.  Its
+    crashes are then no evidence against others.
+
+    The segments of a send are known to all gateways, its fingerprint only to the one
+    that sent it: a gateway reports the fingerprints that a crash may be caused by.
 
     Parameters
     ----------
@@ -67,12 +72,15 @@
     crashes : dict of Crash
         Crashes of the last `EVIDENCE_TIME`, oldest first, by the engine's incarnation.
     frequencies : Counter
-        Approximate number of sends by segment.
+        Approximate number of sends by cause.
     quarantines : dict of Quarantine
-        Quarantined segments, and those whose quarantine is over, by name.
-    on_quarantine, on_release : callable
-        Receive each quarantine that this process imposes itself, and the name of each
-        segment that another one explains better.
+        Quarantined causes, and those whose quarantine is over, by name.
+    on_quarantine : callable
+        Receives each quarantine that this process imposes itself.
+    on_release : callable
+        Receives the name of each cause that another one explains better.
+    on_survival : callable
+        Receives the fingerprint of each request that was suspected and is sound.
     decide_at : datetime or None
         Time of the next decision; None if the crashes are all considered.
     """
@@ -88,6 +96,7 @@
         "quarantines",
         "on_quarantine",
         "on_release",
+        "on_survival",
         "decide_at",
     )
 
@@ -102,9 +111,16 @@
         self.quarantines: dict[str, Quarantine] = {}
         self.on_quarantine: Callable[[Quarantine], None] = lambda quarantine: None
         self.on_release: Callable[[str], None] = lambda name: None
+        self.on_survival: Callable[[str], None] = lambda fingerprint: None
         self.decide_at: datetime | None = None
 
-    def add(self, key: object, engine: str, names: Sequence[str]) -> None:
+    def add(
+        self,
+        key: object,
+        engine: str,
+        segments: Sequence[str],
+        fingerprint: str | None = None,
+    ) -> None:
         """Record a send of this or another gateway.
 
         Parameters
@@ -112,19 +128,25 @@
         key : hashable
             Identity of the send.
         engine : str
-            Incarnation of the engine.
-        names : sequence of str
+            Incarnation of the endpoint.
+        segments : sequence of str
             Names of the prompt segments that other requests may share, in order.
+        fingerprint : str, optional
+            Fingerprint of the request, if it is sent by this gateway.
         """
-        if not names:
+        if not segments and fingerprint is None:
             return
         self._expire()
-        self.sends[key] = SendTrace(
-            engine=engine, names=tuple(names), started_at=self.clock()
+        trace = SendTrace(
+            engine=engine,
+            segments=tuple(segments),
+            fingerprint=fingerprint,
+            started_at=self.clock(),
         )
+        self.sends[key] = trace
         self.keys_by_engine.setdefault(engine, set()).add(key)
-        self.frequencies.update(names)
-        if len(self.frequencies) > MAX_COUNTED_SEGMENTS:
+        self.frequencies.update(trace.names)
+        if len(self.frequencies) > MAX_COUNTED_CAUSES:
             halved = {name: n // 2 for name, n in self.frequencies.items() if n > 1}
             self.frequencies = Counter(halved)
 
@@ -135,6 +157,18 @@
             return
         trace.first_at = self.clock()
         self.begun.append((trace.first_at, key))
+        self._withdraw_crash(trace)
+
+    def record_answer(self, key: object) -> None:
+        """Record that an endpoint lived to complete the answer to a send."""
+        trace = self.sends.get(key)
+        if trace is not None:
+            self._withdraw_crash(trace)
+            self._record_survival(trace, self.clock())
+            self.discard(key)
+
+    def _withdraw_crash(self, trace: SendTrace) -> None:
+        """Drop a crash of an endpoint that has answered a later send."""
         crash = self.crashes.get(trace.engine)
         if crash is not None and trace.started_at > crash.at:
             del self.crashes[trace.engine]
@@ -156,35 +190,48 @@
             if not keys:
                 del self.keys_by_engine[trace.engine]
 
-    def record_crash(self, engine: str, at: datetime) -> bool:
-        """Record that an engine closed its connections and refuses new ones.
+    def record_crash(
+        self, engine: str, at: datetime, fingerprints: Iterable[str] = ()
+    ) -> bool:
+        """Record that an endpoint closed its connections and refuses new ones.
 
         Parameters
         ----------
         engine : str
-            Incarnation of the engine.
+            Incarnation of the endpoint.
         at : datetime
             When the connections were closed.
+        fingerprints : iterable of str
+            Requests of another gateway that the endpoint may have begun just before.
 
         Returns
         -------
         bool
             Whether the crash was not known yet.
         """
-        if engine in self.crashes:
-            return False
         self._expire()
+        is_new = engine not in self.crashes
+        if is_new:
+            self._add_crash(engine, at)
+        crash = self.crashes[engine]
+        for fingerprint in fingerprints:
+            crash.depths.setdefault(fingerprint, len(crash.depths))
+        self._confirm(crash)
+        self.decide_at = self.clock()
+        return is_new
+
+    def _add_crash(self, engine: str, at: datetime) -> None:
         keys = tuple(self.keys_by_engine.get(engine, ()))
         suspects = [
-            trace.names
-            for trace in (self.sends[key] for key in keys)
-            if trace.is_suspect(at)
+            trace for trace in (self.sends[key] for key in keys) if trace.is_suspect(at)
         ]
         for key in keys:
             self.discard(key)
         crash = Crash(engine=engine, at=at)
-        for names in suspects:
-            crash.depths.update({name: depth for depth, name in enumerate(names)})
+        for trace in suspects:
+            crash.depths.update({name: depth for depth, name in enumerate(trace.names)})
+        own = {trace.fingerprint for trace in suspects} - {None}
+        crash.own_fingerprints = tuple(sorted(own))
         self.crashes[engine] = crash
         emit(
             ENGINE_CRASHED,
@@ -192,17 +239,14 @@
             sends=len(suspects),
             segments=sorted(crash.depths),
         )
-        self._confirm(crash)
-        self.decide_at = self.clock()
-        return True
 
     def impose(self, name: str, left: timedelta, relapses: int, peer: str) -> None:
-        """Quarantine a segment that another gateway reports.
+        """Quarantine a cause that another gateway reports.
 
         Parameters
         ----------
         name : str
-            Name of the segment.
+            Name of the cause.
         left : timedelta
             Remaining time of the quarantine.
         relapses : int
@@ -217,12 +261,18 @@
         self._start(name, left, relapses, (), peer)
 
     def release(self, name: str) -> None:
-        """End the quarantine of a segment that is no cause of crashes."""
+        """End the quarantine of what is no cause of crashes."""
         if self.quarantines.pop(name, None) is not None:
             emit(SEGMENT_RELEASED, segment=name)
 
+    def clear(self, fingerprint: str) -> None:
+        """Drop what a request explained that another gateway has seen answered."""
+        for crash in self.crashes.values():
+            crash.depths.pop(fingerprint, None)
+        self.release(fingerprint)
+
     def find(self, names: Iterable[str]) -> Quarantine | None:
-        """Return the quarantine of the first segment that has one, or None."""
+        """Return the quarantine of the first cause that has one, or None."""
         self._expire()
         now = self.clock()
         if self.decide_at is not None and self.decide_at <= now:
@@ -244,7 +294,7 @@
             _, key = self.begun.popleft()
             trace = self.sends.get(key)
             if trace is not None:
-                self._record_survival(trace)
+                self._record_survival(trace, trace.first_at)
         while self.ended and self.ended[0][0] + SURVIVAL_TIME < now:
             _, key = self.ended.popleft()
             self.discard(key)
@@ -255,26 +305,30 @@
                 break
             del self.crashes[oldest.engine]
 
-    def _record_survival(self, trace: SendTrace) -> None:
+    def _record_survival(self, trace: SendTrace, at: datetime) -> None:
+        """Drop what the causes of a send explained until a time."""
         for name in trace.names:
-            for crash in self.crashes.values():
-                if crash.at <= trace.first_at:
-                    crash.depths.pop(name, None)
+            earlier = [crash for crash in self.crashes.values() if crash.at <= at]
+            suspected = [crash for crash in earlier if name in crash.depths]
+            for crash in suspected:
+                del crash.depths[name]
             quarantine = self.quarantines.get(name)
-            if quarantine is not None and quarantine.since < trace.first_at:
+            if quarantine is not None and quarantine.since < at:
                 self.release(name)
+            if suspected and name == trace.fingerprint:
+                self.on_survival(name)
 
     def _confirm(self, crash: Crash) -> None:
-        """Quarantine a segment again if the first try after its quarantine crashes."""
+        """Quarantine a cause again if the first try after its quarantine crashes."""
         for name in crash.depths:
             quarantine = self.quarantines.get(name)
             if quarantine is not None and quarantine.until <= crash.at:
                 self._impose_own(name, quarantine.relapses + 1, (crash.engine,))
 
     def _decide(self) -> None:
-        """Quarantine the segments that explain the crashes, and release others.
+        """Quarantine the causes that explain the crashes, and release others.
 
-        The decision waits while an answer has begun that may show a segment sound.
+        The decision waits while an answer has begun that may show a cause sound.
         """
         self.decide_at = None
         causes: dict[str, set[str]] = {}
@@ -292,7 +346,7 @@
         return [key for _, key in self.begun if key in self.sends]
 
     def _release_explained(self, causes: dict[str, set[str]]) -> None:
-        """Release segments whose crashes are explained by a better cause."""
+        """Release causes whose crashes are explained by a better one."""
         for name, quarantine in tuple(self.quarantines.items()):
             engines = set(quarantine.engines)
             is_explained = any(
--- a/zinniaramp/quarantine/explanation.py
+++ b/zinniaramp/quarantine/explanation.py
@@ -1,4 +1,4 @@
-"""Search for the prompt segments that explain crashes."""
+"""Search for the prompt segments and requests that explain crashes."""
 
 from collections.abc import Iterable, Iterator, Mapping
 from datetime import datetime, timedelta
@@ -8,15 +8,15 @@
 __all__ = ["find_causes"]
 
 MIN_CRASHES = 3
-"""Crashes that a segment has to explain before it is quarantined.
+"""Crashes that a cause has to explain before it is quarantined.
 
 Two may coincide: a frequent segment is begun on most engines at any time."""
 
 MIN_AMBIGUOUS_CRASHES = 4
-"""The same if another segment explains as many."""
+"""The same if another cause explains as many."""
 
 FREQUENCY_RATIO = 2
-"""Ratio of their sends above which one of two segments is much more frequent."""
+"""Ratio of their sends above which one of two causes is much more frequent."""
 
 CRASH_GROUP_TIME = timedelta(milliseconds=50)
 """Time within which several crashes count as one, because a rack, a data centre or a
@@ -24,27 +24,27 @@
 
 
 EnginesByName = dict[str, set[str]]
-"""Engines whose crash a segment may have caused, by the segment's name."""
+"""Endpoints that a cause may have crashed, by its name."""
 
 
 def find_causes(
     crashes: Iterable[Crash], frequencies: Mapping[str, int]
 ) -> Iterator[tuple[str, set[str]]]:
-    """Yield the segments that explain enough crashes, the best explanation first.
+    """Yield the causes that explain enough crashes, the best explanation first.
 
-    A crash that one segment explains is no evidence for the next one.
+    A crash that one cause explains is no evidence for the next one.
 
     Parameters
     ----------
     crashes : iterable of Crash
         Crashes in the order in which they became known.
     frequencies : mapping of int
-        Number of sends by segment.
+        Number of sends by cause.
 
     Yields
     ------
     tuple
-        Name of the segment, and the engines whose crash it explains.
+        Name of the cause, and the endpoints whose crash it explains.
     """
     known = tuple(crashes)
     depths: dict[str, int] = {}
@@ -66,7 +66,7 @@
 
 
 def _group_by_name(crashes: Iterable[Crash]) -> EnginesByName:
-    """Return the crashes of each segment; of several at once only the first counts."""
+    """Return the crashes of each cause; of several at once only the first counts."""
     engines: EnginesByName = {}
     latest: dict[str, datetime] = {}
     for crash in crashes:
@@ -81,7 +81,7 @@
 def _crashes_needed(
     name: str, engines_by_name: EnginesByName, frequencies: Mapping[str, int]
 ) -> int:
-    """Return how many crashes a segment has to explain.
+    """Return how many crashes a cause has to explain.
 
     These are more if another one that is not much more frequent explains as many.
     """
--- a/zinniaramp/quarantine/records.py
+++ b/zinniaramp/quarantine/records.py
@@ -13,14 +13,16 @@
 
 @dataclass(slots=True, kw_only=True)
 class SendTrace:
-    """What is known about one send to an engine.
+    """What is known about one send to an endpoint.
 
     Parameters
     ----------
     engine : str
-        Incarnation of the engine.
-    names : tuple of str
+        Incarnation of the endpoint.
+    segments : tuple of str
         Names of the prompt segments that other requests may share, in order.
+    fingerprint : str or None
+        Fingerprint of the request; None if another gateway has sent it.
     started_at : datetime
         When the send was started, or when this process learnt of it.
     first_at, ended_at : datetime or None
@@ -28,13 +30,20 @@
     """
 
     engine: str
-    names: tuple[str, ...]
+    segments: tuple[str, ...]
+    fingerprint: str | None
     started_at: datetime
     first_at: datetime | None = None
     ended_at: datetime | None = None
 
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Causes that this send may show to be sound, or to crash its endpoint."""
+        own = () if self.fingerprint is None else (self.fingerprint,)
+        return self.segments + own
+
     def is_suspect(self, at: datetime) -> bool:
-        """Return whether the engine may have begun the answer just before a time."""
+        """Return whether the endpoint may have begun the run just before a time."""
         earliest = at - SURVIVAL_TIME
         is_fresh = self.first_at is None or self.first_at > earliest
         is_current = self.ended_at is None or self.ended_at >= earliest
@@ -43,31 +52,35 @@
 
 @dataclass(slots=True, kw_only=True)
 class Crash:
-    """One crash of an engine.
+    """One crash of an endpoint.
 
     Parameters
     ----------
     engine : str
-        Incarnation of the engine.
+        Incarnation of the endpoint.
     at : datetime
         When its connections were closed.
     depths : dict of int
-        Position in the prompt of each segment that may be the cause, by name.
+        Position in the prompt of each segment that may be the cause, by name; that of a
+        fingerprint is behind them.
+    own_fingerprints : tuple of str
+        Requests of this gateway that may be the cause.
     """
 
     engine: str
     at: datetime
     depths: dict[str, int] = field(default_factory=dict)
+    own_fingerprints: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, kw_only=True)
 class Quarantine:
-    """A segment whose requests are refused.
+    """A cause of crashes whose requests are refused.
 
     Parameters
     ----------
     name : str
-        Name of the segment.
+        Name of the segment, or fingerprint of the request.
     since, until : datetime
         Start and end of the current quarantine.
     relapses : int
