--- a/zinniaramp/gateway/crashes.py
+++ b/zinniaramp/gateway/crashes.py
@@ -87,9 +87,13 @@
             self._announce_crash(name)
 
     async def finish_checks(self) -> None:
-        """Wait until the checks in progress have ended."""
+        """Wait until the checks in progress have ended and a decision is due."""
         if self.checks:
             await asyncio.wait(tuple(self.checks.values()))
+        decide_at = self.quarantine.decide_at
+        if decide_at is not None:
+            left = decide_at - self.clock()
+            await asyncio.sleep(max(0.0, left.total_seconds()))
 
     def apply_report(self, report: EndpointCrashed) -> None:
         """Record a crash that another gateway reports.
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -6,6 +6,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from ..quarantine import FINGERPRINT_PREFIX
 from ..routes import (
     Configuration,
     Route,
@@ -20,9 +21,6 @@
 
 __all__ = ["CallerRequest", "MatchedRequest", "RefusalError", "match_request"]
 
-FINGERPRINT_PREFIX = "request:"
-"""Start of all fingerprints; no name of a prompt segment has a colon."""
-
 FINGERPRINT_BYTES = 8
 """Size of the digest; 2 of 10 million requests have the same with a probability of
 3e-6."""
--- a/zinniaramp/quarantine/__init__.py
+++ b/zinniaramp/quarantine/__init__.py
@@ -1,6 +1,6 @@
 """Detection of prompt segments and requests that crash endpoints; does no I/O."""
 
 from .core import CrashQuarantine
-from .records import Quarantine
+from .records import FINGERPRINT_PREFIX, Quarantine
 
-__all__ = ["Quarantine", "CrashQuarantine"]
+__all__ = ["FINGERPRINT_PREFIX", "CrashQuarantine", "Quarantine"]
--- a/zinniaramp/quarantine/core.py
+++ b/zinniaramp/quarantine/core.py
@@ -20,6 +20,11 @@
 DECISION_INTERVAL = timedelta(milliseconds=50)
 """Time after which a decision is tried again that waits for an answer to last."""
 
+REPORT_TIME = timedelta(milliseconds=30)
+"""Time after a crash in which the other gateways report their requests that it cut.
+
+A message takes up to 5 ms until it is written and 3 ms to arrive."""
+
 EVIDENCE_TIME = timedelta(minutes=5)
 """Time for which a crash is evidence."""
 
@@ -217,7 +222,7 @@
         for fingerprint in fingerprints:
             crash.depths.setdefault(fingerprint, len(crash.depths))
         self._confirm(crash)
-        self.decide_at = self.clock()
+        self.decide_at = self.clock() + REPORT_TIME
         return is_new
 
     def _add_crash(self, engine: str, at: datetime) -> None:
@@ -228,8 +233,9 @@
         for key in keys:
             self.discard(key)
         crash = Crash(engine=engine, at=at)
-        for trace in suspects:
+        for trace in sorted(suspects, key=lambda trace: trace.started_at):
             crash.depths.update({name: depth for depth, name in enumerate(trace.names)})
+            crash.starts.update(dict.fromkeys(trace.names, trace.started_at))
         own = {trace.fingerprint for trace in suspects} - {None}
         crash.own_fingerprints = tuple(sorted(own))
         self.crashes[engine] = crash
--- a/zinniaramp/quarantine/explanation.py
+++ b/zinniaramp/quarantine/explanation.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from datetime import datetime, timedelta
 
-from .records import Crash
+from .records import FINGERPRINT_PREFIX, Crash
 
 __all__ = ["find_causes"]
 
@@ -19,8 +19,15 @@
 """Ratio of their sends above which one of two causes is much more frequent."""
 
 CRASH_GROUP_TIME = timedelta(milliseconds=50)
-"""Time within which several crashes count as one, because a rack, a data centre or a
-network path may fail as a whole."""
+"""Time within which crashes are one failure, because a rack, a data centre or a network
+path may fail as a whole.  One whose request was sent after the crash before it is a
+failure of its own."""
+
+COUNTED_SEGMENT_CRASHES = 1
+"""Crashes of one failure that count for a segment; many engines have begun it."""
+
+COUNTED_REQUEST_CRASHES = 2
+"""The same for a request.  Few endpoints run it at once unless it comes often."""
 
 
 EnginesByName = dict[str, set[str]]
@@ -66,18 +73,34 @@
 
 
 def _group_by_name(crashes: Iterable[Crash]) -> EnginesByName:
-    """Return the crashes of each cause; of several at once only the first counts."""
+    """Return the crashes of each cause; of one failure only the first ones count."""
     engines: EnginesByName = {}
-    latest: dict[str, datetime] = {}
+    failures: dict[str, datetime] = {}
+    counted: dict[str, int] = {}
     for crash in crashes:
         for name in crash.depths:
-            if name in latest and crash.at < latest[name] + CRASH_GROUP_TIME:
-                continue
-            latest[name] = crash.at
-            engines.setdefault(name, set()).add(crash.engine)
+            began_at = failures.get(name)
+            if began_at is None or not _is_same_failure(crash, name, began_at):
+                failures[name], counted[name] = crash.at, 0
+            counted[name] += 1
+            if counted[name] <= _max_counted(name):
+                engines.setdefault(name, set()).add(crash.engine)
     return engines
 
 
+def _max_counted(name: str) -> int:
+    is_request = name.startswith(FINGERPRINT_PREFIX)
+    return COUNTED_REQUEST_CRASHES if is_request else COUNTED_SEGMENT_CRASHES
+
+
+def _is_same_failure(crash: Crash, name: str, earlier: datetime) -> bool:
+    """Return whether a crash may belong to a failure that began earlier."""
+    if crash.at >= earlier + CRASH_GROUP_TIME:
+        return False
+    start = crash.starts.get(name)
+    return start is None or start <= earlier
+
+
 def _crashes_needed(
     name: str, engines_by_name: EnginesByName, frequencies: Mapping[str, int]
 ) -> int:
--- a/zinniaramp/quarantine/records.py
+++ b/zinniaramp/quarantine/records.py
@@ -3,7 +3,16 @@
 from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 
-__all__ = ["SURVIVAL_TIME", "Crash", "Quarantine", "SendTrace"]
+__all__ = [
+    "FINGERPRINT_PREFIX",
+    "SURVIVAL_TIME",
+    "Crash",
+    "Quarantine",
+    "SendTrace",
+]
+
+FINGERPRINT_PREFIX = "request:"
+"""Start of the fingerprints of requests; no name of a prompt segment has a colon."""
 
 SURVIVAL_TIME = timedelta(seconds=0.5)
 """Time from the first event of an answer after which its segments are sound.
@@ -63,6 +72,8 @@
     depths : dict of int
         Position in the prompt of each segment that may be the cause, by name; that of a
         fingerprint is behind them.
+    starts : dict of datetime
+        Start of the last send with each such cause that this process knows of, by name.
     own_fingerprints : tuple of str
         Requests of this gateway that may be the cause.
     """
@@ -70,6 +81,7 @@
     engine: str
     at: datetime
     depths: dict[str, int] = field(default_factory=dict)
+    starts: dict[str, datetime] = field(default_factory=dict)
     own_fingerprints: tuple[str, ...] = ()
 
 
