--- a/zinniaramp/quarantine/core.py
+++ b/zinniaramp/quarantine/core.py
@@ -75,7 +75,8 @@
     sends : dict of SendTrace
         Sends in flight, and those that ended less than `SURVIVAL_TIME` ago.
     crashes : dict of Crash
-        Crashes of the last `EVIDENCE_TIME`, oldest first, by the engine's incarnation.
+        Crashes of the last `EVIDENCE_TIME`, oldest first, by the endpoint's
+        incarnation.
     frequencies : Counter
         Approximate number of sends by cause.
     quarantines : dict of Quarantine
@@ -93,7 +94,7 @@
     __slots__ = (
         "clock",
         "sends",
-        "keys_by_engine",
+        "keys_by_endpoint",
         "begun",
         "ended",
         "crashes",
@@ -108,7 +109,7 @@
     def __init__(self, *, clock: Clock):
         self.clock = clock
         self.sends: dict[object, SendTrace] = {}
-        self.keys_by_engine: dict[str, set] = {}
+        self.keys_by_endpoint: dict[str, set] = {}
         self.begun: deque[tuple[datetime, object]] = deque()
         self.ended: deque[tuple[datetime, object]] = deque()
         self.crashes: dict[str, Crash] = {}
@@ -122,7 +123,7 @@
     def add(
         self,
         key: object,
-        engine: str,
+        endpoint: str,
         segments: Sequence[str],
         fingerprint: str | None = None,
     ) -> None:
@@ -132,7 +133,7 @@
         ----------
         key : hashable
             Identity of the send.
-        engine : str
+        endpoint : str
             Incarnation of the endpoint.
         segments : sequence of str
             Names of the prompt segments that other requests may share, in order.
@@ -143,13 +144,13 @@
             return
         self._expire()
         trace = SendTrace(
-            engine=engine,
+            endpoint=endpoint,
             segments=tuple(segments),
             fingerprint=fingerprint,
             started_at=self.clock(),
         )
         self.sends[key] = trace
-        self.keys_by_engine.setdefault(engine, set()).add(key)
+        self.keys_by_endpoint.setdefault(endpoint, set()).add(key)
         self.frequencies.update(trace.names)
         if len(self.frequencies) > MAX_COUNTED_CAUSES:
             halved = {name: n // 2 for name, n in self.frequencies.items() if n > 1}
@@ -174,10 +175,10 @@
 
     def _withdraw_crash(self, trace: SendTrace) -> None:
         """Drop a crash of an endpoint that has answered a later send."""
-        crash = self.crashes.get(trace.engine)
+        crash = self.crashes.get(trace.endpoint)
         if crash is not None and trace.started_at > crash.at:
-            del self.crashes[trace.engine]
-            emit(CRASH_WITHDRAWN, endpoint=trace.engine)
+            del self.crashes[trace.endpoint]
+            emit(CRASH_WITHDRAWN, endpoint=trace.endpoint)
 
     def record_end(self, key: object) -> None:
         """Record the end of a send; unknown keys are ignored."""
@@ -187,22 +188,22 @@
             self.ended.append((trace.ended_at, key))
 
     def discard(self, key: object) -> None:
-        """Forget a send that the engine has not run; unknown keys are ignored."""
+        """Forget a send that the endpoint has not run; unknown keys are ignored."""
         trace = self.sends.pop(key, None)
         if trace is not None:
-            keys = self.keys_by_engine[trace.engine]
+            keys = self.keys_by_endpoint[trace.endpoint]
             keys.discard(key)
             if not keys:
-                del self.keys_by_engine[trace.engine]
+                del self.keys_by_endpoint[trace.endpoint]
 
     def record_crash(
-        self, engine: str, at: datetime, fingerprints: Iterable[str] = ()
+        self, endpoint: str, at: datetime, fingerprints: Iterable[str] = ()
     ) -> bool:
         """Record that an endpoint closed its connections and refuses new ones.
 
         Parameters
         ----------
-        engine : str
+        endpoint : str
             Incarnation of the endpoint.
         at : datetime
             When the connections were closed.
@@ -215,33 +216,33 @@
             Whether the crash was not known yet.
         """
         self._expire()
-        is_new = engine not in self.crashes
+        is_new = endpoint not in self.crashes
         if is_new:
-            self._add_crash(engine, at)
-        crash = self.crashes[engine]
+            self._add_crash(endpoint, at)
+        crash = self.crashes[endpoint]
         for fingerprint in fingerprints:
             crash.depths.setdefault(fingerprint, len(crash.depths))
         self._confirm(crash)
         self.decide_at = self.clock() + REPORT_TIME
         return is_new
 
-    def _add_crash(self, engine: str, at: datetime) -> None:
-        keys = tuple(self.keys_by_engine.get(engine, ()))
+    def _add_crash(self, endpoint: str, at: datetime) -> None:
+        keys = tuple(self.keys_by_endpoint.get(endpoint, ()))
         suspects = [
             trace for trace in (self.sends[key] for key in keys) if trace.is_suspect(at)
         ]
         for key in keys:
             self.discard(key)
-        crash = Crash(engine=engine, at=at)
+        crash = Crash(endpoint=endpoint, at=at)
         for trace in sorted(suspects, key=lambda trace: trace.started_at):
             crash.depths.update({name: depth for depth, name in enumerate(trace.names)})
             crash.starts.update(dict.fromkeys(trace.names, trace.started_at))
         own = {trace.fingerprint for trace in suspects} - {None}
         crash.own_fingerprints = tuple(sorted(own))
-        self.crashes[engine] = crash
+        self.crashes[endpoint] = crash
         emit(
             ENGINE_CRASHED,
-            endpoint=engine,
+            endpoint=endpoint,
             sends=len(suspects),
             segments=sorted(crash.depths),
         )
@@ -309,7 +310,7 @@
             is_old = oldest.at + EVIDENCE_TIME < now
             if not is_old and len(self.crashes) <= MAX_CRASHES:
                 break
-            del self.crashes[oldest.engine]
+            del self.crashes[oldest.endpoint]
 
     def _record_survival(self, trace: SendTrace, at: datetime) -> None:
         """Drop what the causes of a send explained until a time."""
@@ -329,7 +330,7 @@
         for name in crash.depths:
             quarantine = self.quarantines.get(name)
             if quarantine is not None and quarantine.until <= crash.at:
-                self._impose_own(name, quarantine.relapses + 1, (crash.engine,))
+                self._impose_own(name, quarantine.relapses + 1, (crash.endpoint,))
 
     def _decide(self) -> None:
         """Quarantine the causes that explain the crashes, and release others.
@@ -338,15 +339,15 @@
         """
         self.decide_at = None
         causes: dict[str, set[str]] = {}
-        for name, engines in find_causes(self.crashes.values(), self.frequencies):
+        for name, endpoints in find_causes(self.crashes.values(), self.frequencies):
             if any(name in self.sends[key].names for key in self._begun_keys()):
                 self.decide_at = self.clock() + DECISION_INTERVAL
                 break
-            causes[name] = engines
+            causes[name] = endpoints
         self._release_explained(causes)
-        for name, engines in causes.items():
+        for name, endpoints in causes.items():
             if name not in self.quarantines:
-                self._impose_own(name, 0, tuple(sorted(engines)))
+                self._impose_own(name, 0, tuple(sorted(endpoints)))
 
     def _begun_keys(self) -> list:
         return [key for _, key in self.begun if key in self.sends]
@@ -354,24 +355,24 @@
     def _release_explained(self, causes: dict[str, set[str]]) -> None:
         """Release causes whose crashes are explained by a better one."""
         for name, quarantine in tuple(self.quarantines.items()):
-            engines = set(quarantine.engines)
+            endpoints = set(quarantine.endpoints)
             is_explained = any(
-                engines < ended for cause, ended in causes.items() if cause != name
+                endpoints < ended for cause, ended in causes.items() if cause != name
             )
-            if engines and name not in causes and is_explained:
+            if endpoints and name not in causes and is_explained:
                 self.release(name)
                 self.on_release(name)
 
-    def _impose_own(self, name: str, relapses: int, engines: tuple[str, ...]) -> None:
+    def _impose_own(self, name: str, relapses: int, endpoints: tuple[str, ...]) -> None:
         left = QUARANTINE_TIMES[min(relapses, len(QUARANTINE_TIMES) - 1)]
-        self.on_quarantine(self._start(name, left, relapses, engines, ""))
+        self.on_quarantine(self._start(name, left, relapses, endpoints, ""))
 
     def _start(
         self,
         name: str,
         left: timedelta,
         relapses: int,
-        engines: tuple[str, ...],
+        endpoints: tuple[str, ...],
         peer: str,
     ) -> Quarantine:
         now = self.clock()
@@ -380,7 +381,7 @@
             since=now,
             until=now + left,
             relapses=relapses,
-            engines=engines,
+            endpoints=endpoints,
         )
         self.quarantines.pop(name, None)
         self.quarantines[name] = quarantine
@@ -391,7 +392,7 @@
             segment=name,
             seconds=left.total_seconds(),
             relapses=relapses,
-            crashes=list(engines),
+            crashes=list(endpoints),
             peer=peer,
         )
         return quarantine
--- a/zinniaramp/quarantine/explanation.py
+++ b/zinniaramp/quarantine/explanation.py
@@ -30,7 +30,7 @@
 """The same for a request.  Few endpoints run it at once unless it comes often."""
 
 
-EnginesByName = dict[str, set[str]]
+EndpointsByName = dict[str, set[str]]
 """Endpoints that a cause may have crashed, by its name."""
 
 
@@ -60,21 +60,21 @@
     unexplained = _group_by_name(known)
     while unexplained:
 
-        def rank(name: str, engines_by_name=unexplained) -> tuple[int, int, int]:
-            return len(engines_by_name[name]), -frequencies[name], depths[name]
+        def rank(name: str, endpoints_by_name=unexplained) -> tuple[int, int, int]:
+            return len(endpoints_by_name[name]), -frequencies[name], depths[name]
 
         cause = max(unexplained, key=rank)
-        engines = unexplained[cause]
-        if len(engines) < _crashes_needed(cause, unexplained, frequencies):
+        endpoints = unexplained[cause]
+        if len(endpoints) < _crashes_needed(cause, unexplained, frequencies):
             return
-        yield cause, engines
-        left = {name: ended - engines for name, ended in unexplained.items()}
+        yield cause, endpoints
+        left = {name: ended - endpoints for name, ended in unexplained.items()}
         unexplained = {name: ended for name, ended in left.items() if ended}
 
 
-def _group_by_name(crashes: Iterable[Crash]) -> EnginesByName:
+def _group_by_name(crashes: Iterable[Crash]) -> EndpointsByName:
     """Return the crashes of each cause; of one failure only the first ones count."""
-    engines: EnginesByName = {}
+    endpoints: EndpointsByName = {}
     failures: dict[str, datetime] = {}
     counted: dict[str, int] = {}
     for crash in crashes:
@@ -84,8 +84,8 @@
                 failures[name], counted[name] = crash.at, 0
             counted[name] += 1
             if counted[name] <= _max_counted(name):
-                engines.setdefault(name, set()).add(crash.engine)
-    return engines
+                endpoints.setdefault(name, set()).add(crash.endpoint)
+    return endpoints
 
 
 def _max_counted(name: str) -> int:
@@ -102,16 +102,16 @@
 
 
 def _crashes_needed(
-    name: str, engines_by_name: EnginesByName, frequencies: Mapping[str, int]
+    name: str, endpoints_by_name: EndpointsByName, frequencies: Mapping[str, int]
 ) -> int:
     """Return how many crashes a cause has to explain.
 
     These are more if another one that is not much more frequent explains as many.
     """
-    crashes = len(engines_by_name[name])
+    crashes = len(endpoints_by_name[name])
     rivals = [
         other
-        for other, ended in engines_by_name.items()
+        for other, ended in endpoints_by_name.items()
         if other != name
         and len(ended) == crashes
         and frequencies[other] < FREQUENCY_RATIO * frequencies[name]
--- a/zinniaramp/quarantine/records.py
+++ b/zinniaramp/quarantine/records.py
@@ -26,7 +26,7 @@
 
     Parameters
     ----------
-    engine : str
+    endpoint : str
         Incarnation of the endpoint.
     segments : tuple of str
         Names of the prompt segments that other requests may share, in order.
@@ -38,7 +38,7 @@
         When the first event arrived and when the send ended.
     """
 
-    engine: str
+    endpoint: str
     segments: tuple[str, ...]
     fingerprint: str | None
     started_at: datetime
@@ -65,7 +65,7 @@
 
     Parameters
     ----------
-    engine : str
+    endpoint : str
         Incarnation of the endpoint.
     at : datetime
         When its connections were closed.
@@ -78,7 +78,7 @@
         Requests of this gateway that may be the cause.
     """
 
-    engine: str
+    endpoint: str
     at: datetime
     depths: dict[str, int] = field(default_factory=dict)
     starts: dict[str, datetime] = field(default_factory=dict)
@@ -97,12 +97,12 @@
         Start and end of the current quarantine.
     relapses : int
         Number of earlier quarantines that a crash followed.
-    engines : tuple of str
-        Engines whose crashes are the evidence; empty if another gateway has it.
+    endpoints : tuple of str
+        Endpoints whose crashes are the evidence; empty if another gateway has it.
     """
 
     name: str
     since: datetime
     until: datetime
     relapses: int
-    engines: tuple[str, ...] = ()
+    endpoints: tuple[str, ...] = ()
