--- /dev/null
+++ b/zinniaramp/standins/platform/handlers.py
@@ -0,0 +1,314 @@
+"""Handlers of the requests that reach the stand-in of a server."""
+
+import asyncio
+import socket
+import struct
+import time
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.web import RequestHandler, stream_request_body
+
+from ..engine.core import EngineRequest, Token
+from .behaviour import Arrival, ServerBehaviour, expected_body, expected_events
+from .engine import parse_segments
+
+if TYPE_CHECKING:
+    from .server import ServerStandin
+
+__all__ = ["CachedSegmentsHandler", "ReportHandler", "ServerHandler"]
+
+ENDLESS_CHUNK_BYTES = 64 * 1024
+"""Bytes that an answer without an end is extended by at a time."""
+
+
+async def write_endlessly(standin: "ServerStandin", stream: IOStream, head: bytes):
+    """Send bytes that never end until the caller closes the connection.
+
+    Parameters
+    ----------
+    standin : ServerStandin
+        Server that counts the bytes.
+    stream : IOStream
+        Connection of the caller.
+    head : bytes
+        Status line and headers; empty if the bytes are no answer from the start.
+    """
+    try:
+        await stream.write(head)
+        while True:
+            await stream.write(b"x" * ENDLESS_CHUNK_BYTES)
+            standin.endless_bytes += ENDLESS_CHUNK_BYTES
+    except StreamClosedError:
+        standin.endless_answers += 1
+
+
+class CachedSegmentsHandler(RequestHandler):
+    """Handler of ``GET /kv-list``."""
+
+    def initialize(self, standin: "ServerStandin") -> None:
+        """Keep a reference to the stand-in."""
+        self.standin = standin
+
+    async def get(self) -> None:
+        """Answer with the prompt segments in the engine's KV cache."""
+        self.standin.reads += 1
+        if self.standin.has_endless_reads:
+            head = b"HTTP/1.1 200 OK\r\n\r\n"
+            await write_endlessly(self.standin, self.detach(), head)
+            return
+        if self.standin.refuses_reads:
+            self.set_status(503)
+            self.set_header("Retry-After", str(self.standin.retry_after))
+            return
+        self.finish(self.standin.engine.list_cached())
+
+
+class ReportHandler(CachedSegmentsHandler):
+    """Handler of ``GET /report``."""
+
+    async def get(self) -> None:
+        """Answer with the engine's load and capacity."""
+        self.finish(self.standin.engine.report())
+
+
+@stream_request_body
+class ServerHandler(RequestHandler):
+    """Handler of the requests that a gateway forwards, on every path."""
+
+    def initialize(self, standin: "ServerStandin") -> None:
+        """Keep a reference to the stand-in."""
+        self.standin = standin
+        self.arrival: Arrival | None = None
+        self.taken: EngineRequest | None = None
+        self.body = bytearray()
+
+    async def prepare(self) -> None:
+        """Answer before the body is received if the next behaviour is ``early``."""
+        if self.standin.is_leaving:
+            self.set_header("Server-Leaving", "1")
+        if self.standin.limit:
+            self.set_header("Server-Limit", self.standin.limit)
+        behaviours = self.standin.behaviours
+        if not behaviours or behaviours[0] is not ServerBehaviour.EARLY:
+            return
+        behaviours.popleft()
+        self._sign()
+        self.set_status(500)
+        self.finish()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Append a chunk to the received body."""
+        self.body += chunk
+
+    async def handle(self) -> None:
+        """Record the request and answer it according to the next behaviour."""
+        self.arrival = Arrival(
+            received_at=time.monotonic(),
+            method=self.request.method,
+            target=self.request.uri,
+            headers=dict(self.request.headers),
+            body=bytes(self.body),
+        )
+        self.standin.arrivals.append(self.arrival)
+        self.standin.connections.add(self.request.connection.stream)
+        expected = self.request.headers.get("Zinniaramp-Expect-Instance")
+        if expected not in (None, self.standin.id):
+            self.set_status(421)
+            self.set_header("Zinniaramp-Instance-Id", self.standin.id)
+            return
+        behaviours = self.standin.behaviours
+        behaviour = behaviours.popleft() if behaviours else ServerBehaviour.ANSWER
+        if behaviour is ServerBehaviour.SHED:
+            self.set_status(503)
+            self.set_header("Zinniaramp-Not-Executed", "1")
+            if self.standin.retry_after is not None:
+                self.set_header("Retry-After", str(self.standin.retry_after))
+            return
+        self.arrival.was_executed = True
+        if behaviour is ServerBehaviour.HOLD:
+            await self.standin.released.wait()
+        crash_request = self.standin.crash_request
+        if crash_request is not None and crash_request.matches(self.arrival):
+            await asyncio.sleep(crash_request.seconds)
+            self.standin.crash()
+            return
+        await self.run(behaviour)
+        self.arrival.ended = True
+
+    get = post = put = delete = patch = handle
+
+    def on_connection_close(self) -> None:
+        """Record that the caller has disconnected and cancel its generation."""
+        if self.arrival is not None and not self.arrival.ended:
+            self.arrival.was_disconnected = True
+        if self.taken is not None:
+            self.standin.engine.engine.cancel(self.taken)
+
+    async def run(self, behaviour: ServerBehaviour) -> None:
+        """Execute a request and answer it according to a behaviour."""
+        if behaviour is ServerBehaviour.CLOSE:
+            self.detach().close()
+        elif behaviour is ServerBehaviour.GARBAGE:
+            await self._write_raw(b"\x00\x01 not an answer\r\n\r\n")
+        elif behaviour is ServerBehaviour.RESET:
+            await self._reset()
+        elif behaviour is ServerBehaviour.ENDLESS_HEAD:
+            await self._write_endlessly(b"")
+        elif behaviour is ServerBehaviour.ENDLESS_BODY:
+            await self._write_endlessly(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
+        elif behaviour is ServerBehaviour.UNFRAMED_EMPTY:
+            await self._write_raw(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
+        elif behaviour in (ServerBehaviour.FAIL, ServerBehaviour.UNAVAILABLE):
+            self.set_status(500 if behaviour is ServerBehaviour.FAIL else 503)
+            self._sign()
+        elif self.standin.engine is not None:
+            await self._generate()
+        elif self.request.headers.get("Accept") == "text/event-stream":
+            await self._stream(behaviour)
+        else:
+            await self._answer(behaviour)
+
+    def _sign(self) -> None:
+        self.set_header("Zinniaramp-Request-Id", self._request_id())
+        self.set_header("Zinniaramp-Server-Stamp", f"stamp.{self.standin.id}")
+
+    def _request_id(self) -> str:
+        return self.request.headers.get("Zinniaramp-Request-Id", "")
+
+    async def _answer(self, behaviour: ServerBehaviour) -> None:
+        self._sign()
+        if behaviour is ServerBehaviour.FOREIGN:
+            self.set_header("Zinniaramp-Request-Id", "another")
+        if behaviour is ServerBehaviour.UNSIGNED:
+            self.clear_header("Zinniaramp-Server-Stamp")
+        if behaviour is ServerBehaviour.ENCODED:
+            self.set_header("Content-Encoding", "gzip")
+        body = expected_body(self._request_id())
+        if behaviour in (
+            ServerBehaviour.TEAR,
+            ServerBehaviour.EXTRA,
+            ServerBehaviour.UNFRAMED,
+        ):
+            await self._write_raw(self._raw_answer(behaviour, body))
+        else:
+            self.finish(body)
+
+    def _raw_answer(self, behaviour: ServerBehaviour, body: bytes) -> bytes:
+        head = (
+            f"HTTP/1.1 200 OK\r\nZinniaramp-Request-Id: {self._request_id()}\r\n"
+            f"Zinniaramp-Server-Stamp: stamp.{self.standin.id}\r\n"
+        ).encode()
+        length = f"Content-Length: {len(body)}\r\n\r\n".encode()
+        if behaviour is ServerBehaviour.UNFRAMED:
+            return head + b"\r\n" + body
+        if behaviour is ServerBehaviour.TEAR:
+            return head + length + body[:-3]
+        return (head + length + body) * 2
+
+    async def _stream(self, behaviour: ServerBehaviour) -> None:
+        self._sign()
+        self.set_header("Content-Type", "text/event-stream")
+        last = self.request.headers.get("Last-Event-Id", "0")
+        first = int(last) + 1
+        if behaviour is ServerBehaviour.UNFRAMED:
+            await self._stream_unframed(first)
+            return
+        if behaviour is ServerBehaviour.UNFRAMED_TEAR:
+            head = self._raw_answer(ServerBehaviour.UNFRAMED, b"")
+            events = expected_events(self._request_id(), first, first + 1)
+            await self._write_raw(head + events[:-4])
+            return
+        if behaviour is ServerBehaviour.REPEAT:
+            start = expected_events(self._request_id(), first, first + 1)
+            events = expected_events(self._request_id(), first + 1, self.standin.events)
+            self.finish(start + events)
+            return
+        if behaviour not in (ServerBehaviour.TEAR, ServerBehaviour.STALL):
+            events = expected_events(self._request_id(), first, self.standin.events)
+            self.finish(events)
+            return
+        events = expected_events(
+            self._request_id(), first, self.standin.events_before_tear
+        )
+        self.write(events + b"id: 99\ndata: to")
+        await self.flush()
+        if behaviour is ServerBehaviour.STALL:
+            await self.standin.released.wait()
+            return
+        await self.standin.answer_started.wait()
+        self.detach().close()
+
+    async def _stream_unframed(self, first: int) -> None:
+        """Send the first event, and the others once `answer_started` is set."""
+        stream = self.detach()
+        name, last = self._request_id(), self.standin.events
+        head = self._raw_answer(ServerBehaviour.UNFRAMED, b"")
+        await stream.write(head + expected_events(name, first, first))
+        await self.standin.answer_started.wait()
+        await stream.write(expected_events(name, first + 1, last))
+        stream.close()
+
+    async def _generate(self) -> None:
+        """Stream the events that the engine generates."""
+        headers = self.request.headers
+        parts = parse_segments(headers.get("Zinniaramp-Prefix-Hash", ""))
+        crash_after = None
+        if self.standin.crash_segment in [segment.name for segment in parts]:
+            crash_after = self.standin.events_before_crash
+        stream = await self._start_stream()
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        name, last = self._request_id(), self.standin.events
+        numbers = range(first, last + 1)
+        self.taken = self.standin.engine.submit(
+            request_id=name,
+            urgency=headers.get("Zinniaramp-Urgency-Level"),
+            parts=parts,
+            events=[expected_events(name, i, i).decode() for i in numbers],
+        )
+        sent = 0
+        while isinstance(item := await self.taken.answer.get(), Token):
+            if sent == crash_after:
+                self.standin.crash()
+                return
+            await self._send_event(stream, item.text)
+            sent += 1
+        if stream is not None:
+            stream.close()
+
+    async def _start_stream(self) -> IOStream | None:
+        """Send or prepare the headers; return the connection of an unframed stream."""
+        if not self.standin.is_unframed:
+            self._sign()
+            self.set_header("Content-Type", "text/event-stream")
+            return None
+        stream = self.detach()
+        await stream.write(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
+        return stream
+
+    async def _send_event(self, stream: IOStream | None, text: str) -> None:
+        if stream is not None:
+            await stream.write(text.encode())
+            return
+        self.write(text)
+        await self.flush()
+
+    async def _reset(self) -> None:
+        stream = self.detach()
+        body = expected_body(self._request_id())
+        await stream.write(self._raw_answer(ServerBehaviour.UNFRAMED, body[:-3]))
+        linger = struct.pack("ii", 1, 0)
+        stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        stream.close()
+
+    async def _write_endlessly(self, head: bytes) -> None:
+        await write_endlessly(self.standin, self.detach(), head)
+        self.arrival.was_disconnected = True
+
+    async def _write_raw(self, data: bytes) -> None:
+        stream = self.detach()
+        try:
+            await stream.write(data)
+        except StreamClosedError:
+            self.arrival.was_disconnected = True
+        stream.close()
