--- a/features/gateway/starting.feature
+++ b/features/gateway/starting.feature
@@ -13,3 +13,7 @@
   Scenario: Without an address in the settings file no listener is opened
     When the listener is opened with a settings file without the callers' address
     Then it is not open and the problem states the missing key
+
+  Scenario: The demo of the gateway with its stand-ins runs as the README says
+    When the demo of the gateway is run
+    Then it exits with 0 and every answer is as expected
--- a/features/steps/gateway_starting_steps.py
+++ b/features/steps/gateway_starting_steps.py
@@ -77,3 +77,15 @@
 def check_no_listener(context):
     assert context.listener.socket is None
     assert "frontend" in context.listener.problem
+
+
+@when("the demo of the gateway is run")
+def run_demo(context):
+    command = [sys.executable, "-m", "zinniaramp.standins.platform"]
+    context.demo = subprocess.run(command, check=False, capture_output=True, text=True)
+
+
+@then("it exits with 0 and every answer is as expected")
+def check_demo(context):
+    assert context.demo.returncode == 0, context.demo.stderr
+    assert "UNEXPECTED" not in context.demo.stdout, context.demo.stdout
--- a/zinniaramp/standins/platform/__main__.py
+++ b/zinniaramp/standins/platform/__main__.py
@@ -14,8 +14,9 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from .behaviour import ServerBehaviour, expected_body, expected_events
 from .process import GatewayProcess
-from .server import ServerBehaviour, ServerStandin, expected_body, expected_events
+from .server import ServerStandin
 from .store import StoreStandin
 
 HOST = "films.example"
