Log the software version of an endpoint and what a stream resumes

The decoder required the version of an entry and dropped it.

Change: Endpoint.version; event 1902 has version; event 2000 has software, after_event and resumes. `zinniaramp explain ID` also finds the requests that resume ID. No decision uses it.

--- a/features/gateway/logging.feature
+++ b/features/gateway/logging.feature
@@ -15,6 +15,16 @@
     When "GET /read/x" is sent
     Then `explain` shows both sends and the answer from prefixed lines
 
+  Scenario: The log tells what a stream resumes and the software that goes on with it
+    Given a store with the usual configuration
+    And the servers "s-1 s-2" are listed
+    And a gateway that is ready
+    And the server of the first send behaves as "tear"
+    When "GET /resume/x" is sent
+    Then the log of each send has the software "v1" and the event after which it goes on
+    When "GET /resume/x" is sent with the header "Resumes: first"
+    Then `explain` shows that the request resumes "first"
+
   Scenario: The log tells repetitions of a request from other requests
     Given a store with the usual configuration
     And the servers "s-1" are listed
--- a/features/steps/gateway_logs_steps.py
+++ b/features/steps/gateway_logs_steps.py
@@ -63,21 +63,42 @@
     assert [line["number"] for line in written] == list(range(len(written)))
 
 
-@then("`explain` shows both sends and the answer from prefixed lines")
-def explained(context):
+def explain_request(context, request):
+    """Return the events that `explain` finds for a request in prefixed log lines."""
     path = Path(context.directory) / "entry.log"
     lines = [
         "  1.5 edge-1 " + json.dumps({**BASE_LINE, "name": name, **values}, default=str)
         for name, values in context.rig.events
     ]
     path.write_text("\n".join(lines))
-    events = read_request_events(context.name, [path])
+    return read_request_events(request, [path])
+
+
+@then("`explain` shows both sends and the answer from prefixed lines")
+def explained(context):
+    events = explain_request(context, context.name)
     names = [line.name for line in events]
     sends = ["endpoint-chosen", "send-ended"]
     assert names == sends + sends + ["answered"], names
     assert {line.source for line in events} == {"edge-1"}
 
 
+@then(
+    'the log of each send has the software "{version}" and the event after which it '
+    "goes on"
+)
+def check_logged_software(context, version):
+    chosen = context.rig.logged_events("endpoint-chosen")
+    assert [event["software"] for event in chosen] == [version, version], chosen
+    assert [event["after_event"] for event in chosen] == [None, "2"], chosen
+
+
+@then('`explain` shows that the request resumes "{first}"')
+def check_explains_resumed(context, first):
+    events = explain_request(context, first)
+    assert [event.fields["request"] for event in events] == [context.name], events
+
+
 @when('"{text}" is sent with the body "{body}"')
 def send_with_body(context, text, body):
     method, path = text.split()
--- a/zinniaramp/commands/explain.py
+++ b/zinniaramp/commands/explain.py
@@ -19,7 +19,15 @@
 STDIN = Path("-")
 """Placeholder for standard input in a list of paths."""
 
-REQUEST_FIELDS = ("attempt", "attempts", "request", "request_id", "joined", "victim")
+REQUEST_FIELDS = (
+    "attempt",
+    "attempts",
+    "request",
+    "request_id",
+    "joined",
+    "victim",
+    "resumes",
+)
 """Fields whose value may be the id of a request or of one of its attempts."""
 
 
--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -26,9 +26,11 @@
     number=2000,
     name="endpoint-chosen",
     level="INFO",
-    meaning="An endpoint was selected for a send; `wait_ms` (time to first token) "
-    "and `to_read` (prompt tokens to prefill) are predictions for an engine, `version` "
-    "is the configuration's version, `era` and `revision` are the store's, "
+    meaning="An endpoint was selected for a send; `software` is the version of its "
+    "software, `after_event` the id of the event after which the stream goes on, and "
+    "`resumes` the caller's request that began the stream; `wait_ms` (time to first "
+    "token) and `to_read` (prompt tokens to prefill) are predictions for an engine, "
+    "`version` is the configuration's version, `era` and `revision` are the store's, "
     "`confirmed_ms` is the time since the store was last known to have no later one, "
     "`ready` is the number of endpoints that could be selected, `segments` are the "
     "names of the prompt segments that other requests may share, and `fingerprint` is "
@@ -37,7 +39,10 @@
         "request",
         "route",
         "endpoint",
+        "software",
         "send",
+        "after_event",
+        "resumes",
         "version",
         "era",
         "revision",
--- a/zinniaramp/gateway/messages.py
+++ b/zinniaramp/gateway/messages.py
@@ -30,6 +30,9 @@
         Time until the caller's deadline; None if it sets none.
     last_event_id : str or None
         Id of the last event that the caller received in an earlier answer.
+    resumes : str or None
+        Id of the caller's request that brought the first event of the stream; None if
+        the caller names none.
     demand : Demand or None
         Token counts and prompt segments, if the request is for a model engine.
     """
@@ -39,6 +42,7 @@
     key: str
     time_left: timedelta | None
     last_event_id: str | None
+    resumes: str | None
     demand: Demand | None
 
 
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -212,9 +212,8 @@
     state = ENDPOINT_STATES.get(entry.text("state"))
     if state is None:
         raise entry.wrong("state", f"one of {', '.join(ENDPOINT_STATES)}")
-    # These fields are required, but their values are not used.
+    # This field is required, but its value is not used.
     entry.whole("sequence")
-    entry.text("version")
     try:
         address = parse_address(entry.text("address"))
     except ValueError:
@@ -223,6 +222,7 @@
         id=name,
         started=entry.whole("born", 0),
         service=entry.text("service"),
+        version=entry.text("version"),
         data_center=entry.text("zone"),
         address=address,
         slots=entry.whole("slots"),
--- a/zinniaramp/platform/headers.py
+++ b/zinniaramp/platform/headers.py
@@ -22,6 +22,7 @@
 MODEL = "Zinniaramp-Model"
 LENGTH_HINT = "Zinniaramp-Length-Hint"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 SERVER_STAMP = "Zinniaramp-Server-Stamp"
 INSTANCE_ID = "Zinniaramp-Instance-Id"
 NOT_EXECUTED = "Zinniaramp-Not-Executed"
@@ -149,6 +150,7 @@
         key=_parse_api_key(headers),
         time_left=None if deadline is None else timedelta(milliseconds=deadline),
         last_event_id=headers.get(LAST_EVENT_ID),
+        resumes=headers.get(RESUMES),
         demand=_parse_demand(headers),
     )
 
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -59,6 +59,8 @@
         Time of its start in Unix milliseconds; distinguishes incarnations of one id.
     service : str
         Name of its service.
+    version : str
+        Version of its software.
     data_center : str
         Name of its data centre.
     address : Address
@@ -72,6 +74,7 @@
     id: str
     started: int
     service: str
+    version: str
     data_center: str
     address: Address
     slots: int
@@ -281,6 +284,7 @@
             ENDPOINT_LISTED,
             endpoint=endpoint.incarnation,
             service=endpoint.service,
+            version=endpoint.version,
             address=str(endpoint.address),
             state=endpoint.state.value,
         )
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -38,7 +38,7 @@
     name="endpoint-listed",
     level="INFO",
     meaning="An endpoint was registered in the store, or its entry changed.",
-    fields=("endpoint", "service", "address", "state"),
+    fields=("endpoint", "service", "version", "address", "state"),
 )
 ENDPOINT_MISSING = declare_event(
     number=1903,
