Reproduce ORDER: a broken stream goes on at another software version

The test plays an endpoint that crashes after two events, with one endpoint of each of two versions, and six streams that break off with two endpoints of each of three versions. On this code both scenarios fail: the second send goes to an endpoint of any version. A third scenario holds what has to stay: before its first event a stream may begin at another version.

--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -148,13 +148,13 @@
         self.sink = logger.add(self.record_event, level="DEBUG")
         self.store.listen()
 
-    async def add_server(self, name, *, service="plain", publish=True):
+    async def add_server(self, name, *, service="plain", publish=True, **fields):
         """Start a server and, by default, publish its entry in the store."""
         server = ServerStandin(id=name)
         server.listen()
         self.servers[name] = server
         if publish:
-            self.publish(name, service=service)
+            self.publish(name, service=service, **fields)
         return server
 
     async def add_model_server(
--- /dev/null
+++ b/features/gateway/versions.feature
@@ -0,0 +1,26 @@
+Feature: A stream goes on only at the software version that began it
+
+  Background:
+    Given a store with the usual configuration
+
+  Scenario: A stream is not joined of two software versions after its endpoint crashed
+    Given the servers "s-1=v1 s-2=v1.1" with their software versions
+    And a gateway that is ready
+    And every server behaves as "stall"
+    When "GET /resume/x" is sent and its endpoint crashes after two events
+    Then the reply is incomplete and ends after a complete event
+    And the request reached 1 server
+
+  Scenario: Broken streams go on at endpoints of the versions that began them
+    Given the servers "s-1=v1 s-2=v1.1 s-3=v1.2 s-4=v1 s-5=v1.1 s-6=v1.2" with their software versions
+    And a gateway that is ready
+    When 6 requests "GET /resume/x" are sent, and the first endpoint of each breaks its stream off
+    Then each is complete, from 2 endpoints of one software version
+
+  Scenario: A stream without an event yet may begin at another software version
+    Given the servers "s-1=v1 s-2=v1.1" with their software versions
+    And a gateway that is ready
+    And the server of the first send behaves as "fail"
+    When "GET /resume/x" is sent
+    Then the reply is 200 with every event once and in order
+    And the request reached 2 servers
