Continue a broken stream only at the software version that began it

Cause: after an endpoint breaks a stream off, the gateway selects any ready endpoint of the service for the rest; the version in an endpoint's entry was not known. The class: what belongs to a software version was kept under the service.

Change: Sender remembers the version of the endpoint whose event it forwards first, and asks the pool only for endpoints of that version from then on. If none takes a request the stream ends, and the missing end of the body shows the caller that it is incomplete.

Ruled out: an endpoint's weights, which are numbered by themselves (Zinniaramp-Weight-Versions); retrying before the first event only at the same version, which would lose retries for nothing.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -13,7 +13,7 @@
 
   Scenario: Broken streams go on at endpoints of the versions that began them
     Given the servers "s-1=v1 s-2=v1.1 s-3=v1.2 s-4=v1 s-5=v1.1 s-6=v1.2" with their software versions
-    And a gateway that is ready
+    And a gateway with a retry budget of 100
     When 6 requests "GET /resume/x" are sent, and the first endpoint of each breaks its stream off
     Then each is complete, from 2 endpoints of one software version
 
--- a/features/steps/gateway_versions_steps.py
+++ b/features/steps/gateway_versions_steps.py
@@ -1,9 +1,12 @@
 """Steps for endpoints of several software versions in one service."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
-from features.gateway.rig import read_reply, request
+from features.gateway.rig import HOST_BOUNDS, read_reply, request
 from features.steps.gateway_steps import first_server_behaves
+from zinniaramp.gateway.core import MIN_GATEWAY_COUNT
 from zinniaramp.standins.platform import expected_events
 
 
@@ -14,6 +17,13 @@
         context.rig.run(context.rig.add_server(name, version=version))
 
 
+@given("a gateway with a retry budget of {count:d}")
+def start_with_budget(context, count):
+    # The budget is divided by the smallest number of gateways that is assumed.
+    bounds = replace(HOST_BOUNDS, retry_slack=count * MIN_GATEWAY_COUNT)
+    context.rig.run(context.rig.add_daemon(bounds=bounds))
+
+
 @when('"{text}" is sent and its endpoint crashes after two events')
 def crash_during_stream(context, text):
     rig = context.rig
@@ -44,6 +54,8 @@
     method, path = text.split()
     context.replies = {}
     for number in range(count):
+        for server in rig.servers.values():
+            server.answer_started.clear()
         first_server_behaves(context, "tear")
         name = f"broken-{number}"
         call = rig.call(path, name=name, method=method)
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -198,14 +198,31 @@
     def _broadcast(self, event: LoadEvent) -> None:
         self.broadcast(event)
 
-    def select(self, matched: MatchedRequest, tried: set[str]) -> Selection | None:
+    def select(
+        self, matched: MatchedRequest, tried: set[str], version: str | None
+    ) -> Selection | None:
         """Select an endpoint for a send and count the send as in flight.
 
-        Endpoints in `tried` are selected only if no other is usable.  Returns None if
-        no endpoint is ready, or none of them takes a request now.
+        Parameters
+        ----------
+        matched : MatchedRequest
+            The request.
+        tried : set of str
+            Incarnations that are selected only if no other is usable.
+        version : str or None
+            Software version that the endpoint must have; None if any will do.
+
+        Returns
+        -------
+        Selection or None
+            None if no endpoint is ready, or none of them takes a request now.
         """
         service, metadata = matched.service, matched.metadata
-        by_name = {one.incarnation: one for one in self.registry.ready(service)}
+        by_name = {
+            one.incarnation: one
+            for one in self.registry.ready(service)
+            if version is None or one.version == version
+        }
         usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
         names = [one for one in usable if one not in tried] or usable
         ready = [by_name[name] for name in names]
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -81,6 +81,9 @@
         Whether an endpoint may have run the request.
     tried : set of str
         Incarnations of the endpoints selected so far.
+    version : str or None
+        Software version that began the stream, at which alone it may go on; None before
+        its first event.
     has_retry_allowance : bool
         Whether the next retry was already withdrawn from the budget.
     first_at, last_at : datetime or None
@@ -102,6 +105,7 @@
         "sends",
         "may_have_run",
         "tried",
+        "version",
         "has_retry_allowance",
         "first_at",
         "last_at",
@@ -130,6 +134,7 @@
         self.sends = 0
         self.may_have_run = False
         self.tried: set[str] = set()
+        self.version: str | None = None
         self.has_retry_allowance = False
         self.first_at: datetime | None = None
         self.last_at: datetime | None = None
@@ -179,7 +184,7 @@
 
     def _select_endpoint(self) -> Selection | None:
         matched = self.matched
-        selection = self.pool.select(matched, self.tried)
+        selection = self.pool.select(matched, self.tried, self.version)
         if selection is None:
             return None
         demand = matched.metadata.demand
@@ -362,6 +367,7 @@
         whole = self.relay.feed(data)
         if not whole or not self.relay.in_order:
             return
+        self.version = self.selection.endpoint.version
         self._record_events()
         if not self.caller.has_started:
             await self.caller.send_head(head, None)
