Reproduce ORDER: a stream that its caller takes up goes on at another version

The test plays streams that break off at their callers, who name the first attempt in Resumes, with gateways as processes that are killed: taken up at the same gateway, at another one, after the one that began them has died, after all were killed, and then with the endpoints of the old version gone before or during the kill.

The stand-in of a server sends the events of a stream one at a time on request.

--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -40,7 +40,7 @@
     retry_window=timedelta(seconds=10),
 )
 
-STREAM_PATH_PREFIXES = ("/tell/", "/resume/", "/gaps/", "/ask/", "/sum/")
+STREAM_PATH_PREFIXES = ("/tell/", "/resume/", "/gaps/", "/ask/", "/sum/", "/talk/")
 API_KEY = "key-1"
 HOSTNAME = "films.example"
 CLIENT_LIMITS = {
@@ -89,6 +89,7 @@
             route("gaps", "streaming", attempts=2, resumable=True, target_gap_ms=50),
             route("ask", "streaming", service="model", priority=0, sticky=True),
             route("sum", "streaming", service="model", priority=2, sticky=True),
+            route("talk", "streaming", service="model", attempts=2, resumable=True),
         ],
         "services": [
             {"name": "plain", "health_path": "/healthz"},
@@ -166,6 +167,7 @@
         refuses_reads_for=None,
         has_endless_reads=False,
         born=1000,
+        **fields,
     ):
         """Start a model server with a batching engine and publish its entry."""
         server = ServerStandin(id=name, has_endless_reads=has_endless_reads)
@@ -178,7 +180,7 @@
         self.servers[name] = server
         if start_engine:
             self.start_engine(name)
-        self.publish(name, service="model", born=born)
+        self.publish(name, service="model", born=born, **fields)
 
     async def restart_server(self, name):
         """Start a server again after a crash, as another incarnation."""
--- /dev/null
+++ b/features/steps/gateway_resumption_steps.py
@@ -0,0 +1,220 @@
+"""Steps for streams that their callers take up at another gateway."""
+
+import asyncio
+import re
+import signal
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from features.gateway.rig import Reply, request
+from features.steps.gateway_quarantine_steps import prompt_lines
+from features.steps.gateway_versions_steps import servers_reached
+from zinniaramp.sockets import Address
+from zinniaramp.standins.platform import expected_events
+from zinniaramp.standins.platform.process import LOOPBACK
+
+PLAIN_EVENTS = 4
+"""Events of a plain server's complete stream."""
+
+ENGINE_EVENTS = 60
+"""Events of an engine's complete stream; several arrive at a time."""
+
+EVENT_SECONDS = 0.05
+"""Time between two events of a plain server's stream."""
+
+DEADLINE_MS = 15_000
+"""Deadline of each request; all gateways start again within it."""
+
+
+@dataclass(slots=True, kw_only=True)
+class TakenUpStream:
+    """A stream that broke off at its caller, and how it went on.
+
+    Parameters
+    ----------
+    first, second : str
+        Ids of the request that began it and of the one that takes it up.
+    events, last : int
+        Number of events that the caller has of the first answer, and in all.
+    lines : tuple of str
+        Header lines that both requests have.
+    reply : Reply or None
+        Answer to the second request; None before it.
+    """
+
+    first: str
+    second: str
+    events: int
+    last: int
+    lines: tuple[str, ...]
+    reply: Reply | None = None
+
+    def goes_on(self):
+        """Return whether the second answer has the rest of the stream."""
+        rest = expected_events(self.second, self.events + 1, self.last)
+        reply = self.reply
+        return reply.status == 200 and reply.is_complete and reply.body == rest
+
+
+@given('the model servers "{names}" with their software versions')
+def list_model_servers_with_versions(context, names):
+    context.versions = dict(name.split("=") for name in names.split())
+    for name, version in context.versions.items():
+        call = context.rig.add_model_server(name, slots=4, version=version)
+        context.rig.run(call)
+
+
+async def read_events(reader):
+    """Read an answer until it has a complete event; return the number of events."""
+    await reader.readuntil(b"\r\n\r\n")
+    body = b""
+    while b"\n\n" not in body:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        assert size, body
+        body += (await reader.readexactly(size + 2))[:-2]
+    return body.count(b"\n\n")
+
+
+async def begin_streams(context, count):
+    """Begin streams at the first gateway and break each off after its first event."""
+    rig = context.rig
+    has_engines = any(server.engine for server in rig.servers.values())
+    context.path = "/talk/x" if has_engines else "/resume/x"
+    last = ENGINE_EVENTS if has_engines else PLAIN_EVENTS
+    for server in rig.servers.values():
+        server.event_seconds = EVENT_SECONDS
+        server.events = last
+    context.streams = []
+    address = Address(ip=LOOPBACK, port=rig.processes[0].callers)
+    for number in range(count):
+        first = f"first-{number}"
+        lines = prompt_lines(["a"], f"own-{number}") if has_engines else ()
+        reader, writer = await rig.connect(address=address)
+        data = request(context.path, name=first, lines=lines, deadline_ms=DEADLINE_MS)
+        writer.write(data)
+        events = await read_events(reader)
+        writer.close()
+        stream = TakenUpStream(
+            first=first,
+            second=f"second-{number}",
+            events=events,
+            last=last,
+            lines=lines,
+        )
+        assert events < last, stream
+        context.streams.append(stream)
+
+
+async def take_up(context, process):
+    """Take all streams up at a gateway."""
+    for stream in context.streams:
+        lines = (f"Last-Event-Id: {stream.events}", f"Resumes: {stream.first}")
+        stream.reply = await context.rig.call_process(
+            process,
+            context.path,
+            name=stream.second,
+            lines=(*stream.lines, *lines),
+            deadline_ms=DEADLINE_MS,
+        )
+
+
+async def kill(processes):
+    """Kill processes at the same time."""
+    for process in processes:
+        process.send_signal(signal.SIGKILL)
+    for process in processes:
+        await process.process.wait()
+
+
+async def start_all(rig):
+    """Start all processes again and wait until they are ready."""
+    for process in rig.processes:
+        await process.start()
+    for process in rig.processes:
+        await rig.wait_until_ready(process)
+
+
+@when(
+    "{count:d} streams begin at one gateway and their callers take them up at {gateway}"
+)
+def take_up_at(context, count, gateway):
+    rig = context.rig
+
+    async def run_step():
+        await begin_streams(context, count)
+        if "died" in gateway:
+            await kill(rig.processes[:1])
+        process = rig.processes[0 if gateway == "the same one" else 1]
+        await take_up(context, process)
+
+    rig.run(run_step())
+
+
+@when(
+    "{count:d} streams begin at one gateway and their callers take them up after "
+    "{event}"
+)
+def take_up_after(context, count, event):
+    rig = context.rig
+    left = [name for text in re.findall('"(.*?)"', event) for name in text.split()]
+
+    async def run_step():
+        await begin_streams(context, count)
+        if "unnoticed" in event:
+            await kill(rig.processes)
+        for name in left:
+            rig.publish(
+                name, state="draining", version=context.versions.pop(name), **service
+            )
+            rig.store.remove(f"servers/{name}")
+        if "unnoticed" not in event:
+            await asyncio.sleep(0.5)
+            await kill(rig.processes)
+        await start_all(rig)
+        await take_up(context, rig.processes[1])
+
+    service = {"service": "model" if rig.servers["s-1"].engine else "plain"}
+    context.all_versions = dict(context.versions)
+    rig.run(run_step())
+
+
+@then("each goes on at the software version that began it")
+def check_each_goes_on(context):
+    for stream in context.streams:
+        assert stream.goes_on(), stream
+        check_not_joined(context, stream)
+
+
+def check_not_joined(context, stream, versions=None):
+    """Check that all endpoints that a stream has reached have the same version."""
+    versions = versions or context.versions
+    reached = [
+        name
+        for request_id in (stream.first, stream.second)
+        for name in servers_reached(context.rig, request_id)
+    ]
+    assert len({versions[name] for name in reached}) == 1, (stream, reached)
+
+
+@then("no stream goes on, and each caller gets 503 with Retry-After")
+def check_refused(context):
+    for stream in context.streams:
+        assert stream.reply.status == 503, stream
+        assert float(stream.reply.headers["retry-after"]) > 0, stream
+        assert not servers_reached(context.rig, stream.second), stream
+
+
+@then(
+    "each goes on at the software version that began it, if one of its endpoints is "
+    "left"
+)
+def check_left_goes_on(context):
+    left = set(context.versions.values())
+    for stream in context.streams:
+        check_not_joined(context, stream, context.all_versions)
+        (began,) = servers_reached(context.rig, stream.first)
+        if context.all_versions[began] in left:
+            assert stream.goes_on(), stream
+        else:
+            assert stream.reply.status == 503, stream
--- a/zinniaramp/standins/platform/handlers.py
+++ b/zinniaramp/standins/platform/handlers.py
@@ -224,6 +224,9 @@
             events = expected_events(self._request_id(), first + 1, self.standin.events)
             self.finish(start + events)
             return
+        if self.standin.event_seconds:
+            await self._stream_slowly(first)
+            return
         if behaviour not in (ServerBehaviour.TEAR, ServerBehaviour.STALL):
             events = expected_events(self._request_id(), first, self.standin.events)
             self.finish(events)
@@ -239,6 +242,17 @@
         await self.standin.answer_started.wait()
         self.detach().close()
 
+    async def _stream_slowly(self, first: int) -> None:
+        """Send one event at a time."""
+        for number in range(first, self.standin.events + 1):
+            self.write(expected_events(self._request_id(), number, number))
+            try:
+                await self.flush()
+            except StreamClosedError:
+                self.arrival.was_disconnected = True
+                return
+            await asyncio.sleep(self.standin.event_seconds)
+
     async def _stream_unframed(self, first: int) -> None:
         """Send the first event, and the others once `answer_started` is set."""
         stream = self.detach()
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -61,6 +61,8 @@
         Number of calls that read the cached segments.
     events : int
         Number of events in a complete stream.
+    event_seconds : float
+        Time between two events of a stream; 0 sends them at once.
     events_before_tear : int
         Number of complete events in a stream that is torn or stalls.
     released : asyncio.Event
@@ -96,6 +98,7 @@
     refuses_reads: bool = False
     reads: int = 0
     events: int = 4
+    event_seconds: float = 0
     events_before_tear: int = 2
     released: asyncio.Event = field(default_factory=asyncio.Event)
     answer_started: asyncio.Event = field(default_factory=asyncio.Event)
