Move the encoding of the messages between gateways to a module of its own

Change: the types stay in messages.py; the codec, its error and its limit are in codec.py. Nothing else differs.

--- a/features/steps/gateway_disruption_steps.py
+++ b/features/steps/gateway_disruption_steps.py
@@ -9,7 +9,8 @@
 from behave import given, then, when
 
 from features.gateway.rig import API_KEY, configuration, read_reply, request
-from zinniaramp.peers.messages import Hello, SendStarted, encode
+from zinniaramp.peers.codec import encode
+from zinniaramp.peers.messages import Hello, SendStarted
 from zinniaramp.placement import PromptSegment
 from zinniaramp.placement.split import SplitSizer
 from zinniaramp.standins.platform import expected_body
--- a/features/steps/gateway_mesh_steps.py
+++ b/features/steps/gateway_mesh_steps.py
@@ -11,7 +11,8 @@
     store_revision,
     wait_for_latest_revision,
 )
-from zinniaramp.peers.messages import Hello, encode
+from zinniaramp.peers.codec import encode
+from zinniaramp.peers.messages import Hello
 from zinniaramp.reads import ReadError
 from zinniaramp.registry import ItemCache, Source
 
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -13,6 +13,7 @@
 from ..reads import Backoff
 from ..registry import Registry, Snapshot, StoreRevision
 from ..sockets import Address, enable_keepalive, open_stream, parse_address
+from .codec import MessageDecoder, MessageError, encode
 from .events import (
     ITEMS_RECEIVED_FROM_PEER,
     PEER_CONNECTED,
@@ -25,10 +26,7 @@
     ItemsRequest,
     LoadEvent,
     Message,
-    MessageDecoder,
-    MessageError,
     SendEnded,
-    encode,
 )
 
 __all__ = ["PeerMesh"]
