--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -65,3 +65,24 @@
       | event                                                        |
       | all gateways were killed                                     |
       | the servers "s-1 s-3" have left and all gateways were killed |
+
+  Scenario Outline: The store's history is read from the earliest revision that it has
+    Given the servers "s-1=v1 s-2=v1.1" with their software versions
+    When the server "s-1" leaves, the history <is dropped>, and 5 other items change
+    And the history of the servers is read
+    Then it has <changes> changes, it is <complete>, and at most 12 calls were made
+
+    Examples:
+      | is dropped           | changes | complete                          |
+      | is kept              | 4       | that of the whole store           |
+      | is dropped before it | 2       | not that of the whole store       |
+      | is dropped after it  | 0       | not that of the whole store       |
+      | is dropped at last   | 0       | empty, as if nothing had happened |
+
+  Scenario: Ids that callers use again don't join streams
+    Given the origins of streams
+    When the request "a" of "workshop" begins a stream at "v1" and one at "v1.1"
+    And the request "a" of "archive" begins a stream at "v1.1"
+    Then the origin of "a" of "workshop" is ambiguous
+    And the origin of "a" of "archive" is "v1.1"
+    And nothing is known of any of them after 60 s
--- /dev/null
+++ b/features/resumption/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of streams that callers resume, in virtual time."""
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -196,7 +196,7 @@
         self.current_events = current_events
         self.find_origin = find_origin
         self.origin_requests = OriginRequests(
-            send=self._send, peers=lambda: set(self.connect_tasks)
+            send=self._send, peers=lambda: list(self.connect_tasks)
         )
         self.random = random
         self.known: set[str] = set()
--- a/zinniaramp/peers/origin_requests.py
+++ b/zinniaramp/peers/origin_requests.py
@@ -53,7 +53,7 @@
         self,
         *,
         send: Callable[[str, OriginRequest], None],
-        peers: Callable[[], set[str]],
+        peers: Callable[[], list[str]],
     ):
         self.send = send
         self.peers = peers
@@ -75,9 +75,10 @@
 
     def _ask(self, key: bytes) -> _PendingRequest:
         result = asyncio.get_running_loop().create_future()
-        pending = _PendingRequest(result=result, unheard=self.peers())
+        peers = self.peers()
+        pending = _PendingRequest(result=result, unheard=set(peers))
         self.pending[key] = pending
-        for name in pending.unheard:
+        for name in peers:
             self.send(name, OriginRequest(key=key))
         self._finish_if_all_answered(pending)
         return pending
