Resume the streams of a split route at the service that began them

Cause: the split selects a service by the request's id, and each attempt of a caller has another one.

Change: a resumed stream selects by the id of the request that began it, and a known origin's service goes before that, as long as the route has it.

Ruled out: going on at another service if the route no longer has the first one; it may be another model, and the answer wouldn't show it. The caller gets 503.

Result: both new examples failed before (503 for the third of eight streams, and after a kill of all gateways a stream from two services) and pass; versions.feature: 19 scenarios passed, 0 failed.

--- a/features/gateway/versions.feature
+++ b/features/gateway/versions.feature
@@ -86,3 +86,15 @@
     Then the origin of "a" of "workshop" is ambiguous
     And the origin of "a" of "archive" is "v1.1"
     And nothing is known of any of them after 60 s
+
+  Scenario Outline: Streams of a route that is split go on at the service that began them
+    Given the servers "s-1=v1 s-2=v1" with their software versions
+    And the servers "s-3=v1 s-4=v1" of another service, between which the route is split
+    And 3 connected gateway processes
+    When 8 streams begin at one gateway and their callers take them up <where>
+    Then each goes on at the service that began it
+
+    Examples:
+      | where                          |
+      | at another one                 |
+      | after all gateways were killed |
--- a/features/steps/gateway_resumption_steps.py
+++ b/features/steps/gateway_resumption_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import Reply, request
+from features.gateway.rig import Reply, configuration, request, route
 from features.steps.gateway_disruption_steps import start_processes
 from features.steps.gateway_quarantine_steps import prompt_lines
 from features.steps.gateway_versions_steps import servers_reached
@@ -234,3 +234,27 @@
             assert stream.goes_on(), stream
         else:
             assert stream.reply.status == 503, stream
+
+
+@given('the servers "{names}" of another service, between which the route is split')
+def split_route(context, names):
+    rig = context.rig
+    context.services = dict.fromkeys(context.versions, "plain")
+    for name, version in (one.split("=") for one in names.split()):
+        context.services[name] = "other"
+        context.versions[name] = version
+        rig.run(rig.add_server(name, service="other", version=version))
+    resume = route("resume", "streaming", attempts=2, resumable=True)
+    del resume["service"]
+    resume["split"] = [
+        {"service": "plain", "weight": 50},
+        {"service": "other", "weight": 50},
+    ]
+    rig.store.put("op/config", configuration(9, routes=[resume]))
+
+
+@then("each goes on at the service that began it")
+def check_same_service(context):
+    for stream in context.streams:
+        assert stream.goes_on(), stream
+        check_not_joined(context, stream, context.services)
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -1,9 +1,11 @@
 """Handling of one caller's request, from its headers to the end of the answer."""
 
 import asyncio
+from dataclasses import replace
 from datetime import timedelta
 
 from ..observability import emit
+from ..resumption import StreamOrigin
 from .caller import CallerConnection, CallerGoneError
 from .events import ANSWERED, CALLER_LEFT, REQUEST_REFUSED, STREAM_RESUMED
 from .matching import CallerRequest, MatchedRequest, RefusalError, match_request
@@ -74,8 +76,12 @@
         return match_request(self.request, metadata, self.pool.registry.configuration)
 
     async def _serve(self, matched: MatchedRequest) -> None:
+        version = None
+        if matched.is_resumed:
+            origin = await self._find_origin(matched)
+            matched = self.matched = replace(matched, service=origin.service)
+            version = origin.version
         self.pool.record_request(matched.service)
-        version = await self._find_version(matched) if matched.is_resumed else None
         self.sender = Sender(
             pool=self.pool,
             request=self.request,
@@ -101,22 +107,19 @@
                 # The retry would end the next endpoint if this request ended the last.
                 await self.pool.crash_watch.finish_checks()
 
-    async def _find_version(self, matched: MatchedRequest) -> str:
-        """Return the software version at which a resumed stream goes on.
+    async def _find_origin(self, matched: MatchedRequest) -> StreamOrigin:
+        """Return the service and the software version at which a stream goes on.
 
         Raises
         ------
         RefusalError
-            It is not known, or none of its endpoints is ready.
+            They are not known, the route no longer has the service, or no endpoint of
+            the version is ready.
         """
         began_at = self.pool.clock()
         found = await self.pool.resumption.find(matched)
         origin, age = found.origin, found.age
-        ready = self.pool.registry.ready(matched.service)
-        is_ready = origin is not None and any(
-            one.service == origin.service and one.version == origin.version
-            for one in ready
-        )
+        is_ready = origin is not None and self._is_served(matched, origin)
         RESUMPTIONS.labels(found.known_by.value, "yes" if is_ready else "no").inc()
         emit(
             STREAM_RESUMED,
@@ -133,7 +136,14 @@
             raise RefusalError(503, "stream-version-unknown")
         if not is_ready:
             raise RefusalError(503, "stream-version-gone")
-        return origin.version
+        return origin
+
+    def _is_served(self, matched: MatchedRequest, origin: StreamOrigin) -> bool:
+        """Return whether the route leads to a ready endpoint of an origin."""
+        if all(share.service != origin.service for share in matched.route.shares):
+            return False
+        ready = self.pool.registry.ready(origin.service)
+        return any(endpoint.version == origin.version for endpoint in ready)
 
     def _check_quarantine(self, matched: MatchedRequest) -> None:
         """Raise a `RefusalError` if the request or a segment crashes endpoints."""
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -107,8 +107,7 @@
     @property
     def is_resumed(self) -> bool:
         """Whether the caller resumes a stream of which it has events."""
-        may_resume = self.route.repeat is RetryPolicy.RESUME
-        return may_resume and bool(self.metadata.last_event_id)
+        return _is_resumed(self.metadata, self.route)
 
     @property
     def urgency(self) -> int:
@@ -117,6 +116,16 @@
         return priority_rank(self.configuration.priority_pairs, pair)
 
 
+def _is_resumed(metadata: RequestMetadata, route: Route) -> bool:
+    return route.repeat is RetryPolicy.RESUME and bool(metadata.last_event_id)
+
+
+def _id_for_split(metadata: RequestMetadata, route: Route) -> str:
+    """Return the id that selects a service: the one of the request that began."""
+    is_resumed = _is_resumed(metadata, route)
+    return (metadata.resumes if is_resumed else None) or metadata.id
+
+
 def _with_targets(metadata: RequestMetadata, route: Route) -> RequestMetadata:
     """Return the metadata with the route's targets in the demand."""
     if metadata.demand is None:
@@ -172,13 +181,12 @@
     limit = route.timeout
     if metadata.time_left is not None:
         limit = min(limit, metadata.time_left)
-    service = pick_service(route, metadata.id)
     return MatchedRequest(
         metadata=_with_targets(metadata, route),
         configuration=configuration,
         route=route,
         workspace=workspace,
-        service=service,
+        service=pick_service(route, _id_for_split(metadata, route)),
         deadline=request.received + limit,
         fingerprint=compute_fingerprint(request, metadata.host, workspace),
     )
