Split the mesh: its listener, the catch-up, and the connections

Change: the listener and the handling of messages are in server.py, the requests for missing items in catch_up.py as a class of its own; core.py keeps the connections. No behaviour differs.

--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -7,13 +7,13 @@
 
 from result import Err
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
 
 from ..observability import emit
 from ..reads import Backoff
 from ..registry import Registry, Snapshot, StoreRevision
 from ..resumption import StreamOrigin
-from ..sockets import Address, enable_keepalive, open_stream, parse_address
+from ..sockets import Address, open_stream, parse_address
+from .catch_up import CatchUp
 from .codec import MessageDecoder, MessageError, encode
 from .events import (
     ITEMS_RECEIVED_FROM_PEER,
@@ -24,14 +24,13 @@
 from .messages import (
     Heartbeat,
     Hello,
-    ItemsRequest,
     LoadEvent,
     Message,
     OriginAnswer,
-    OriginRequest,
     SendEnded,
 )
 from .origin_requests import OriginRequests
+from .server import MAX_READ_BYTES, PEER_TIMEOUT, MeshServer
 
 __all__ = ["PeerMesh"]
 
@@ -50,37 +49,12 @@
 Three intervals equal the time within which the platform considers a host reachable.
 """
 
-PEER_TIMEOUT = timedelta(seconds=3)
-"""Time without received data after which a peer's connection is closed and its load
-events are discarded: three heartbeat intervals.
-
-It is also the timeout of one write to a peer.
-"""
-
 FLUSH_DELAY = timedelta(milliseconds=5)
 """Time over which events are batched into one write.
 
 It is shorter than the prefill time of a prompt.
 """
 
-CATCH_UP_DELAY = timedelta(milliseconds=300)
-"""Time for the local watch to deliver a revision that a peer already has.
-
-A slow store answers within 400 ms, and a configuration has to be in force within 2 s.
-"""
-
-CATCH_UP_SPREAD = timedelta(milliseconds=200)
-"""Time over which processes that miss the same change spread their requests."""
-
-ITEMS_TIMEOUT = timedelta(seconds=1)
-"""Time after which missing items are requested from another peer.
-
-A configuration of 1,700 routes has about 0.5 MB, which take 0.4 s at 10 Mbit/s.
-"""
-
-ITEMS_POLL_INTERVAL = timedelta(milliseconds=20)
-"""Interval at which the arrival of requested items is checked."""
-
 MAX_CONNECT_FAILURES = 30
 """Consecutive failures after which a peer that is not a seed is dropped.
 
@@ -102,9 +76,6 @@
 A connection whose peer reads too slowly is closed and opened again.
 """
 
-MAX_READ_BYTES = 64 * 1024
-"""Maximum size of one read."""
-
 LoadListener = Callable[[str, LoadEvent | None], None]
 """Receives a connection's name and a load event, or None when the connection closed."""
 
@@ -150,8 +121,8 @@
         First message of a peer, by the name of the accepted connection.
     peer_revisions : dict of StoreRevision
         Latest revision that a peer has announced, by the peer's address.
-    catch_up_task : asyncio.Task or None
-        Requests missing items until this process has them.
+    catch_up : CatchUp
+        Requests to the peers for missing items.
     origin_requests : OriginRequests
         Requests to the peers for the origins of streams.
     """
@@ -171,7 +142,7 @@
         "write_events",
         "inbound_peers",
         "peer_revisions",
-        "catch_up_task",
+        "catch_up",
         "server",
         "seeds",
     )
@@ -205,8 +176,10 @@
         self.write_events: dict[str, asyncio.Event] = {}
         self.inbound_peers: dict[str, Hello] = {}
         self.peer_revisions: dict[str, StoreRevision] = {}
-        self.catch_up_task: asyncio.Task | None = None
-        self.server = _MeshServer(self)
+        self.catch_up = CatchUp(
+            registry=registry, random=random, send=self._send, newer=self._newer_peers
+        )
+        self.server = MeshServer(self)
 
     def start(self) -> None:
         """Listen for peers and start connecting to the seeds."""
@@ -219,8 +192,7 @@
         self.server.stop()
         for task in self.connect_tasks.values():
             task.cancel()
-        if self.catch_up_task is not None:
-            self.catch_up_task.cancel()
+        self.catch_up.stop()
 
     @property
     def entry_count(self) -> int:
@@ -378,23 +350,7 @@
         self.peer_revisions[name] = revision
         if heartbeat.age is not None:
             self.registry.freshness.confirm(revision, age=heartbeat.age)
-        is_idle = self.catch_up_task is None or self.catch_up_task.done()
-        if revision > self.registry.cache.revision and is_idle:
-            self.catch_up_task = asyncio.create_task(self._catch_up())
-
-    async def _catch_up(self) -> None:
-        """Request missing items from one peer after another until all are known."""
-        spread = self.random.uniform(0, CATCH_UP_SPREAD.total_seconds())
-        await asyncio.sleep(CATCH_UP_DELAY.total_seconds() + spread)
-        asked: set[str] = set()
-        while peers := self._newer_peers():
-            # A peer that has not answered is asked again only after all others.
-            asked = asked if set(peers) - asked else set()
-            name = self.random.choice([one for one in peers if one not in asked])
-            asked.add(name)
-            before = self.registry.cache.revision
-            self._send(name, ItemsRequest(after=before))
-            await self._wait_for_items(before)
+        self.catch_up.start_if_behind(revision)
 
     def _newer_peers(self) -> list[str]:
         """Return the connected peers with a later revision, the nearest if any."""
@@ -411,82 +367,7 @@
         }
         return [name for name in newer if name in near] or newer
 
-    async def _wait_for_items(self, before: StoreRevision) -> None:
-        """Wait until the known revision rises or the time for an answer is over."""
-        deadline = asyncio.get_running_loop().time() + ITEMS_TIMEOUT.total_seconds()
-        while self.registry.cache.revision <= before:
-            if asyncio.get_running_loop().time() >= deadline:
-                return
-            await asyncio.sleep(ITEMS_POLL_INTERVAL.total_seconds())
-
     def announce_revision(self) -> None:
         """Send the current revision to all peers without waiting for the heartbeat."""
         for write_event in self.write_events.values():
             write_event.set()
-
-
-class _MeshServer(TCPServer):
-    """Accepts the connections of peers and handles their messages."""
-
-    def __init__(self, mesh: PeerMesh):
-        super().__init__()
-        self.mesh = mesh
-
-    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        enable_keepalive(stream.socket)
-        connection = "{}:{}".format(*address)
-        problem = ""
-        try:
-            await self._read_messages(connection, stream)
-        except (StreamClosedError, TimeoutError) as error:
-            problem = repr(error)
-        except MessageError as error:
-            problem = str(error)
-            emit(PEER_SENT_INVALID_DATA, peer=connection, problem=problem)
-        finally:
-            stream.close()
-            self._remove_connection(connection, problem)
-
-    async def _read_messages(self, connection: str, stream: IOStream) -> None:
-        decoder = MessageDecoder()
-        while True:
-            async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
-                data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
-            for message in decoder.feed(data):
-                await self._handle_message(connection, message, stream)
-
-    async def _handle_message(
-        self, connection: str, message: Message, stream: IOStream
-    ) -> None:
-        mesh = self.mesh
-        match message:
-            case Hello():
-                mesh.inbound_peers[connection] = message
-                self._add_peers((message.address, *message.known_peers))
-            case Heartbeat():
-                hello = mesh.inbound_peers.get(connection)
-                if hello is not None:
-                    mesh.record_heartbeat(hello.address, message)
-            case ItemsRequest(after=after):
-                await stream.write(encode(mesh.registry.cache.changes_since(after)))
-            case OriginRequest(key=key):
-                answer = OriginAnswer(key=key, origin=mesh.find_origin(key))
-                await stream.write(encode(answer))
-            case Snapshot() | OriginAnswer():
-                raise MessageError("reply that was not requested")
-            case _:
-                mesh.on_load_event(connection, message)
-
-    def _add_peers(self, addresses: tuple[str, ...]) -> None:
-        try:
-            for address in addresses:
-                self.mesh.add_peer(address)
-        except ValueError as error:
-            raise MessageError(str(error)) from error
-
-    def _remove_connection(self, connection: str, problem: str) -> None:
-        hello = self.mesh.inbound_peers.pop(connection, None)
-        if hello is not None:
-            self.mesh.peer_revisions.pop(hello.address, None)
-            self.mesh.on_load_event(connection, None)
-            emit(PEER_DISCONNECTED, peer=hello.address, problem=problem)
--- /dev/null
+++ b/zinniaramp/peers/server.py
@@ -0,0 +1,111 @@
+"""Listener for the connections of peers, and handling of their messages."""
+
+import asyncio
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from ..observability import emit
+from ..registry import Snapshot
+from ..sockets import enable_keepalive
+from .codec import MessageDecoder, MessageError, encode
+from .events import PEER_DISCONNECTED, PEER_SENT_INVALID_DATA
+from .messages import (
+    Heartbeat,
+    Hello,
+    ItemsRequest,
+    Message,
+    OriginAnswer,
+    OriginRequest,
+)
+
+if TYPE_CHECKING:
+    from .core import PeerMesh
+
+__all__ = ["MAX_READ_BYTES", "PEER_TIMEOUT", "MeshServer"]
+
+PEER_TIMEOUT = timedelta(seconds=3)
+"""Time without received data after which a peer's connection is closed and its load
+events are discarded: three heartbeat intervals.
+
+It is also the timeout of one write to a peer.
+"""
+
+MAX_READ_BYTES = 64 * 1024
+"""Maximum size of one read."""
+
+
+class MeshServer(TCPServer):
+    """Accepts the connections of peers and handles their messages.
+
+    Parameters
+    ----------
+    mesh : PeerMesh
+        Mesh that uses the messages.
+    """
+
+    def __init__(self, mesh: "PeerMesh"):
+        super().__init__()
+        self.mesh = mesh
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        """Handle the messages of a connection until it closes."""
+        enable_keepalive(stream.socket)
+        connection = "{}:{}".format(*address)
+        problem = ""
+        try:
+            await self._read_messages(connection, stream)
+        except (StreamClosedError, TimeoutError) as error:
+            problem = repr(error)
+        except MessageError as error:
+            problem = str(error)
+            emit(PEER_SENT_INVALID_DATA, peer=connection, problem=problem)
+        finally:
+            stream.close()
+            self._remove_connection(connection, problem)
+
+    async def _read_messages(self, connection: str, stream: IOStream) -> None:
+        decoder = MessageDecoder()
+        while True:
+            async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
+                data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
+            for message in decoder.feed(data):
+                await self._handle_message(connection, message, stream)
+
+    async def _handle_message(
+        self, connection: str, message: Message, stream: IOStream
+    ) -> None:
+        mesh = self.mesh
+        match message:
+            case Hello():
+                mesh.inbound_peers[connection] = message
+                self._add_peers((message.address, *message.known_peers))
+            case Heartbeat():
+                hello = mesh.inbound_peers.get(connection)
+                if hello is not None:
+                    mesh.record_heartbeat(hello.address, message)
+            case ItemsRequest(after=after):
+                await stream.write(encode(mesh.registry.cache.changes_since(after)))
+            case OriginRequest(key=key):
+                answer = OriginAnswer(key=key, origin=mesh.find_origin(key))
+                await stream.write(encode(answer))
+            case Snapshot() | OriginAnswer():
+                raise MessageError("reply that was not requested")
+            case _:
+                mesh.on_load_event(connection, message)
+
+    def _add_peers(self, addresses: tuple[str, ...]) -> None:
+        try:
+            for address in addresses:
+                self.mesh.add_peer(address)
+        except ValueError as error:
+            raise MessageError(str(error)) from error
+
+    def _remove_connection(self, connection: str, problem: str) -> None:
+        hello = self.mesh.inbound_peers.pop(connection, None)
+        if hello is not None:
+            self.mesh.peer_revisions.pop(hello.address, None)
+            self.mesh.on_load_event(connection, None)
+            emit(PEER_DISCONNECTED, peer=hello.address, problem=problem)
