Conclude from the only known version only while the store confirms it

What callers saw: a stream that they took up at a gateway which was cut off from the store and the others was joined of two software versions, with status 200.

Cause: such a gateway knows no version that appeared after the cut, and took the only one that it knows for the only one that serves. The class: the absence of news taken for news, as with watches that are not answered.

Change: the conclusion needs a confirmation of the store that is at most 1.5 s old, and the peers are asked before it, since the one that forwarded the stream may be alive. Only peers that are connected, or to which the first connection attempt runs, are waited for, so that a known dead one costs no time.

Ruled out: no conclusion at all, which refuses streams after each restart with one version.

--- a/features/resumption/resumption.feature
+++ b/features/resumption/resumption.feature
@@ -31,3 +31,5 @@
       | history is lost after an old version has left    | don't list | none               |
       | a restore follows an old version that has left   | don't list | none               |
       | versions go forth and back                       | don't list | those that can     |
+      | a gateway is cut off while a new version appears | don't list | those that can     |
+      | a gateway is cut off while a new version appears | list       | those that can     |
--- a/features/steps/gateway_resumption_steps.py
+++ b/features/steps/gateway_resumption_steps.py
@@ -14,6 +14,7 @@
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import expected_events
 from zinniaramp.standins.platform.process import LOOPBACK
+from zinniaramp.standins.serving import Faults
 
 PLAIN_EVENTS = 4
 """Events of a plain server's complete stream."""
@@ -21,6 +22,9 @@
 ENGINE_EVENTS = 60
 """Events of an engine's complete stream; several arrive at a time."""
 
+ENGINE_TIME_FACTOR = 0.5
+"""Factor on the engines' step times; a stream lasts longer than its first read."""
+
 EVENT_SECONDS = 0.05
 """Time between two events of a plain server's stream."""
 
@@ -100,6 +104,9 @@
     for server in rig.servers.values():
         server.event_seconds = EVENT_SECONDS
         server.events = last
+        if server.engine:
+            slowness = Faults(slow=ENGINE_TIME_FACTOR)
+            server.engine.engine.controls.apply(slowness)
     context.streams = []
     address = Address(ip=LOOPBACK, port=rig.processes[0].callers)
     for number in range(count):
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -7,6 +7,7 @@
     change_store,
     crash_engines,
     cut_callers,
+    isolate_gateway,
     kill_gateways,
     partition_gateways,
     play,
@@ -87,6 +88,15 @@
     "a restore follows an old version that has left": {
         "faults": lose_history(SimulatedStore.restore)
     },
+    "a gateway is cut off while a new version appears": {
+        "versions": ONE_VERSION,
+        "seconds": 24.0,
+        "faults": (
+            (13, isolate_gateway(8)),
+            (14, replace_engines("v1.1", 3)),
+            *repeat(cut_callers(0.5), 1, 13.5, 23),
+        ),
+    },
     "versions go forth and back": {
         "versions": ONE_VERSION,
         "faults": (
--- a/zinniaramp/gateway/resumption.py
+++ b/zinniaramp/gateway/resumption.py
@@ -22,6 +22,12 @@
 Callers give up after about one; the configuration may have changed it meanwhile."""
 
 
+MAX_CONFIRMATION_AGE = timedelta(seconds=1.5)
+"""Time since the store last confirmed what is known, above which another version may
+serve without being known here.  The store confirms it every 0.9 s, a slow one every
+1.3 s."""
+
+
 class KnownBy(Enum):
     """How the origin of a stream is known.
 
@@ -176,14 +182,14 @@
             age = self.clock() - record.at
             known_by = KnownBy.OWN if record.is_own else KnownBy.PEER
             return FoundOrigin(known_by=known_by, origin=record.origin, age=age)
-        if (only := self._only_version(matched)) is not None:
-            return FoundOrigin(known_by=KnownBy.ONLY_VERSION, origin=only)
         if key and record is None and (told := await self.ask_peers(key)) is not None:
             self.origins.record(key, told, is_own=False)
             return FoundOrigin(known_by=KnownBy.PEER, origin=told)
         return await self._find_without_gateways(matched)
 
     async def _find_without_gateways(self, matched: MatchedRequest) -> FoundOrigin:
+        if (only := self._only_version(matched)) is not None:
+            return FoundOrigin(known_by=KnownBy.ONLY_VERSION, origin=only)
         versions = await self._versions_of_holders(matched)
         if len(versions) == 1:
             origin = StreamOrigin(service=matched.service, version=versions.pop())
@@ -206,6 +212,9 @@
 
     def _only_version(self, matched: MatchedRequest) -> StreamOrigin | None:
         """Return the one version that has served for as long as the stream may last."""
+        confirmed = self.registry.freshness.age()
+        if confirmed is None or confirmed > MAX_CONFIRMATION_AGE:
+            return None
         if not self._is_history_known(matched):
             return None
         max_age = matched.route.timeout * STREAM_AGE_TIMEOUTS
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -113,6 +113,8 @@
         Addresses of all other gateway processes that this one has heard of.
     connect_tasks : dict of asyncio.Task
         Task that maintains the connection to a peer, by the peer's address.
+    untried : set of str
+        Addresses of peers to which the first connection attempt has not ended.
     write_queues : dict of bytearray
         Bytes that wait to be written to a connected peer, by its address.
     write_events : dict of asyncio.Event
@@ -138,6 +140,7 @@
         "random",
         "known",
         "connect_tasks",
+        "untried",
         "write_queues",
         "write_events",
         "inbound_peers",
@@ -167,11 +170,12 @@
         self.current_events = current_events
         self.find_origin = find_origin
         self.origin_requests = OriginRequests(
-            send=self._send, peers=lambda: list(self.connect_tasks)
+            send=self._send, peers=self._expected_peers
         )
         self.random = random
         self.known: set[str] = set()
         self.connect_tasks: dict[str, asyncio.Task] = {}
+        self.untried: set[str] = set()
         self.write_queues: dict[str, bytearray] = {}
         self.write_events: dict[str, asyncio.Event] = {}
         self.inbound_peers: dict[str, Hello] = {}
@@ -220,6 +224,7 @@
             self.known.add(address)
         if len(self.connect_tasks) >= MAX_PEERS:
             return
+        self.untried.add(address)
         task = asyncio.create_task(self._maintain_connection(parsed))
         self.connect_tasks[address] = task
 
@@ -235,6 +240,10 @@
             if is_urgent:
                 self.write_events[name].set()
 
+    def _expected_peers(self) -> list[str]:
+        """Return the peers that are connected, or may be at any moment."""
+        return [*self.write_queues, *sorted(self.untried)]
+
     def _send(self, name: str, message: Message) -> None:
         """Queue a message for one peer, if it is connected."""
         if name in self.write_queues:
@@ -245,6 +254,7 @@
         backoff = Backoff(first=INITIAL_BACKOFF, limit=MAX_BACKOFF, random=self.random)
         while backoff.failures < MAX_CONNECT_FAILURES or address in self.seeds:
             opened = await open_stream(address, timeout=CONNECT_TIMEOUT)
+            self.untried.discard(str(address))
             if not isinstance(opened, Err):
                 backoff.reset()
                 await self._run_connection(str(address), opened.ok_value)
--- a/zinniaramp/peers/origin_requests.py
+++ b/zinniaramp/peers/origin_requests.py
@@ -39,7 +39,7 @@
     send : callable
         Sends a request to a peer, if it is connected.
     peers : callable
-        Returns the addresses of all peers, also of those not connected yet.
+        Returns the addresses of the peers whose answers are awaited.
 
     Attributes
     ----------
