--- a/zinniaramp/experiments/__main__.py
+++ b/zinniaramp/experiments/__main__.py
@@ -8,6 +8,7 @@
 from .overhead import measure_overhead
 from .passing import measure_passing
 from .policy import measure_policy
+from .resumption import measure_resumption
 from .soak import measure_soak
 
 EXPERIMENTS = {
@@ -17,6 +18,7 @@
     "overhead": measure_overhead,
     "passing": measure_passing,
     "policy": measure_policy,
+    "resumption": measure_resumption,
     "soak": measure_soak,
 }
 
