--- a/zinniaramp/experiments/resumption.py
+++ b/zinniaramp/experiments/resumption.py
@@ -252,7 +252,7 @@
     run.store.remove("servers/s-0")
 
 
-EVENTS_BY_TITLE: dict[str, tuple[tuple[str, ...], Callable[[Run], Awaitable[None]]]] = {
+FAULTS_BY_TITLE: dict[str, tuple[tuple[str, ...], Callable[[Run], Awaitable[None]]]] = {
     "callers' connections cut": (TWO_VERSIONS, _cut_callers),
     "one gateway killed at a time": (TWO_VERSIONS, _kill_one),
     "all gateways killed at once": (TWO_VERSIONS, _kill_all),
@@ -261,11 +261,11 @@
     "one version only, connections cut": (ONE_VERSION, _cut_callers),
     "one version only, all killed": (ONE_VERSION, _kill_all),
 }
-"""What happens in each run, and the versions of the servers."""
+"""Versions of the servers in each run, and the fault that is played."""
 
 
 async def _play(
-    versions: tuple[str, ...], happen: Callable, seed: int, directory: Path
+    versions: tuple[str, ...], play_fault: Callable, seed: int, directory: Path
 ) -> Outcome:
     store = StoreStandin()
     store.listen()
@@ -294,7 +294,7 @@
         gateway.seeds = tuple(one.peers for one in gateways)
         await gateway.start()
     await asyncio.sleep(SETTLE_SECONDS)
-    fault = asyncio.create_task(happen(run))
+    fault = asyncio.create_task(play_fault(run))
     callers = []
     loop = asyncio.get_running_loop()
     end = loop.time() + SECONDS
@@ -320,9 +320,9 @@
     """
     logger.remove()
     rows = []
-    for title, (versions, happen) in EVENTS_BY_TITLE.items():
+    for title, (versions, play_fault) in FAULTS_BY_TITLE.items():
         with tempfile.TemporaryDirectory() as directory:
-            outcome = asyncio.run(_play(versions, happen, seed, Path(directory)))
+            outcome = asyncio.run(_play(versions, play_fault, seed, Path(directory)))
         share = outcome.went_on / outcome.resumed if outcome.resumed else 1.0
         rows.append([title, outcome.begun, outcome.joined, outcome.resumed, share])
     table = Table(
