--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,7 +1,7 @@
-"""A burst of long bodies, each within the limit, ends the gateway's process.
+"""A stream in the middle of its answer gets a second HTTP head.
 
-The platform kills a process that exceeds ``memory_mb``.  A gateway keeps each body two
-to three times, and does not bound their sum.
+Three model servers crash, one after the other, under requests that share a part of
+their prompts.  Then the server of another stream with this part falls silent.
 """
 
 import asyncio
@@ -12,139 +12,143 @@
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 
-from standins.trial import LIMITS, Answer, Channel, Trial, main  # noqa: E402
+from standins.trial import LIMITS, Trial, engine_service, main  # noqa: E402
 
 HOST = "desk.example"
 KEY = "key-of-the-desk"
-CLIENTS = 16
-"""Clients that send long bodies at the same time, as usual."""
+SHARED = "5c1e07a2:800"
+"""Part of the prompt that all requests of the desk share."""
 
-BURST = 2.3
-"""The largest factor of a burst in the site file."""
+CRASHES = 5
+"""A gateway takes three of them, at the least, for crashes under one prompt part."""
 
-BODY_BYTES = 4_000_000
-"""Below ``max_body_bytes``, 4,194,304."""
+SPARES = [f"draft-{number}" for number in range(1, 7)]
 
-STAGGER_SECONDS = 0.08
-"""Time between the begins of two clients."""
 
-UPLOAD_SECONDS = 2.0
-"""Time in which a body leaves its client; 37 use 0.6 of a link of 1,000 Mbit/s."""
+def _route(name: str, service: str, *, resumable: bool) -> dict:
+    return {
+        "name": f"r-{name}",
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "route_type": "streaming",
+        "timeout_ms": 15000,
+        "target_latency_ms": 500,
+        "priority": 0,
+        "service": service,
+        "max_attempts": 2 if resumable else 1,
+        "public": False,
+        "sticky": True,
+        "resumable": resumable,
+        "target_gap_ms": 250,
+    }
 
-MEMORY_BYTES = 300 * 1024 * 1024
-"""``memory_mb`` of the settings."""
 
-ALLOWED = 3
-"""LOST: more than three times."""
+def _publish(trial: Trial) -> None:
+    trial.store.put(
+        "op/config",
+        {
+            "version": 7,
+            "routes": [
+                _route("ask", "talk", resumable=True),
+                _route("draft", "draft", resumable=False),
+            ],
+            "services": [engine_service("talk"), engine_service("draft")],
+            "limits": LIMITS,
+            "tenants": [{"name": "desk", "api_keys": [KEY], "priority": 0}],
+        },
+    )
 
 
-def _publish(trial: Trial) -> None:
-    route = {
-        "name": "r-book",
-        "hostname": HOST,
-        "prefix": "/book/",
-        "route_type": "unsafe",
-        "timeout_ms": 10000,
-        "target_latency_ms": 4000,
-        "priority": 2,
-        "service": "bookings",
-        "max_attempts": 1,
-        "public": False,
-        "sticky": False,
-        "resumable": False,
-        "target_gap_ms": 0,
-    }
-    document = {
-        "version": 1,
-        "routes": [route],
-        "services": [{"name": "bookings", "health_path": "/healthz"}],
-        "limits": LIMITS,
-        "tenants": [{"name": "desk", "api_keys": [KEY]}],
+def _headers(own: str) -> dict[str, str]:
+    return {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        "Zinniaramp-Model": "m",
+        "Zinniaramp-Token-Usage": "1000,200",
+        "Zinniaramp-Prefix-Hash": f"{SHARED},{own}:200",
     }
-    trial.store.put("op/config", document)
-
-
-async def _watch_memory(trial: Trial, peak: list[int]) -> None:
-    """Kill the gateway's process when it exceeds its memory, as the platform does."""
-    process = trial.gateways["entry-1"]
-    status = Path(f"/proc/{process.pid}/status")
-    while process.returncode is None:
-        lines = dict(
-            line.split(":", 1)
-            for line in status.read_text().splitlines()
-            if ":" in line
-        )
-        used = int(lines.get("VmRSS", "0 kB").split()[0]) * 1024
-        peak[0] = max(peak[0], used)
-        if used > MEMORY_BYTES:
-            trial.record("the platform kills entry-1", bytes=used)
-            process.send_signal(signal.SIGKILL)
-            return
-        await asyncio.sleep(0.01)
 
 
-async def _book(
-    trial: Trial, name: str, size: int, channel: Channel, wait: float = 0.0
-) -> Answer:
-    await asyncio.sleep(wait)
-    return await trial.send(
-        "entry-1",
-        name,
-        "/book/work-2500",
-        headers={"Host": HOST, "Authorization": f"Bearer {KEY}"},
-        deadline_ms=10000,
-        body=b"x" * size,
-        channel=channel,
-        upload_seconds=UPLOAD_SECONDS if size == BODY_BYTES else 0.0,
+async def _crash_one(trial: Trial, number: int) -> bool:
+    """Send a request, and kill the server that runs it 0.1 s after its begin.
+
+    Returns whether the request has run.
+    """
+    request = f"draft{number:011d}"
+    sending = asyncio.create_task(
+        trial.send(
+            "entry-1",
+            request,
+            "/draft/events-40-200",
+            headers=_headers(f"d{number:07d}"),
+            deadline_ms=15000,
+            body=f"draft {number}".encode(),
+        )
     )
+    while not any(run["request"] == request for run in trial.runs):
+        if sending.done():
+            return False
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.1)
+    if trial.is_troubled:
+        run = next(run for run in trial.runs if run["request"] == request)
+        trial.signal_server(run["server"], signal.SIGKILL)
+        await asyncio.wait([sending])
+        await asyncio.sleep(0.5)
+        await trial.start_server(f"draft-{6 + number}", "draft")
+    else:
+        sending.cancel()
+        await asyncio.wait([sending])
+        await asyncio.sleep(0.5)
+    return True
 
 
 async def play(trial: Trial) -> int:
     """Play the case and return the exit code."""
     await trial.start_store()
-    for number in (1, 2, 3):
-        await trial.start_server(f"bookings-{number}", "bookings")
+    for name in ("talk-1", "talk-2"):
+        await trial.start_server(name, "talk")
+    for name in SPARES:
+        await trial.start_server(name, "draft")
     _publish(trial)
     await trial.start_gateway("entry-1")
     await trial.wait_ready("entry-1")
-    await asyncio.sleep(3)
-    peak = [0]
-    watching = asyncio.create_task(_watch_memory(trial, peak))
-    count = round(CLIENTS * (BURST if trial.is_troubled else 1))
-    channels = [await trial.connect("entry-1") for _ in range(count)]
-    small = [
-        _book(trial, f"small{number:04d}", 600, channel)
-        for number, channel in enumerate(channels)
-    ]
-    if any(answer.status != 200 for answer in await asyncio.gather(*small)):
-        print("a small request was not served")
-        return 2
-    answers = await asyncio.gather(
-        *(
-            _book(
-                trial,
-                f"long{number:05d}",
-                BODY_BYTES,
-                channel,
-                STAGGER_SECONDS * number,
-            )
-            for number, channel in enumerate(channels)
+    stream = asyncio.create_task(
+        trial.send(
+            "entry-1",
+            "ask0000000000001",
+            "/ask/events-57-220",
+            headers=_headers("e4402b7d"),
+            deadline_ms=15000,
+            body=b"the question",
         )
     )
-    watching.cancel()
-    return _judge(trial, answers, peak[0])
-
-
-def _judge(trial: Trial, answers: list[Answer], peak: int) -> int:
-    has_run = {run["request"] for run in trial.runs}
-    cut = [one for one in answers if not one.status]
-    lost = [one for one in cut if one.request in has_run]
-    print(f"{len(answers)} clients, peak of {peak / 1024 / 1024:.0f} MiB")
-    print(
-        f"{len(cut)} channels closed without an answer, {len(lost)} after a run began"
-    )
-    trial.record("judged", cut=len(cut), lost=len(lost), peak_bytes=peak)
-    return 1 if len(lost) > ALLOWED else 0
+    await asyncio.sleep(1.0)
+    for number in range(1, CRASHES + 1):
+        if not await _crash_one(trial, number):
+            break
+        await asyncio.sleep(0.5)
+    server = next(r["server"] for r in trial.runs if r["request"].startswith("ask"))
+    if trial.is_troubled:
+        trial.signal_server(server, signal.SIGSTOP)
+    answer = await stream
+    if trial.is_troubled:
+        trial.signal_server(server, signal.SIGCONT)
+    return _judge(trial, answer)
+
+
+def _judge(trial: Trial, answer) -> int:
+    body, is_whole, foreign = answer.read_body()
+    for line in trial.gateway_log("entry-1", "segment-quarantined", "engine-crashed"):
+        trial.record("log of entry-1", **line)
+    pieces = body.count(b"\n\n")
+    trial.record("judged", pieces=pieces, whole=is_whole, foreign=foreign.decode())
+    if answer.status != 200 or not pieces:
+        print("the stream did not begin")
+        return 2
+    print(f"status {answer.status}, {pieces} pieces, whole: {is_whole}")
+    print(f"bytes that are no part of the answer: {foreign[:120]!r}")
+    return 1 if foreign else 0
 
 
 if __name__ == "__main__":
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -2,13 +2,18 @@
 
 Usage: server.py ID ADDRESS [SPOILED].  It writes a line of JSON to its standard output
 for each run that begins and for each that ends.  What an answer is like stands in the
-path of the request: ``.../events-N-MS`` is a stream of N events, MS milliseconds apart;
+path of the request: ``.../events-N-MS`` is a stream of N events, MS milliseconds apart,
+in chunks; ``.../open-N-MS`` is the same without a length, and ends with its channel;
 ``.../work-MS`` is a plain answer after MS milliseconds.  With SPOILED, the server
 spoils that share of its streams: one byte of an event has another highest bit.
+
+At SIGTERM it crashes as a machine does: its port refuses, then its channels are reset.
 """
 
 import asyncio
 import json
+import os
+import signal
 import sys
 import time
 
@@ -31,9 +36,19 @@
         self.name = name
         self.spoiled = spoiled
         self.streams = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.listening: asyncio.Server | None = None
+
+    def crash(self) -> None:
+        """End the process without any answer."""
+        self.listening.close()
+        for writer in self.writers:
+            writer.transport.abort()
+        asyncio.get_running_loop().call_later(0.01, os._exit, 1)
 
     async def serve(self, reader, writer) -> None:
         """Answer the requests on one channel."""
+        self.writers.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await reader.readexactly(head.length)
@@ -41,6 +56,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, head, body, writer, reader) -> None:
@@ -84,8 +100,8 @@
         work.cancel()
         await asyncio.wait((watch, work))
         report(what="end", server=self.name, request=request, whole=is_whole)
-        if not is_whole:
-            raise ConnectionError("the run was dropped")
+        if not is_whole or kind == "open":
+            raise ConnectionError("the channel ends here")
 
     async def run(self, kind, figures, head, writer) -> None:
         """Work on one request and write its answer."""
@@ -94,13 +110,15 @@
             "Zinniaramp-Request-Id": request,
             "Zinniaramp-Server-Stamp": f"stamp.{self.name}",
         }
-        if kind != "events":
+        if kind not in ("events", "open"):
             await asyncio.sleep(figures[0] / 1000)
             body = f"{self.name} answers {request}\n".encode()
             return await self.write(writer, answer_bytes(200, body, signed))
         lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
         lines += [f"{name}: {value}" for name, value in signed.items()]
-        lines += ["Transfer-Encoding: chunked", "", ""]
+        is_chunked = kind == "events"
+        lines += ["Transfer-Encoding: chunked"] if is_chunked else []
+        lines += ["", ""]
         await self.write(writer, "\r\n".join(lines).encode())
         count, gap_ms = figures
         self.streams += 1
@@ -113,8 +131,11 @@
             if is_spoiled and number == SPOILED_EVENT:
                 report(what="spoil", server=self.name, request=request)
                 event = event[:4] + bytes((event[4] | 0x80,)) + event[5:]
-            await self.write(writer, b"%x\r\n%b\r\n" % (len(event), event))
-        await self.write(writer, b"0\r\n\r\n")
+            if is_chunked:
+                event = b"%x\r\n%b\r\n" % (len(event), event)
+            await self.write(writer, event)
+        if is_chunked:
+            await self.write(writer, b"0\r\n\r\n")
 
     @staticmethod
     async def write(writer, data: bytes) -> None:
@@ -126,9 +147,11 @@
 async def main(name: str, address: str, spoiled: float) -> None:
     """Listen until the process is ended."""
     ip, _, port = address.rpartition(":")
-    listening = await asyncio.start_server(Server(name, spoiled).serve, ip, int(port))
+    server = Server(name, spoiled)
+    server.listening = await asyncio.start_server(server.serve, ip, int(port))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, server.crash)
     report(what="listens", server=name)
-    await listening.serve_forever()
+    await asyncio.Event().wait()
 
 
 if __name__ == "__main__":
--- a/review/standins/trial.py
+++ b/review/standins/trial.py
@@ -271,7 +271,7 @@
         """Send a signal to a server; one that is killed or stopped is silent."""
         self.record("signal to server", server=name, signal=number.name)
         self.servers[name].send_signal(number)
-        if number in (signal.SIGKILL, signal.SIGSTOP):
+        if number != signal.SIGCONT:
             self.silent[name] = time.monotonic()
         else:
             self.silent.pop(name, None)
