--- a/review/4/play.py
+++ b/review/4/play.py
@@ -70,7 +70,7 @@
 
 
 async def _crash_one(trial: Trial, number: int) -> bool:
-    """Send a request, and kill the server that runs it 0.1 s after its begin.
+    """Send a request, and let the server that runs it crash after 0.1 s.
 
     Returns whether the request has run.
     """
@@ -92,7 +92,7 @@
     await asyncio.sleep(0.1)
     if trial.is_troubled:
         run = next(run for run in trial.runs if run["request"] == request)
-        trial.signal_server(run["server"], signal.SIGKILL)
+        trial.signal_server(run["server"], signal.SIGTERM)
         await asyncio.wait([sending])
         await asyncio.sleep(0.5)
         await trial.start_server(f"draft-{6 + number}", "draft")
