Cut off a stream whose retry is refused, instead of answering twice

Cause: three places end a request without an answer. Two of them, the last send's failure and the deadline, asked whether the answer had started; the refusal raised within `_serve` didn't. It was harmless until quarantines were checked before each send, also a retry.

Ruled out: bytes of the server (it stood still), the answer to another request (one was sent).

Change: every failure ends in one method that refuses the request or cuts off its answer. Event 2002 says why an answer was cut off, and a metric counts it: before, 2003 claimed an answer 502.

Why it works: no path to a refusal is left that doesn't ask whether the answer has started.

--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -79,12 +79,13 @@
     name="answered",
     level="INFO",
     meaning="An endpoint's answer was forwarded; `whole` is false if it was cut short, "
-    "and `gap_ms` is the longest time between events of a stream.",
+    "`problem` is why, and `gap_ms` is the longest time between events of a stream.",
     fields=(
         "request",
         "route",
         "status",
         "whole",
+        "problem",
         "sends",
         "after_ms",
         "first_ms",
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -9,7 +9,7 @@
 from .caller import CallerConnection, CallerGoneError
 from .events import ANSWERED, CALLER_LEFT, REQUEST_REFUSED, STREAM_RESUMED
 from .matching import CallerRequest, MatchedRequest, RefusalError, match_request
-from .metrics import ANSWERS, FIRST_EVENT_SECONDS, RESUMPTIONS
+from .metrics import ANSWERS, CUT_ANSWERS, FIRST_EVENT_SECONDS, RESUMPTIONS
 from .outcomes import SendOutcome, SendResult
 from .pool import EndpointPool
 from .sending import MILLISECOND, Sender
@@ -59,9 +59,9 @@
             async with asyncio.timeout(left.total_seconds()):
                 await self._serve(self.matched)
         except RefusalError as refusal:
-            await self._refuse(refusal.status, refusal.reason, refusal.retry_after)
+            await self._end_without_answer(refusal)
         except TimeoutError:
-            await self._handle_timeout()
+            await self._end_without_answer(self._timeout_refusal())
         except (CallerGoneError, asyncio.CancelledError):
             emit(CALLER_LEFT, **self._log_fields())
             self.caller.abort()
@@ -158,18 +158,17 @@
         raise RefusalError(503, reason, retry_after=left)
 
     async def _send_final_answer(self, result: SendResult) -> None:
-        """Answer with the last send's result, or abort an answer that has started.
+        """Answer with the last send's result.
 
         Raises
         ------
         RefusalError
             The last send has no answer that may be forwarded.
         """
-        if self.caller.has_started:
-            self._log_answer(OK, is_complete=False)
-            self.caller.abort()
-            return
-        if result.head is not None and result.outcome is not SendOutcome.NOT_RUN:
+        is_answer = (
+            result.head is not None and result.outcome is not SendOutcome.NOT_RUN
+        )
+        if is_answer and not self.caller.has_started:
             await self.caller.answer(result.head, result.body)
             self._log_answer(result.head.status, is_complete=True)
             return
@@ -177,15 +176,24 @@
             raise RefusalError(502, "endpoint-failed")
         raise RefusalError(503, "not-run")
 
-    async def _handle_timeout(self) -> None:
+    def _timeout_refusal(self) -> RefusalError:
+        """Return the refusal of a request whose deadline has passed."""
+        if self.sender is not None and self.sender.may_have_run:
+            return RefusalError(504, "time-over")
+        return RefusalError(503, "time-over-not-run")
+
+    async def _end_without_answer(self, refusal: RefusalError) -> None:
+        """Refuse the request, or cut off its answer if that has started.
+
+        Every failure ends here, because a refusal that follows the start of an answer
+        would be read as a part of it.
+        """
         if self.caller.has_started:
-            self._log_answer(OK, is_complete=False)
+            CUT_ANSWERS.labels(self.matched.route.name, refusal.reason).inc()
+            self._log_answer(OK, is_complete=False, problem=refusal.reason)
             self.caller.abort()
             return
-        if self.sender is not None and self.sender.may_have_run:
-            await self._refuse(504, "time-over")
-        else:
-            await self._refuse(503, "time-over-not-run")
+        await self._refuse(refusal.status, refusal.reason, refusal.retry_after)
 
     async def _refuse(
         self, status: int, reason: str, wait: timedelta | None = None
@@ -210,7 +218,7 @@
         except CallerGoneError:
             emit(CALLER_LEFT, **self._log_fields())
 
-    def _log_answer(self, status: int, *, is_complete: bool) -> None:
+    def _log_answer(self, status: int, *, is_complete: bool, problem: str = "") -> None:
         first = self.sender.first_at
         route = self.matched.route.name
         ANSWERS.labels(route, status, "endpoint").inc()
@@ -220,6 +228,7 @@
             ANSWERED,
             status=status,
             whole=is_complete,
+            problem=problem,
             first_ms=(first - self.request.received) // MILLISECOND if first else None,
             gap_ms=self.sender.longest_gap // MILLISECOND if first else None,
             **self._log_fields(),
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -9,6 +9,7 @@
     "ADDED_SECONDS",
     "ANSWERS",
     "CONFIGURATION",
+    "CUT_ANSWERS",
     "FIRST_EVENT_SECONDS",
     "IN_FLIGHT",
     "LIMITED",
@@ -26,6 +27,11 @@
     "Final answers, by route, status and origin.",
     ["route", "status", "by"],
 )
+CUT_ANSWERS = Counter(
+    "zinniaramp_gateway_cut_answers",
+    "Answers that were cut off after they had started, by route and cause.",
+    ["route", "cause"],
+)
 SENDS = Counter("zinniaramp_gateway_sends", "Sends to endpoints, by outcome.", ["fate"])
 RESUMPTIONS = Counter(
     "zinniaramp_gateway_resumed_streams",
