Give up a silent server only if its request can be sent again

What callers saw: a stream whose server paused was cut, and a late answer replaced by 502, although the server went on: the retry was refused by a quarantine, or there was no endpoint left to take it.

Cause: the timeout for silence asked the retry budget alone. Whether the request may be sent at all was decided after the send at work had been cancelled.

Ruled out: to demand another endpoint than the silent one, since a new connection to it may work where the old one is silent for good.

Change: a silent send ends only while some endpoint of the version takes the request and no quarantine forbids it; this is asked again after each further timeout. Closed connections end it as before.

--- a/features/steps/gateway_cut_answers_steps.py
+++ b/features/steps/gateway_cut_answers_steps.py
@@ -24,10 +24,10 @@
 """Value of ``SO_LINGER`` with which closing a connection resets it."""
 
 
-def impose_quarantine(context, name):
+def impose_quarantine(context, name, time=QUARANTINE_TIME):
     """Quarantine a cause of crashes at the gateway."""
     quarantine = context.rig.daemons[0].gateway.pool.crash_watch.quarantine
-    quarantine.impose(name, QUARANTINE_TIME, 0, "peer")
+    quarantine.impose(name, time, 0, "peer")
 
 
 def quarantine_request(context):
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -223,14 +223,8 @@
             None if no endpoint is ready, or none of them takes a request now.
         """
         service, metadata = matched.service, matched.metadata
-        by_name = {
-            one.incarnation: one
-            for one in self.registry.ready(service)
-            if version is None or one.version == version
-        }
-        usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
-        names = [one for one in usable if one not in tried] or usable
-        ready = [by_name[name] for name in names]
+        usable = self._usable_endpoints(service, version)
+        ready = [one for one in usable if one.incarnation not in tried] or usable
         if not ready:
             return None
         traits = self.engine_traits(service)
@@ -249,6 +243,24 @@
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
 
+    def may_send(self, matched: MatchedRequest, version: str | None) -> bool:
+        """Return whether a request may be sent to an endpoint now.
+
+        The parameters are those of `select`.
+        """
+        if self.find_quarantine(matched) is not None:
+            return False
+        return bool(self._usable_endpoints(matched.service, version))
+
+    def _usable_endpoints(self, service: str, version: str | None) -> list[Endpoint]:
+        by_name = {
+            one.incarnation: one
+            for one in self.registry.ready(service)
+            if version is None or one.version == version
+        }
+        usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
+        return [by_name[name] for name in usable]
+
     def apply_hints(
         self, endpoint: Endpoint, metadata: AnswerMetadata, request_id: str
     ) -> None:
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -276,8 +276,8 @@
     ) -> AnswerHead | AnswerChunk | AnswerEnd:
         """Return the next message, or an `AnswerEnd` after too long a silence.
 
-        The timeout applies only if the retry budget allows the retry; otherwise this
-        waits until a message arrives.
+        The timeout applies only if the request can be retried: an endpoint that is
+        silent may still answer.  Otherwise this waits until a message arrives.
         """
         message = await self._next_or_silence(answer)
         if isinstance(message, AnswerEnd):
@@ -290,11 +290,14 @@
         silence_timeout = self._silence_timeout()
         if silence_timeout is None:
             return await answer.next()
-        try:
-            async with asyncio.timeout(silence_timeout.total_seconds()):
-                return await answer.next()
-        except TimeoutError:
-            self.has_retry_allowance = self.pool.withdraw_retry(self.matched.service)
+        is_retry_possible = False
+        while not is_retry_possible:
+            try:
+                async with asyncio.timeout(silence_timeout.total_seconds()):
+                    return await answer.next()
+            except TimeoutError:
+                is_retry_possible = self.pool.may_send(self.matched, self.version)
+        self.has_retry_allowance = self.pool.withdraw_retry(self.matched.service)
         if self.has_retry_allowance:
             return AnswerEnd(
                 is_complete=False, problem=f"no message for {silence_timeout}"
