Refuse entries of endpoints whose ids, names or numbers nothing can carry

What callers saw, with one odd entry of another writer among those of the servers: requests that selected it were never answered (an id with a line break or with characters beyond Latin-1), or got 503 not-run.

Cause: the decoder checked types only. The id goes into a header, names go to peers and into each log line. The message that refuses a configuration wrote the value, and raised RecursionError at one depth of `routes` and `tenants`.

Evidence: odd_entries.feature on: 6 of 15 kinds of entries fail, and the configuration's scenario. With requests, ids with control characters and beyond ASCII: no reply within 20 s; numbers, long texts, texts with surrogates or control characters: some requests 503.

Change: ids are visible ASCII; service, version and data centre are printable, with at most 200 characters as the store's keys have bytes; whole numbers have at most 64 bits; a message survives any value.

Why it works: what passes the decoder fits each place that uses it.

--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -268,7 +268,7 @@
         self.store.put(f"servers/{name}", entry)
 
     async def add_daemon(
-        self, *, seeds=(), wait=True, bounds=HOST_BOUNDS, listener=None
+        self, *, seeds=(), wait=True, bounds=HOST_BOUNDS, listener=None, store=None
     ):
         """Start a gateway daemon and, by default, wait until it is ready."""
         ports = [free_port() for _ in range(4)]
@@ -281,7 +281,7 @@
             readiness=Address(ip=LOOPBACK, port=readiness),
             peers=Address(ip=LOOPBACK, port=peers),
             metrics_port=metrics,
-            store=Address(ip=LOOPBACK, port=self.store.port),
+            store=store or Address(ip=LOOPBACK, port=self.store.port),
             store_history=STORE_HISTORY,
             heartbeat=HEARTBEAT_INTERVAL,
             seeds=tuple(seeds),
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -34,6 +34,21 @@
 """Valid values of ``route_type``."""
 
 
+MAX_NAME_CHARACTERS = 200
+"""Largest number of characters in a name; the store's keys have at most 200 bytes."""
+
+MAX_WHOLE = 2**63 - 1
+"""Largest whole number: the one of a signed integer with 64 bits."""
+
+
+def _shorten(value: object) -> str:
+    """Return the start of a value as text, for error messages."""
+    try:
+        return str(value)[:80]
+    except RecursionError:
+        return f"a {type(value).__name__} nested too deeply"
+
+
 class _Document:
     """JSON object whose accessors check the type and range of a field.
 
@@ -51,7 +66,7 @@
 
     def __init__(self, *, fields: object, path: str):
         if not isinstance(fields, dict):
-            raise ItemError(f"{path} = {str(fields)[:80]!r} is not an object")
+            raise ItemError(f"{path} = {_shorten(fields)!r} is not an object")
         self.fields = fields
         self.path = path
 
@@ -61,6 +76,14 @@
             raise self.wrong(name, "a non-empty string")
         return value
 
+    def name(self, name: str) -> str:
+        """Return a text that is fit for headers, messages to peers and the log."""
+        value = self.text(name)
+        if len(value) > MAX_NAME_CHARACTERS or not value.isprintable():
+            expected = f"a text of at most {MAX_NAME_CHARACTERS} printable characters"
+            raise self.wrong(name, expected)
+        return value
+
     def number(self, name: str, default: float | None = None) -> float:
         value = self.fields.get(name, default)
         if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
@@ -69,13 +92,16 @@
 
     def whole(self, name: str, default: int | None = None) -> int:
         value = self.fields.get(name, default)
-        if type(value) is not int or value < 0:
-            raise self.wrong(name, "an integer >= 0")
+        if type(value) is not int or not 0 <= value <= MAX_WHOLE:
+            raise self.wrong(name, f"an integer from 0 to {MAX_WHOLE}")
         return value
 
     def duration(self, name: str, default: float | None = None) -> timedelta:
         """Return a field that holds milliseconds."""
-        return timedelta(milliseconds=self.number(name, default))
+        try:
+            return timedelta(milliseconds=self.number(name, default))
+        except (OverflowError, ValueError):
+            raise self.wrong(name, "a duration") from None
 
     def boolean(self, name: str) -> bool:
         value = self.fields.get(name, False)
@@ -101,7 +127,7 @@
         return values
 
     def wrong(self, name: str, expected: str) -> ItemError:
-        value = str(self.fields.get(name))[:80]
+        value = _shorten(self.fields.get(name))
         return ItemError(
             f"{self.path}.{name} = {value!r} is not {expected}; correct it"
         )
@@ -209,6 +235,9 @@
 
 
 def _parse_endpoint(name: str, entry: _Document) -> Endpoint:
+    # The id is sent in a header.
+    if not (name.isascii() and name.isprintable()) or " " in name:
+        raise ItemError(f"{name!r} is not an id of visible ASCII characters")
     state = ENDPOINT_STATES.get(entry.text("state"))
     if state is None:
         raise entry.wrong("state", f"one of {', '.join(ENDPOINT_STATES)}")
@@ -221,9 +250,9 @@
     return Endpoint(
         id=name,
         started=entry.whole("born", 0),
-        service=entry.text("service"),
-        version=entry.text("version"),
-        data_center=entry.text("zone"),
+        service=entry.name("service"),
+        version=entry.name("version"),
+        data_center=entry.name("zone"),
         address=address,
         slots=entry.whole("slots"),
         state=state,
