Carry keys with lone surrogates in messages between gateways

What operators saw: a gateway that could not reach the store and depended on its peers got no item at all once one key of the store's had a lone surrogate, which JSON can hold: it was not ready, or stayed at an old configuration.

Cause: such a key can't be encoded as UTF-8. The peer's answer to the request for items failed, on each request again, and its connection was closed.

Change: surrogates pass through the messages in both directions.

--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -35,6 +35,7 @@
       | bytes that can't be read          |
       | ids with control characters       |
       | ids with characters beyond ASCII  |
+      | keys that can't be encoded        |
 
   Scenario: A configuration that is nested at any depth is refused with a message
     Then each field of a configuration with any depth of nesting is refused
--- a/zinniaramp/peers/codec.py
+++ b/zinniaramp/peers/codec.py
@@ -42,6 +42,9 @@
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of durations in messages."""
 
+TEXT_ERRORS = "surrogatepass"
+"""Handling of lone surrogates, which JSON allows in the keys of the store's items."""
+
 
 class MessageError(Exception):
     """Received bytes are not a valid message."""
@@ -141,7 +144,7 @@
 
 def encode(message: Message) -> bytes:
     """Serialize a message."""
-    return msgpack.packb(_as_array(message))
+    return msgpack.packb(_as_array(message), unicode_errors=TEXT_ERRORS)
 
 
 def _decode_snapshot(era, number, items: list, is_complete) -> Snapshot:
@@ -237,7 +240,9 @@
     __slots__ = ("unpacker",)
 
     def __init__(self):
-        self.unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES)
+        self.unpacker = msgpack.Unpacker(
+            max_buffer_size=MAX_MESSAGE_BYTES, unicode_errors=TEXT_ERRORS
+        )
 
     def feed(self, data: bytes) -> list[Message]:
         """Add received bytes and return the messages that are now complete.
