Forget the grace period of an entry that becomes unreadable

What callers saw: after an outage of the store, one request was never answered: the first one after the end of the grace period of an endpoint whose entry had lapsed and came back unreadable.

Cause: an unreadable entry removed the endpoint but not the end of its grace period; ending that raised KeyError in the request that asked for endpoints, where nothing handles it.

Evidence: the new scenario on the commit before: no reply within 20 s.

Change: both are removed together.

Result: odd_entries.feature 18 passed, 0 failed.

--- a/features/gateway/odd_entries.feature
+++ b/features/gateway/odd_entries.feature
@@ -39,3 +39,8 @@
 
   Scenario: A configuration that is nested at any depth is refused with a message
     Then each field of a configuration with any depth of nesting is refused
+
+  Scenario: An odd entry in place of one that has lapsed
+    Given a gateway that is ready
+    When the entry of "s-2" lapses in an outage, is odd when it is back, and time passes
+    Then 20 requests succeed, and no task has failed
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -306,6 +306,7 @@
                     revision=item.revision,
                     problem=str(error),
                 )
+                self.lapsed_until.pop(item.key, None)
                 self.endpoints.pop(item.key, None)
                 self.refused[item.key] = str(error)
 
