Conclude where a stream began only from what the store had after the request

Cause: where nobody knows a stream's origin, the gateway takes the only version that it knows, if the store had confirmed its items in the last 1.5 s. An answer to a watch that waited unread while the process stood still counted as new, and so did peers' heartbeats; and servers join within 1.5 s as well.

Ruled out: wrong origins told by peers; the age of a watch's answer counted from its call alone, since 1.5 s would still be enough for servers to join.

Change: a read barrier before such a conclusion: a read of the store's revision that begins after the request, and the arrival of that revision, 0.7 s at most in all (a slow store takes 0.4 s, a watch that has just returned changes is sent again after 0.25 s). Tasks that wait share a read. Peers are asked again afterwards.

--- a/features/resumption/play.py
+++ b/features/resumption/play.py
@@ -335,6 +335,7 @@
 
     async def _serve(self, gateway, stream, request_id):
         """Act as a gateway that has received a request, and as the engine."""
+        await gateway.awake.wait()
         matched = self._match(stream, request_id)
         version = None
         if matched.is_resumed:
@@ -498,7 +499,9 @@
     async def isolate(play):
         gateway = play.gateways[0]
         source = gateway.follower.source
-        gateway.follower.source = play.store.make_source(is_cut=lambda: True)
+        gateway.follower.source = play.store.make_source(
+            gateway.awake, is_cut=lambda: True
+        )
         if gateway.follower.watch is not None:
             gateway.follower.watch.cancel()
         await play.connections.cut(lambda near, far: gateway in (near, far))
@@ -512,6 +515,63 @@
     return isolate
 
 
+def hold_gateway(seconds):
+    """Return a fault that makes one gateway stand still for some time.
+
+    Its peers close their connections to it when it goes on, as they do after a while.
+    """
+
+    async def hold(play):
+        gateway = play.gateways[0]
+        gateway.awake.clear()
+        await asyncio.sleep(seconds)
+        await play.connections.cut(lambda near, far: gateway in (near, far))
+        gateway.awake.set()
+        await asyncio.sleep(CONNECT_SECONDS[1])
+        for other in play.gateways:
+            if other is not gateway and gateway.is_up:
+                play.connections.open(gateway, other)
+                play.connections.open(other, gateway)
+
+    return hold
+
+
+def write_entries(seconds, interval=0.1):
+    """Return a fault in which the engines write their entries for some time."""
+
+    async def write(play):
+        end = play.loop.seconds + seconds
+        while play.loop.seconds < end:
+            await asyncio.sleep(interval)
+            engine = play.random.choice([one for one in play.engines if one.is_up])
+            if engine.key in play.store.items:
+                play.store.write(engine.key, engine.entry("ready"))
+
+    return write
+
+
+def add_engines(version, count):
+    """Return a fault that starts engines of a version beside the others."""
+
+    async def add(play):
+        for _ in range(count):
+            play.start_engine(version)
+
+    return add
+
+
+def remove_engines(version):
+    """Return a fault that ends all engines of a version, and their entries."""
+
+    async def remove(play):
+        for engine in play.engines:
+            if engine.is_up and engine.version == version:
+                engine.is_up = False
+                play.store.write(engine.key, None)
+
+    return remove
+
+
 def repeat(fault, every, start, end):
     """Return the times of a fault that is repeated."""
     count = int((end - start) / every) + 1
--- a/features/resumption/world.py
+++ b/features/resumption/world.py
@@ -20,6 +20,7 @@
     Endpoint,
     EndpointState,
     Item,
+    ReadBarrier,
     Registry,
     RevisionChecker,
     Snapshot,
@@ -90,13 +91,25 @@
         while self.history and self.history[0][0] < oldest:
             self.compacted = self.history.pop(0)[1].revision
 
-    def make_source(self, is_cut=lambda: False):
-        """Return the calls of one gateway, which may be cut off from the store."""
+    def make_source(self, awake, is_cut=lambda: False):
+        """Return the calls of one gateway, which may be cut off from the store.
+
+        Its answers wait while the gateway stands still.
+        """
+
+        def held(call):
+            async def call_and_wait(*arguments):
+                answer = await call(*arguments)
+                await awake.wait()
+                return answer
+
+            return call_and_wait
+
         return Source(
-            read_all=lambda: self._call(self._read_all, is_cut),
-            watch=lambda after, wait: self._watch(after, wait, is_cut),
-            read_revision=lambda: self._call(lambda: self.revision, is_cut),
-            read_history=lambda: self._call(self._read_history, is_cut),
+            read_all=held(lambda: self._call(self._read_all, is_cut)),
+            watch=held(lambda after, wait: self._watch(after, wait, is_cut)),
+            read_revision=held(lambda: self._call(lambda: self.revision, is_cut)),
+            read_history=held(lambda: self._call(self._read_history, is_cut)),
         )
 
     async def _call(self, answer, is_cut):
@@ -189,6 +202,8 @@
         random = Random(play.random.getrandbits(64))
         self.number = number
         self.is_up = True
+        self.awake = asyncio.Event()
+        self.awake.set()
         # Dictionaries keep the order of their keys, so that plays are repeatable.
         self.tasks = {}
         self.registry = Registry(
@@ -198,7 +213,7 @@
             clock=loop.clock,
         )
         self.follower = StoreFollower(
-            source=play.store.make_source(),
+            source=play.store.make_source(self.awake),
             registry=self.registry,
             clock=loop.clock,
             random=random,
@@ -226,6 +241,9 @@
                 clock=loop.clock,
             ),
             read_history=self.follower.read_history,
+            wait_until_current=ReadBarrier(
+                cache=self.registry.cache, read_revision=self.follower.read_revision
+            ).wait,
         )
         checker = RevisionChecker(
             follower=self.follower,
@@ -257,6 +275,29 @@
             task.cancel()
 
 
+class HeldStream:
+    """A connection of a gateway on which nothing moves while it stands still."""
+
+    def __init__(self, stream, awake):
+        self.stream = stream
+        self.awake = awake
+
+    async def write(self, data):
+        """Write bytes once the gateway is awake."""
+        await self.awake.wait()
+        await self.stream.write(data)
+
+    async def read_bytes(self, *arguments, **fields):
+        """Return bytes that have arrived, once the gateway is awake."""
+        data = await self.stream.read_bytes(*arguments, **fields)
+        await self.awake.wait()
+        return data
+
+    def close(self):
+        """Close the connection."""
+        self.stream.close()
+
+
 class Connections:
     """Connections between the gateways, which can be cut and made again."""
 
@@ -281,8 +322,10 @@
         name = f"{near.mesh.own_address}-{id(ends)}"
         self.tasks[pair] = (
             name,
-            asyncio.create_task(self._write(near, far, ends[0])),
-            asyncio.create_task(self._read(far, name, ends[1])),
+            asyncio.create_task(
+                self._write(near, far, HeldStream(ends[0], near.awake))
+            ),
+            asyncio.create_task(self._read(far, name, HeldStream(ends[1], far.awake))),
         )
 
     @staticmethod
--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -4,16 +4,20 @@
 
 from features.resumption.play import (
     Load,
+    add_engines,
     change_store,
     crash_engines,
     cut_callers,
+    hold_gateway,
     isolate_gateway,
     kill_gateways,
     partition_gateways,
     play,
+    remove_engines,
     repeat,
     replace_engines,
     take_store_away,
+    write_entries,
 )
 from features.resumption.world import SimulatedStore
 
@@ -97,6 +101,51 @@
             *repeat(cut_callers(0.5), 1, 13.5, 23),
         ),
     },
+    "a gateway stands still while a new version appears": {
+        "versions": ONE_VERSION,
+        "seconds": 24.0,
+        "faults": (
+            (12, write_entries(12)),
+            (13, hold_gateway(4)),
+            (13.2, replace_engines("v1.1", 3)),
+            (13.3, kill_gateways(1)),
+            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
+        ),
+    },
+    "a new version comes and goes while a gateway stands still": {
+        "versions": ONE_VERSION,
+        "seconds": 24.0,
+        "faults": (
+            (12, write_entries(12)),
+            (13, hold_gateway(4)),
+            (13.2, add_engines("v1.1", 6)),
+            (15, remove_engines("v1.1")),
+            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
+        ),
+    },
+    "a new version comes and goes while a gateway is cut off": {
+        "versions": ONE_VERSION,
+        "seconds": 24.0,
+        "faults": (
+            (12, write_entries(12)),
+            (13, isolate_gateway(4)),
+            (13.2, add_engines("v1.1", 6)),
+            (15, remove_engines("v1.1")),
+            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
+        ),
+    },
+    "a new version comes and goes, and the history is dropped": {
+        "versions": ONE_VERSION,
+        "seconds": 24.0,
+        "faults": (
+            (12, write_entries(12)),
+            (13, isolate_gateway(4)),
+            (13.2, add_engines("v1.1", 6)),
+            (15, remove_engines("v1.1")),
+            (15.1, change_store(SimulatedStore.drop_history)),
+            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
+        ),
+    },
     "versions go forth and back": {
         "versions": ONE_VERSION,
         "faults": (
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -21,7 +21,7 @@
 from ..platform.listening import EarlyListener
 from ..platform.settings import HostSettings, SettingsError, read_host_settings
 from ..platform.store import make_json_reader, make_store_source
-from ..registry import Registry, RevisionChecker, StoreFollower
+from ..registry import ReadBarrier, Registry, RevisionChecker, StoreFollower
 from ..sockets import Address
 from .tasks import log_library_messages, log_uncaught_exceptions, supervise
 
@@ -110,6 +110,9 @@
             random=random,
             history_length=settings.store_history,
         )
+        barrier = ReadBarrier(
+            cache=self.registry.cache, read_revision=self.follower.read_revision
+        )
         STORE_LOST.set_function(
             lambda: float(self.follower.unreachable_since is not None)
         )
@@ -122,6 +125,7 @@
             random=random,
             read_cached_segments=make_cached_segment_reader(make_json_reader()),
             read_history=self.follower.read_history,
+            wait_until_current=barrier.wait,
         )
         self.checker = RevisionChecker(
             follower=self.follower,
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -117,6 +117,8 @@
         Reads the prompt segments in an engine's KV cache.
     read_history : callable
         Lets the registry learn which versions served before this process started.
+    wait_until_current : callable
+        Returns whether the registry has everything that the store had at the call.
 
     Attributes
     ----------
@@ -163,6 +165,7 @@
         random: Random,
         read_cached_segments: ReadCachedSegments,
         read_history: Callable[[], Awaitable[None]],
+        wait_until_current: Callable[[], Awaitable[bool]],
     ):
         self.settings = settings
         self.registry = registry
@@ -204,6 +207,7 @@
                 clock=clock,
             ),
             read_history=read_history,
+            wait_until_current=wait_until_current,
         )
         self.pool.broadcast = self.mesh.broadcast
         self.segment_loader = CachedSegmentLoader(
--- a/zinniaramp/gateway/resumption.py
+++ b/zinniaramp/gateway/resumption.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..peers import LoadEvent, StreamBegan
 from ..registry import Registry
-from ..resumption import StreamOrigin, StreamOrigins, origin_key
+from ..resumption import OriginRecord, StreamOrigin, StreamOrigins, origin_key
 from ..resumption.core import ORIGIN_LIFETIME
 from ..routes import RetryPolicy
 from .matching import MatchedRequest
@@ -22,12 +22,6 @@
 Callers give up after about one; the configuration may have changed it meanwhile."""
 
 
-MAX_CONFIRMATION_AGE = timedelta(seconds=1.5)
-"""Time since the store last confirmed what is known, above which another version may
-serve without being known here.  The store confirms it every 0.9 s, a slow one every
-1.3 s."""
-
-
 class KnownBy(Enum):
     """How the origin of a stream is known.
 
@@ -91,6 +85,8 @@
         Finds engines by a prompt segment.
     read_history : callable
         Lets the registry learn which versions served before this process started.
+    wait_until_current : callable
+        Returns whether the registry has everything that the store had at the call.
 
     Attributes
     ----------
@@ -107,6 +103,7 @@
         "ask_peers",
         "search",
         "read_history",
+        "wait_until_current",
         "origins",
         "mixed_services",
         "history_lock",
@@ -121,6 +118,7 @@
         ask_peers: Callable[[bytes], Awaitable[StreamOrigin | None]],
         search: SegmentSearch,
         read_history: Callable[[], Awaitable[None]],
+        wait_until_current: Callable[[], Awaitable[bool]],
     ):
         self.registry = registry
         self.clock = clock
@@ -128,6 +126,7 @@
         self.ask_peers = ask_peers
         self.search = search
         self.read_history = read_history
+        self.wait_until_current = wait_until_current
         self.origins = StreamOrigins(clock=clock)
         self.mixed_services: set[str] = set()
         self.history_lock = asyncio.Lock()
@@ -182,12 +181,34 @@
             age = self.clock() - record.at
             known_by = KnownBy.OWN if record.is_own else KnownBy.PEER
             return FoundOrigin(known_by=known_by, origin=record.origin, age=age)
-        if key and record is None and (told := await self.ask_peers(key)) is not None:
-            self.origins.record(key, told, is_own=False)
-            return FoundOrigin(known_by=KnownBy.PEER, origin=told)
-        return await self._find_without_gateways(matched)
+        if (told := await self._ask_peers(key, record)) is not None:
+            return told
+        found = await self._find_without_gateways(matched)
+        if found.origin is None:
+            # A peer may have been connected in the meantime.
+            found = await self._ask_peers(key, record) or found
+        return found
+
+    async def _ask_peers(
+        self, key: bytes | None, record: OriginRecord | None
+    ) -> FoundOrigin | None:
+        """Return what the peers know of a stream of which there is no record here."""
+        if key is None or record is not None:
+            return None
+        told = await self.ask_peers(key)
+        if told is None:
+            return None
+        self.origins.record(key, told, is_own=False)
+        return FoundOrigin(known_by=KnownBy.PEER, origin=told)
 
     async def _find_without_gateways(self, matched: MatchedRequest) -> FoundOrigin:
+        """Conclude where a stream began from the versions that serve.
+
+        The stream began before its caller resumed it, so what the store had at that
+        time has to be known.
+        """
+        if not await self.wait_until_current():
+            return FoundOrigin(known_by=KnownBy.NOBODY)
         if (only := self._only_version(matched)) is not None:
             return FoundOrigin(known_by=KnownBy.ONLY_VERSION, origin=only)
         versions = await self._versions_of_holders(matched)
@@ -212,9 +233,6 @@
 
     def _only_version(self, matched: MatchedRequest) -> StreamOrigin | None:
         """Return the one version that has served for as long as the stream may last."""
-        confirmed = self.registry.freshness.age()
-        if confirmed is None or confirmed > MAX_CONFIRMATION_AGE:
-            return None
         if not self._is_history_known(matched):
             return None
         max_age = matched.route.timeout * STREAM_AGE_TIMEOUTS
--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -1,5 +1,6 @@
 """The process's replica of the endpoints and configuration in the store."""
 
+from .barrier import ReadBarrier
 from .core import Endpoint, EndpointState, Registry
 from .follower import Source, StoreFollower
 from .freshness import Freshness
@@ -12,6 +13,7 @@
     "Freshness",
     "Item",
     "ItemCache",
+    "ReadBarrier",
     "Registry",
     "RevisionChecker",
     "Snapshot",
--- /dev/null
+++ b/zinniaramp/registry/barrier.py
@@ -0,0 +1,82 @@
+"""Read barrier: wait until everything is known that the store has had so far."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from result import Err, Result
+
+from ..reads import ReadError
+from .items import ItemCache, StoreRevision
+
+__all__ = ["ReadBarrier"]
+
+BARRIER_TIMEOUT = timedelta(milliseconds=700)
+"""Longest wait.  A slow store takes about 400 ms to answer, and a watch that has just
+returned changes is sent again after 250 ms."""
+
+POLL_INTERVAL = timedelta(milliseconds=10)
+"""Interval at which the arrival of the store's revision is checked."""
+
+
+class ReadBarrier:
+    """Waits until a process knows all changes that the store had at a certain time.
+
+    What the process has heard before doesn't show that: answers and peers' messages may
+    have been on their way, or unread, for as long as the process stood still or was cut
+    off.  Only a call to the store that begins afterwards does.
+
+    Parameters
+    ----------
+    cache : ItemCache
+        Items that the process has.
+    read_revision : callable
+        Returns the store's current revision.
+
+    Attributes
+    ----------
+    next_read : asyncio.Task or None
+        A read that has not begun, which all share who ask meanwhile.
+    lock : asyncio.Lock
+        Held during a read, so that one runs at a time.
+    """
+
+    __slots__ = ("cache", "read_revision", "next_read", "lock")
+
+    def __init__(
+        self,
+        *,
+        cache: ItemCache,
+        read_revision: Callable[[], Awaitable[Result[StoreRevision, ReadError]]],
+    ):
+        self.cache = cache
+        self.read_revision = read_revision
+        self.next_read: asyncio.Task | None = None
+        self.lock = asyncio.Lock()
+
+    async def wait(self) -> bool:
+        """Return whether all changes made before this call are known.
+
+        It is false if the store can't be read, or the changes don't arrive in time.
+        """
+        if self.next_read is None:
+            self.next_read = asyncio.create_task(self._read())
+        try:
+            async with asyncio.timeout(BARRIER_TIMEOUT.total_seconds()):
+                # Others may wait for the same read.
+                read = await asyncio.shield(self.next_read)
+                return not isinstance(read, Err) and await self._arrival(read.ok_value)
+        except TimeoutError:
+            return False
+
+    async def _read(self) -> Result[StoreRevision, ReadError]:
+        async with self.lock:
+            # A read that has begun doesn't cover the changes made since.
+            self.next_read = None
+            return await self.read_revision()
+
+    async def _arrival(self, revision: StoreRevision) -> bool:
+        """Wait until a revision is known, and return true."""
+        while self.cache.revision < revision:
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
+        return True
