Remember software versions that came and went unseen

What callers saw: a stream that had begun at a version which served for two seconds went on at another version, taken up at a gateway that had stood still meanwhile (ORDER).

Cause: the registry kept the versions of what is registered after each answer. A version that came and went within one answer left no trace, nor did one between a state and a full read, or a peer's items, which have only the latest state. The gateway then took the only version left for the one that began the stream.

Change: each entry counts as a version that has served; a full read, and the removal of an entry that was never seen, mean that the versions before are not known.

--- a/features/resumption/resumption.feature
+++ b/features/resumption/resumption.feature
@@ -35,6 +35,8 @@
       | a gateway is cut off while a new version appears          | list       | those that can |
       | a gateway stands still while a new version appears        | list       | nearly all     |
       | a gateway stands still while a new version appears        | don't list | nearly all     |
+      | a new version comes and goes while a gateway stands still | list       | nearly all     |
+      | a new version comes and goes while a gateway stands still | don't list | nearly all     |
       | a new version comes and goes while a gateway is cut off   | list       | those that can |
       | a new version comes and goes while a gateway is cut off   | don't list | those that can |
       | a new version comes and goes, and the history is dropped  | list       | those that can |
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -213,6 +213,9 @@
     def apply(self, snapshot: Snapshot) -> None:
         """Apply the new items of a snapshot; one of an older era has none."""
         self._check_era(snapshot)
+        if snapshot.is_complete:
+            # It doesn't show what came and went since the items that are known.
+            self.versions.record_gap()
         for item in self.cache.apply(snapshot):
             if item.value is None:
                 self._remove(item)
@@ -318,6 +321,7 @@
             self.leaving.add(endpoint.incarnation)
         if self.endpoints.get(key) == endpoint:
             return
+        self.versions.record(endpoint.service, endpoint.version)
         self.endpoints[key] = endpoint
         emit(
             ENDPOINT_LISTED,
@@ -363,9 +367,12 @@
         emit(CONFIGURATION_IN_FORCE, version=configuration.version)
 
     def _remove(self, item: Item) -> None:
-        self.refused.pop(item.key, None)
+        was_refused = self.refused.pop(item.key, None) is not None
         endpoint = self.endpoints.get(item.key)
         if endpoint is None:
+            if not was_refused:
+                # Its entry was written and removed without being seen here.
+                self.versions.record_gap()
             return
         now = self.clock()
         name = endpoint.incarnation
--- a/zinniaramp/registry/versions.py
+++ b/zinniaramp/registry/versions.py
@@ -21,7 +21,8 @@
     present : dict of set
         Versions of the registered endpoints, by service.
     gone_at : dict of datetime
-        When the last endpoint of a service and version was removed, by this pair.
+        When an endpoint of a service and version was last registered or removed, by
+        this pair.
     known_since : datetime or None
         Time from which all versions are known; None before the first full read.
     """
@@ -34,6 +35,15 @@
         self.gone_at: dict[tuple[str, str], datetime] = {}
         self.known_since: datetime | None = None
 
+    def record(self, service: str, version: str) -> None:
+        """Record the entry of an endpoint, which may be removed at once."""
+        self.gone_at[service, version] = self.clock()
+
+    def record_gap(self) -> None:
+        """Record that endpoints may have come and gone unknown until now."""
+        if self.known_since is not None:
+            self.known_since = self.clock()
+
     def update(self, pairs: Iterable[tuple[str, str]]) -> None:
         """Replace the services and versions of the registered endpoints.
 
