Show that a refusal which a server repeats reaches no other request

Evidence: the stand-in can write a refusal twice, with the request's id and without one.

No fault was found, so nothing else changes.

--- a/zinniaramp/standins/platform/behaviour.py
+++ b/zinniaramp/standins/platform/behaviour.py
@@ -21,6 +21,12 @@
     SHED = "shed"
     """Answers 503 and reports that the request was not executed."""
 
+    SHED_AGAIN = "shed-again"
+    """Like `SHED`, and writes the refusal once more on the connection."""
+
+    SHED_AGAIN_NAMELESS = "shed-again-nameless"
+    """Like `SHED_AGAIN`; the second refusal names no request."""
+
     UNAVAILABLE = "unavailable"
     """Executes the request and answers a signed 503."""
 
--- a/zinniaramp/standins/platform/handlers.py
+++ b/zinniaramp/standins/platform/handlers.py
@@ -21,6 +21,9 @@
 ENDLESS_CHUNK_BYTES = 64 * 1024
 """Bytes that an answer without an end is extended by at a time."""
 
+REPEATED_REFUSALS = (ServerBehaviour.SHED_AGAIN, ServerBehaviour.SHED_AGAIN_NAMELESS)
+"""Behaviours of a server that refuses once and writes it twice."""
+
 
 async def write_endlessly(standin: "ServerStandin", stream: IOStream, head: bytes):
     """Send bytes that never end until the caller closes the connection.
@@ -125,6 +128,9 @@
             if self.standin.retry_after is not None:
                 self.set_header("Retry-After", str(self.standin.retry_after))
             return
+        if behaviour in REPEATED_REFUSALS:
+            self._refuse_again(behaviour)
+            return
         self.arrival.was_executed = True
         if behaviour is ServerBehaviour.HOLD:
             await self.standin.released.wait()
@@ -138,6 +144,19 @@
 
     get = post = put = delete = patch = handle
 
+    def _refuse_again(self, behaviour: ServerBehaviour) -> None:
+        """Refuse a request, and write where the next answer is due that it was."""
+        stream = self.request.connection.stream
+        self.set_status(503)
+        self.set_header("Zinniaramp-Not-Executed", "1")
+        self.set_header("Zinniaramp-Request-Id", self._request_id())
+        self.finish()
+        lines = ["HTTP/1.1 503 Service Unavailable", "Zinniaramp-Not-Executed: 1"]
+        if behaviour is ServerBehaviour.SHED_AGAIN:
+            lines.append(f"Zinniaramp-Request-Id: {self._request_id()}")
+        lines += ["Content-Length: 0", "", ""]
+        stream.write("\r\n".join(lines).encode())
+
     def on_connection_close(self) -> None:
         """Record that the caller has disconnected and cancel its generation."""
         if self.arrival is not None and not self.arrival.ended:
