End each request whose handling raises an unexpected exception

Cause: only expected exceptions were handled; any other ended the task, and with it the deadline that should have ended the request.

Change: any other exception is logged with the request's id and the line of code (event 2018), and ends like every failure: 502 internal-error or a cut. Not 503, which would promise that nothing has run. A send that fails while its headers are written closes its connection.

--- a/zinniaramp/gateway/events.py
+++ b/zinniaramp/gateway/events.py
@@ -13,6 +13,7 @@
     "HOLDINGS_READ",
     "HOLDINGS_UNKNOWN",
     "LISTENER_LATE",
+    "REQUEST_FAILED",
     "REQUEST_REFUSED",
     "SEND_ENDED",
     "GATEWAY_STARTED",
@@ -217,3 +218,11 @@
         "waited_ms",
     ),
 )
+REQUEST_FAILED = declare_event(
+    number=2018,
+    name="request-failed",
+    level="ERROR",
+    meaning="An unexpected exception ended the handling of a request; `where` is the "
+    "line of the code.  Event 2002 or 2003 says what the caller got.",
+    fields=("request", "route", "sends", "after_ms", "error", "where"),
+)
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -1,13 +1,20 @@
 """Handling of one caller's request, from its headers to the end of the answer."""
 
 import asyncio
+import traceback
 from dataclasses import replace
 from datetime import timedelta
 
 from ..observability import emit
 from ..resumption import StreamOrigin
 from .caller import CallerConnection, CallerGoneError
-from .events import ANSWERED, CALLER_LEFT, REQUEST_REFUSED, STREAM_RESUMED
+from .events import (
+    ANSWERED,
+    CALLER_LEFT,
+    REQUEST_FAILED,
+    REQUEST_REFUSED,
+    STREAM_RESUMED,
+)
 from .matching import CallerRequest, MatchedRequest, RefusalError, match_request
 from .metrics import ANSWERS, CUT_ANSWERS, FIRST_EVENT_SECONDS, RESUMPTIONS
 from .outcomes import SendOutcome, SendResult
@@ -65,6 +72,10 @@
         except (CallerGoneError, asyncio.CancelledError):
             emit(CALLER_LEFT, **self._log_fields())
             self.caller.abort()
+        except Exception as error:
+            # Whatever goes wrong, the caller gets an end; the request may have run.
+            self._log_failure(error)
+            await self._end_without_answer(RefusalError(502, "internal-error"))
         finally:
             if self.sender is not None:
                 self.sender.end_send()
@@ -234,6 +245,15 @@
             **self._log_fields(),
         )
 
+    def _log_failure(self, error: Exception) -> None:
+        frame = traceback.extract_tb(error.__traceback__)[-1]
+        emit(
+            REQUEST_FAILED,
+            error=repr(error),
+            where=f"{frame.filename}:{frame.lineno}",
+            **self._log_fields(),
+        )
+
     def _log_fields(self) -> dict:
         matched = self.matched
         return {
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -202,5 +202,9 @@
     if isinstance(opened, Err):
         return opened
     answer = Answer(stream=opened.ok_value)
-    answer.start(request)
+    try:
+        answer.start(request)
+    except BaseException:
+        answer.close()
+        raise
     return Ok(answer)
