Let a stream with an event out of order go on after the last sound one

What callers saw: a resumable stream with one wrong id never went on, although another server had the rest; ids with superscripts or 5,000 digits raised ValueError, so that the stream had no end.

Cause: `isdigit` is true of superscripts, which `int` refuses. A read with an event out of order was dropped with the sound events before it, the resume position had moved behind them, and later answers were not forwarded.

Change: numbers are ASCII with at most 18 digits (64 bits have 19); ids that began as numbers stay numbers; the events before the wrong one are forwarded, and each answer is checked anew.

Why it works: `last_event_id` is now always that of the last forwarded event.

--- a/features/gateway/unexpected_errors.feature
+++ b/features/gateway/unexpected_errors.feature
@@ -31,3 +31,16 @@
       | relay later     | RecursionError     | /gaps/x | a cut answer     |
       | record_event    | ZeroDivisionError  | /tell/x | a cut answer     |
       | record_result   | KeyError           | /read/x | 502              |
+
+  Scenario Outline: A wrong byte in the id of an event breaks the stream off
+    Given the id of event <number> of every first stream is <id>
+    When "GET <path>" is sent
+    Then <result>
+
+    Examples:
+      | number | id     | path      | result                                                  |
+      | 3      | \xb3   | /tell/x   | the reply is incomplete and ends after a complete event |
+      | 3      | \xb9   | /gaps/x   | the reply is 200 with every event once and in order     |
+      | 3      | x      | /gaps/x   | the reply is 200 with every event once and in order     |
+      | 3      | \xff   | /resume/x | the reply is 200 with every event once and in order     |
+      | 3      | 5000 9 | /gaps/x   | the reply is 200 with every event once and in order     |
--- a/features/steps/gateway_unexpected_errors_steps.py
+++ b/features/steps/gateway_unexpected_errors_steps.py
@@ -10,6 +10,7 @@
 from features.gateway.rig import read_reply, request
 from zinniaramp.gateway import handling, pool, upstream
 from zinniaramp.gateway.streams import EventRelay
+from zinniaramp.standins.platform import ServerBehaviour
 
 EVENT_SECONDS = 0.02
 """Time between two events of a stream, which arrive one at a time."""
@@ -123,3 +124,15 @@
             assert reply.status == 200 and reply.is_complete, reply
 
     rig.run(call_all())
+
+
+@given("the id of event {number:d} of every first stream is {name}")
+def set_odd_id(context, number, name):
+    digits, _, digit = name.partition(" ")
+    escaped = name.encode().decode("unicode_escape")
+    odd = digit.encode() * int(digits) if digit else escaped.encode("latin-1")
+    shared = context.rig.servers["s-1"].behaviours
+    shared.append(ServerBehaviour.ODD_ID)
+    for server in context.rig.servers.values():
+        server.behaviours = shared
+        server.odd_event, server.odd_id = number, odd
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -339,7 +339,7 @@
         return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
     async def _relay_stream(self, answer: Answer, result: SendResult) -> SendResult:
-        self.relay.discard_partial_event()
+        self.relay.begin_answer()
         while True:
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
@@ -369,7 +369,7 @@
 
     async def _forward_events(self, data: bytes, head: AnswerHead) -> None:
         whole = self.relay.feed(data)
-        if not whole or not self.relay.in_order:
+        if not whole:
             return
         if self.first_at is None:
             self.version = self.selection.endpoint.version
--- a/zinniaramp/gateway/streams.py
+++ b/zinniaramp/gateway/streams.py
@@ -1,13 +1,21 @@
 """Splitting of a stream of server-sent events, and its resume position."""
 
+import re
+from collections.abc import Iterator
+
 __all__ = ["EventRelay"]
 
 EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
 """Blank lines that terminate an event."""
 
+EVENT = re.compile(rb".*?(?:\n\n|\r\n\r\n)", re.DOTALL)
+"""Pattern of one event with its terminator."""
+
 ID_FIELD_PREFIX = b"id:"
 """Start of the line that carries an event's id."""
 
+MAX_ID_DIGITS = 18
+"""Most digits of an id that counts as a number; 64 bits have 19."""
 
 MAX_EVENT_BYTES = 1024 * 1024
 """Largest event, in bytes; those of the platform have a few hundred."""
@@ -26,7 +34,7 @@
     last_event_id : str or None
         Id of the last complete event, after which the stream can be resumed.
     in_order : bool
-        Whether numeric ids have strictly increased.
+        Whether ids that began as numbers have stayed numbers and strictly increased.
     pending : bytes
         Start of an event that is not complete yet.
     """
@@ -39,16 +47,19 @@
         self.in_order = True
 
     def feed(self, data: bytes) -> bytes:
-        """Add received bytes; return those of the events that are now complete."""
+        """Add received bytes; return those of the events that are now complete.
+
+        Events from the first one on that is out of order are left out.
+        """
         buffered = self.pending + data
         end = max(self._end_of(buffered, mark) for mark in EVENT_TERMINATORS)
         whole, self.pending = buffered[:end], buffered[end:]
-        self._record_ids(whole)
-        return whole
+        return self._accept(whole)
 
-    def discard_partial_event(self) -> None:
-        """Discard the start of an event that an endpoint did not complete."""
+    def begin_answer(self) -> None:
+        """Prepare for another answer, which goes on after `last_event_id`."""
         self.pending = b""
+        self.in_order = True
 
     @staticmethod
     def _end_of(data: bytes, mark: bytes) -> int:
@@ -64,16 +75,32 @@
             return f"event with more than {MAX_EVENT_BYTES} bytes"
         return ""
 
-    def _record_ids(self, whole: bytes) -> None:
-        for line in whole.splitlines():
-            if not line.startswith(ID_FIELD_PREFIX):
-                continue
-            name = line[len(ID_FIELD_PREFIX) :].strip().decode("latin-1")
-            self.in_order = self.in_order and _is_after(name, self.last_event_id)
-            self.last_event_id = name
+    def _accept(self, whole: bytes) -> bytes:
+        """Record the ids of events, and return the events that are in order."""
+        for event in EVENT.finditer(whole):
+            last = self.last_event_id
+            for name in _event_ids(event[0]):
+                if not _is_after(name, last):
+                    self.in_order = False
+                    return whole[: event.start()]
+                last = name
+            self.last_event_id = last
+        return whole
+
+
+def _event_ids(event: bytes) -> Iterator[str]:
+    for line in event.splitlines():
+        if line.startswith(ID_FIELD_PREFIX):
+            yield line[len(ID_FIELD_PREFIX) :].strip().decode("latin-1")
 
 
 def _is_after(name: str, previous: str | None) -> bool:
-    if previous is None or not (name.isdigit() and previous.isdigit()):
+    """Return whether an id can follow another one; numbers have to rise."""
+    if previous is None or not _is_number(previous):
         return True
-    return int(name) > int(previous)
+    return _is_number(name) and int(name) > int(previous)
+
+
+def _is_number(name: str) -> bool:
+    # `isdigit` alone is also true of superscripts, which `int` doesn't take.
+    return name.isascii() and name.isdigit() and len(name) <= MAX_ID_DIGITS
--- a/zinniaramp/standins/platform/behaviour.py
+++ b/zinniaramp/standins/platform/behaviour.py
@@ -78,6 +78,9 @@
     STALL = "stall"
     """Stops within an event of the stream; the connection stays open."""
 
+    ODD_ID = "odd-id"
+    """Writes ``ServerStandin.odd_id`` as the id of one event of the stream."""
+
     REPEAT = "repeat"
     """Sends one event of the stream twice."""
 
--- a/zinniaramp/standins/platform/handlers.py
+++ b/zinniaramp/standins/platform/handlers.py
@@ -243,6 +243,11 @@
             events = expected_events(self._request_id(), first + 1, self.standin.events)
             self.finish(start + events)
             return
+        if behaviour is ServerBehaviour.ODD_ID:
+            events = expected_events(self._request_id(), first, self.standin.events)
+            written, odd = b"id: %d\n" % self.standin.odd_event, self.standin.odd_id
+            self.finish(events.replace(written, b"id: %b\n" % odd))
+            return
         if self.standin.event_seconds:
             await self._stream_slowly(first)
             return
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -65,6 +65,10 @@
         Time between two events of a stream; 0 sends them at once.
     events_before_tear : int
         Number of complete events in a stream that is torn or stalls.
+    odd_event : int
+        Number of the event that `ServerBehaviour.ODD_ID` is about.
+    odd_id : bytes
+        Id of that event.
     released : asyncio.Event
         Set by the test to continue requests that are held or stalled.
     answer_started : asyncio.Event
@@ -100,6 +104,8 @@
     events: int = 4
     event_seconds: float = 0
     events_before_tear: int = 2
+    odd_event: int = 0
+    odd_id: bytes = b""
     released: asyncio.Event = field(default_factory=asyncio.Event)
     answer_started: asyncio.Event = field(default_factory=asyncio.Event)
     arrivals: list[Arrival] = field(default_factory=list)
