Apply a changed limit on bodies to the next request of every connection

Cause: the library's object for the next request is made when the answer before has ended, with the limit of that time; and a change was applied only after a request had been read.

Ruled out: to close the kept connections at a change, which costs callers a request that crosses the close.

Change: limits are applied with the configuration, and the one on bodies again when headers are read. Header blocks of up to 64 KiB, the library's default, are always read.

--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -296,6 +296,7 @@
         self.mesh.announce_revision()
         if self.registry.configuration is not None:
             self.configured.set()
+            self.callers.apply_limits(self.registry.configuration.limits)
             CONFIGURATION.set(self.registry.configuration.version)
         self.segment_loader.query_new_engines()
 
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -23,6 +23,10 @@
 
 __all__ = ["CallerServer"]
 
+MIN_HEADER_BYTES = 64 * 1024
+"""Size of a header block up to which all are read, in bytes.  A connection that waits
+keeps the limit with which it began, so a raised limit would not apply to it."""
+
 
 class _RequestReader(HTTPMessageDelegate):
     """Reads one complete request and starts its handler."""
@@ -38,6 +42,9 @@
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders):
         self.server.idle.discard(self.connection)
+        if self.server.limits is not None:
+            # The connection has the limit that was in force when it began to wait.
+            self.connection.set_max_body_size(self.server.limits.body_bytes)
         self.start_line = start_line
         self.headers = headers
         self.received = self.server.clock()
@@ -106,19 +113,21 @@
         self.http.add_sockets(listeners)
 
     def apply_limits(self, limits: ClientLimits) -> None:
-        """Apply a configuration's limits to connections and requests from now on."""
+        """Apply a configuration's limits to all requests whose headers are not read.
+
+        The limit on headers applies only above `MIN_HEADER_BYTES`, and the one on idle
+        time to connections that begin to wait from now on.
+        """
         if limits == self.limits:
             return
         self.limits = limits
         parameters = self.http.conn_params
-        parameters.max_header_size = limits.header_bytes
+        parameters.max_header_size = max(limits.header_bytes, MIN_HEADER_BYTES)
         parameters.max_body_size = limits.body_bytes
         parameters.header_timeout = limits.idle_timeout.total_seconds()
 
     def handle(self, request: CallerRequest, connection: HTTP1Connection) -> None:
         """Start a task for a request; closing the connection cancels the task."""
-        if self.pool.registry.configuration is not None:
-            self.apply_limits(self.pool.registry.configuration.limits)
         caller = CallerConnection(
             connection=connection, is_closing=lambda: self.is_closing
         )
