Play a gateway that stands still during a release, with processes

Cause: the simulation of resumed streams has neither real sockets nor real stops, so it could not show whether the reported fault happens between processes.

Change: a scenario with two gateways as processes; one gets SIGSTOP for 1 or 4 s while servers of another version join, and streams that began on them at the other gateway are taken up at it as it goes on, with the other one alive or dead.

--- a/features/steps/gateway_resumption_steps.py
+++ b/features/steps/gateway_resumption_steps.py
@@ -265,3 +265,65 @@
     for stream in context.streams:
         assert stream.goes_on(), stream
         check_not_joined(context, stream, context.services)
+
+
+@given("{count:d} connected gateway processes, which know the versions of the last 2 s")
+def start_processes_with_history(context, count):
+    rig = context.rig
+    # Versions are looked up for twice the route's timeout.
+    resume = route("resume", "streaming", attempts=2, resumable=True, timeout_ms=1000)
+    rig.store.put("op/config", configuration(9, routes=[resume]))
+    start_connected_processes(context, count)
+    rig.run(asyncio.sleep(2))
+
+
+@when('the second gateway stands still for {seconds:d} s while "{names}" join')
+def stand_still(context, seconds, names):
+    rig = context.rig
+    joining = dict(name.split("=") for name in names.split())
+    context.versions |= joining
+
+    async def run_step():
+        rig.processes[1].send_signal(signal.SIGSTOP)
+        # A busy store answers the watch of the process that stands still at once.
+        rig.publish("s-1", version=context.versions["s-1"], sequence=2)
+        await asyncio.sleep(TELLING_SECONDS)
+        for name, version in joining.items():
+            await rig.add_server(name, version=version)
+        for name, version in joining.items():
+            endpoint = f"{name}@1000"
+            await rig.wait_until_logged(
+                rig.processes[0], "endpoint-listed", endpoint=endpoint, version=version
+            )
+        await asyncio.sleep(seconds)
+
+    rig.run(run_step())
+
+
+@when(
+    "{count:d} streams that began meanwhile at the first one are taken up at it, {when}"
+)
+def take_up_at_woken(context, count, when):
+    rig = context.rig
+
+    async def run_step():
+        await begin_streams(context, count)
+        if "died" in when:
+            await kill(rig.processes[:1])
+        # The callers' requests wait already when the process goes on.
+        taking_up = asyncio.create_task(take_up(context, rig.processes[1]))
+        await asyncio.sleep(TELLING_SECONDS)
+        rig.processes[1].send_signal(signal.SIGCONT)
+        await taking_up
+
+    rig.run(run_step())
+
+
+@then("none is joined of two software versions")
+def check_none_joined(context):
+    began = set()
+    for stream in context.streams:
+        check_not_joined(context, stream)
+        assert stream.goes_on() or stream.reply.status == 503, stream
+        began |= servers_reached(context.rig, stream.first)
+    assert "v1.1" in {context.versions[name] for name in began}, began
