--- a/features/steps/gateway_odd_entries_steps.py
+++ b/features/steps/gateway_odd_entries_steps.py
@@ -3,6 +3,7 @@
 import json
 import sys
 from datetime import timedelta
+from functools import partial
 
 from behave import then, when
 from result import Err
@@ -144,10 +145,12 @@
 @then('every gateway knows the servers "{names}" and the latest revision')
 def check_known(context, names):
     rig, expected = context.rig, set(names.split())
+
+    def is_current(daemon):
+        return daemon.registry.cache.revision >= store_revision(rig.store)
+
     for daemon in rig.daemons:
-        cache = daemon.registry.cache
-        is_current = lambda cache=cache: cache.revision >= store_revision(rig.store)  # noqa: E731
-        rig.run(rig.wait_until(is_current))
+        rig.run(rig.wait_until(partial(is_current, daemon)))
         assert known_ids(daemon) == expected, known_ids(daemon)
 
 
