--- a/features/steps/resumption_steps.py
+++ b/features/steps/resumption_steps.py
@@ -42,6 +42,29 @@
     )
 
 
+NEW_VERSION_FOR_A_MOMENT = (
+    (13.2, add_engines("v1.1", 6)),
+    (15, remove_engines("v1.1")),
+)
+
+
+def out_of_step(fault, *changes):
+    """Return a load in which a fault of one gateway at 13 s hides changes from it.
+
+    The store is busy, and callers' streams break off again and again.
+    """
+    return {
+        "versions": ONE_VERSION,
+        "seconds": 24.0,
+        "faults": (
+            (12, write_entries(12)),
+            (13, fault),
+            *changes,
+            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
+        ),
+    }
+
+
 LOADS = {
     "callers' connections are cut": {"faults": CUTS},
     "callers name the attempt before": {
@@ -101,51 +124,22 @@
             *repeat(cut_callers(0.5), 1, 13.5, 23),
         ),
     },
-    "a gateway stands still while a new version appears": {
-        "versions": ONE_VERSION,
-        "seconds": 24.0,
-        "faults": (
-            (12, write_entries(12)),
-            (13, hold_gateway(4)),
-            (13.2, replace_engines("v1.1", 3)),
-            (13.3, kill_gateways(1)),
-            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
-        ),
-    },
-    "a new version comes and goes while a gateway stands still": {
-        "versions": ONE_VERSION,
-        "seconds": 24.0,
-        "faults": (
-            (12, write_entries(12)),
-            (13, hold_gateway(4)),
-            (13.2, add_engines("v1.1", 6)),
-            (15, remove_engines("v1.1")),
-            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
-        ),
-    },
-    "a new version comes and goes while a gateway is cut off": {
-        "versions": ONE_VERSION,
-        "seconds": 24.0,
-        "faults": (
-            (12, write_entries(12)),
-            (13, isolate_gateway(4)),
-            (13.2, add_engines("v1.1", 6)),
-            (15, remove_engines("v1.1")),
-            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
-        ),
-    },
-    "a new version comes and goes, and the history is dropped": {
-        "versions": ONE_VERSION,
-        "seconds": 24.0,
-        "faults": (
-            (12, write_entries(12)),
-            (13, isolate_gateway(4)),
-            (13.2, add_engines("v1.1", 6)),
-            (15, remove_engines("v1.1")),
-            (15.1, change_store(SimulatedStore.drop_history)),
-            *repeat(cut_callers(0.5), 0.3, 13.4, 23),
-        ),
-    },
+    "a gateway stands still while a new version appears": out_of_step(
+        hold_gateway(4),
+        (13.2, replace_engines("v1.1", 3)),
+        (13.3, kill_gateways(1)),
+    ),
+    "a new version comes and goes while a gateway stands still": out_of_step(
+        hold_gateway(4), *NEW_VERSION_FOR_A_MOMENT
+    ),
+    "a new version comes and goes while a gateway is cut off": out_of_step(
+        isolate_gateway(4), *NEW_VERSION_FOR_A_MOMENT
+    ),
+    "a new version comes and goes, and the history is dropped": out_of_step(
+        isolate_gateway(4),
+        *NEW_VERSION_FOR_A_MOMENT,
+        (15.1, change_store(SimulatedStore.drop_history)),
+    ),
     "versions go forth and back": {
         "versions": ONE_VERSION,
         "faults": (
