--- a/features/placement/play.py
+++ b/features/placement/play.py
@@ -9,7 +9,7 @@
 
 from zinniaramp.placement import (
     Demand,
-    EngineCandidate,
+    EndpointView,
     EngineLaw,
     EngineTraits,
     Placement,
@@ -555,7 +555,7 @@
 
     def choose(self, request, names, now):
         """Return the name of the engine for a request."""
-        candidates = [EngineCandidate(name=name, is_remote=False) for name in names]
+        candidates = [EndpointView(name=name, is_remote=False) for name in names]
         demand = request.demand
         if not self.has_gap_targets:
             demand = replace(demand, gap_target=timedelta())
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -21,7 +21,7 @@
 )
 from zinniaramp.placement import (
     Demand,
-    EngineCandidate,
+    EndpointView,
     EngineLaw,
     EngineTraits,
     Placement,
@@ -63,7 +63,7 @@
 
 
 def candidates(names):
-    return [EngineCandidate(name=name, is_remote=False) for name in names]
+    return [EndpointView(name=name, is_remote=False) for name in names]
 
 
 def demand(tokens, *parts, own="own"):
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -112,8 +112,7 @@
     @property
     def urgency(self) -> int:
         """Priority rank among requests to engines; 0 is the most urgent."""
-        pair = priority_pair(self.route, self.workspace)
-        return priority_rank(self.configuration.priority_pairs, pair)
+        return _urgency(self.configuration, self.route, self.workspace)
 
 
 def _is_resumed(metadata: RequestMetadata, route: Route) -> bool:
@@ -126,14 +125,33 @@
     return (metadata.resumes if is_resumed else None) or metadata.id
 
 
-def _with_targets(metadata: RequestMetadata, route: Route) -> RequestMetadata:
-    """Return the metadata with the route's targets in the demand."""
+def _complete_demand(
+    metadata: RequestMetadata,
+    configuration: Configuration,
+    route: Route,
+    workspace: Workspace | None,
+    body: bytes,
+) -> RequestMetadata:
+    """Return the metadata with the demand's targets, caller and size."""
     if metadata.demand is None:
         return metadata
-    demand = replace(metadata.demand, target=route.target, gap_target=route.gap_target)
+    demand = replace(
+        metadata.demand,
+        target=route.target,
+        gap_target=route.gap_target,
+        workspace=workspace.name if workspace else "",
+        urgency=_urgency(configuration, route, workspace),
+        transfer_bytes=len(body),
+    )
     return replace(metadata, demand=demand)
 
 
+def _urgency(
+    configuration: Configuration, route: Route, workspace: Workspace | None
+) -> int:
+    return priority_rank(configuration.priority_pairs, priority_pair(route, workspace))
+
+
 def compute_fingerprint(
     request: CallerRequest, host: str, workspace: Workspace | None
 ) -> str:
@@ -182,7 +200,9 @@
     if metadata.time_left is not None:
         limit = min(limit, metadata.time_left)
     return MatchedRequest(
-        metadata=_with_targets(metadata, route),
+        metadata=_complete_demand(
+            metadata, configuration, route, workspace, request.body
+        ),
         configuration=configuration,
         route=route,
         workspace=workspace,
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
+from datetime import datetime, timedelta
 from itertools import count
 from random import Random
 
@@ -11,10 +11,11 @@
 from ..peers import LoadEvent, SendEnded, SendFirstEvent, SendStarted
 from ..placement import (
     Demand,
-    EngineCandidate,
+    EndpointView,
     EngineChoice,
     EngineTraits,
     Placement,
+    Prediction,
 )
 from ..quarantine import Quarantine
 from ..registry import Endpoint, Registry
@@ -43,6 +44,11 @@
 """Largest ``Retry-After`` as a share of the caller's remaining time.  Callers honour
 values up to a third of that time."""
 
+REMOTE_MS = 40.0
+"""Cost of an engine in another data centre, in milliseconds.
+
+Traffic between data centres is billed: about 17 KB for a long prompt."""
+
 COOLDOWN_SPREAD = 0.3
 """Share by which the ``Retry-After`` of callers is spread beyond the end of the first
 endpoint's cooldown, so that they don't all return at that moment."""
@@ -95,6 +101,13 @@
     prefill_tokens: int = 0
 
 
+def _remote_cost_ms(
+    demand: Demand, view: EndpointView, predicted: Prediction, now: datetime
+) -> float:
+    """Return the cost of leaving the data centre; a `CostTerm`."""
+    return REMOTE_MS if view.is_remote else 0.0
+
+
 def _discard_event(event: LoadEvent) -> None:
     """Discard an event; used until a peer mesh is connected."""
 
@@ -180,7 +193,7 @@
         self.data_center = data_center
         self.clock = clock
         self.random = random
-        self.placement = Placement()
+        self.placement = Placement(cost_terms=(_remote_cost_ms,))
         self.ejections = Ejections(clock=clock, random_source=random)
         self.restrictions = EndpointRestrictions(
             registry=registry,
@@ -287,7 +300,11 @@
         self, traits: EngineTraits, demand: Demand, ready: list[Endpoint]
     ) -> EngineChoice:
         candidates = [
-            EngineCandidate(name=one.incarnation, is_remote=self._is_remote(one))
+            EndpointView(
+                name=one.incarnation,
+                data_center=one.data_center,
+                is_remote=self._is_remote(one),
+            )
             for one in ready
         ]
         return self.placement.choose(
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -10,8 +10,9 @@
 from .learning import LawEstimator
 from .prompts import Demand, PromptSegment
 from .split import EngineSplit, SplitSizer
+from .view import CostTerm, EndpointView, Prediction
 
-__all__ = ["EngineCandidate", "EngineChoice", "Placement"]
+__all__ = ["EngineChoice", "Placement"]
 
 PREFILL_WEIGHT = 3.5
 """Weight of a request's own prefill time relative to its wait in the queue.
@@ -19,11 +20,6 @@
 Prefill stalls all streams of the engine, and the prefill of a segment that another
 engine has already cached is billed."""
 
-REMOTE_MS = 40.0
-"""Cost added for an engine in another data centre.
-
-Traffic between data centres is billed: about 17 KB for a long prompt."""
-
 SHORT_ON_LONG_SHARE = 0.3
 """Cost added for a short prompt on an engine for long prompts, in latency targets of
 the request with the tightest limit: a further long prompt makes about as large a share
@@ -35,22 +31,6 @@
 stream."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class EngineCandidate:
-    """An engine that is eligible for a request.
-
-    Parameters
-    ----------
-    name : str
-        Name of the engine, identical in all processes.
-    is_remote : bool
-        Whether the engine is in another data centre.
-    """
-
-    name: str
-    is_remote: bool
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class EngineChoice:
     """The engine selected for a request.
@@ -76,6 +56,11 @@
 class Placement:
     """Assigns prompts to engines by their cached prefixes and prefill backlogs.
 
+    Parameters
+    ----------
+    cost_terms : sequence of CostTerm
+        Costs that are added to those of an engine's backlog and prefill.
+
     Attributes
     ----------
     engines : dict of EngineModel
@@ -89,9 +74,10 @@
         Divides the engines between short and long prompts, by service.
     """
 
-    __slots__ = ("engines", "estimators", "engine_by_send", "sizers")
+    __slots__ = ("cost_terms", "engines", "estimators", "engine_by_send", "sizers")
 
-    def __init__(self):
+    def __init__(self, *, cost_terms: Sequence[CostTerm] = ()):
+        self.cost_terms = tuple(cost_terms)
         self.engines: dict[str, EngineModel] = {}
         self.estimators: dict[str, LawEstimator] = {}
         self.engine_by_send: dict[object, str] = {}
@@ -116,7 +102,7 @@
     def choose(
         self,
         demand: Demand,
-        candidates: Sequence[EngineCandidate],
+        candidates: Sequence[EndpointView],
         *,
         traits: EngineTraits,
         now: datetime,
@@ -129,7 +115,7 @@
         ----------
         demand : Demand
             Resource demand of the request.
-        candidates : sequence of EngineCandidate
+        candidates : sequence of EndpointView
             Eligible engines; must not be empty.
         traits : EngineTraits
             Published properties of the engines.
@@ -244,21 +230,25 @@
     def _evaluate(
         self,
         demand: Demand,
-        candidate: EngineCandidate,
+        candidate: EndpointView,
         traits: EngineTraits,
         now: datetime,
         mismatch_ms: float,
     ) -> EngineChoice:
         model = self._model(candidate.name, traits)
-        backlog_ms = model.backlog_ms(now)
-        prefill_ms = model.prefill_ms(demand, now)
-        cost_ms = mismatch_ms + backlog_ms + PREFILL_WEIGHT * prefill_ms
-        cost_ms += model.stall_harm_ms(demand, backlog_ms, prefill_ms)
-        if candidate.is_remote:
-            cost_ms += REMOTE_MS
+        predicted = Prediction(
+            wait_ms=model.backlog_ms(now),
+            prefill_ms=model.prefill_ms(demand, now),
+            prefill_tokens=model.uncached_tokens(demand),
+        )
+        cost_ms = mismatch_ms + predicted.wait_ms
+        cost_ms += PREFILL_WEIGHT * predicted.prefill_ms
+        cost_ms += model.stall_harm_ms(demand, predicted.wait_ms, predicted.prefill_ms)
+        for term in self.cost_terms:
+            cost_ms += term(demand, candidate, predicted, now)
         return EngineChoice(
             engine=candidate.name,
-            predicted_ttft=(backlog_ms + prefill_ms) * MILLISECOND,
-            prefill_tokens=model.uncached_tokens(demand),
+            predicted_ttft=predicted.ttft_ms * MILLISECOND,
+            prefill_tokens=predicted.prefill_tokens,
             cost_ms=cost_ms,
         )
--- a/zinniaramp/placement/prompts.py
+++ b/zinniaramp/placement/prompts.py
@@ -40,6 +40,12 @@
         Target of the time to the first event; 0 if there is none.
     gap_target : timedelta
         Target of the gap between two events; 0 if there is none.
+    workspace : str
+        Workspace of the caller; empty if there is none.
+    urgency : int
+        Rank among the requests of all routes; 0 is the most urgent.
+    transfer_bytes : int
+        Bytes of the request's body; 0 if they are not known.
     """
 
     prompt_tokens: int
@@ -48,6 +54,9 @@
     parts: tuple[PromptSegment, ...]
     target: timedelta = timedelta()
     gap_target: timedelta = timedelta()
+    workspace: str = ""
+    urgency: int = 0
+    transfer_bytes: int = 0
 
     @property
     def shared_prefix(self) -> tuple[PromptSegment, ...]:
