Read all items after a watch whose answer can't be read

Cause: an answer to a watch has all versions since the last one. Change: a read error says whether a successful answer had begun; the follower then reads all items, page by page, instead of repeating the watch.

--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -24,3 +24,8 @@
       | 3        | the store is silent and answers no earlier watch after it |
       | 1        | the store is restored and its watches go on waiting       |
       | 3        | the store is restored and its watches go on waiting       |
+
+  Scenario: Changes are in force although an answer to a watch is too large to be read
+    Given 3 connected gateways
+    When 5 values of 900000 bytes are published while the store is silent
+    Then changes of the configuration and the servers are in force at every gateway
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -52,6 +52,19 @@
     store.wake_watches()
 
 
+@when("{count:d} values of {size:d} bytes are published while the store is silent")
+def publish_in_silence(context, count, size):
+    wait_for_watches(context.rig)
+    store = context.rig.store
+    # A page of the real store has about 1 MB at most.
+    store.page_items = 1
+    store.is_silent = True
+    for number in range(count):
+        store.put(f"unrelated/{number}", {"padding": "x" * size})
+    store.is_silent = False
+    store.wake_watches()
+
+
 @when("the store is restored and its watches go on waiting")
 def restore_under_watches(context):
     rig = context.rig
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -46,14 +46,23 @@
         connection; 0 if there is neither.
     retry_after : timedelta or None
         Time for which the service asks not to be called; None if it asks for none.
+    has_begun : bool
+        Whether the headers of a successful answer arrived, and only its body could not
+        be read, for example because it is too large.
     """
 
     def __init__(
-        self, message: str, *, status: int = 0, retry_after: timedelta | None = None
+        self,
+        message: str,
+        *,
+        status: int = 0,
+        retry_after: timedelta | None = None,
+        has_begun: bool = False,
     ):
         super().__init__(message)
         self.status = status
         self.retry_after = retry_after
+        self.has_begun = has_begun
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -110,21 +119,31 @@
     async def read_answer(
         url: str, timeout: timedelta
     ) -> Result[JsonAnswer, ReadError]:
+        received: list[str] = []
         try:
             response = await client.fetch(
                 url,
                 connect_timeout=min(CONNECT_TIMEOUT, timeout).total_seconds(),
                 request_timeout=timeout.total_seconds(),
                 follow_redirects=False,
+                header_callback=received.append,
             )
         except HTTPError as error:
             wait = parse_retry_after(error.response.headers) if error.response else None
             problem = f"{url}: {error}"
-            return Err(ReadError(problem, status=error.code, retry_after=wait))
+            return Err(
+                ReadError(
+                    problem,
+                    status=error.code,
+                    retry_after=wait,
+                    has_begun=_has_begun(received),
+                )
+            )
         except (OSError, HTTPInputError, StreamClosedError) as error:
-            return Err(ReadError(f"{url}: {error!r}"))
+            return Err(ReadError(f"{url}: {error!r}", has_begun=_has_begun(received)))
         if len(response.body) > MAX_ANSWER_BYTES:
-            return Err(ReadError(f"{url}: more than {MAX_ANSWER_BYTES} bytes"))
+            problem = f"{url}: more than {MAX_ANSWER_BYTES} bytes"
+            return Err(ReadError(problem, has_begun=True))
         try:
             document = json.loads(response.body)
         except (ValueError, RecursionError) as error:
@@ -134,6 +153,11 @@
     return read_answer
 
 
+def _has_begun(header_lines: list[str]) -> bool:
+    """Return whether the lines of a header block begin with a status of success."""
+    return bool(header_lines) and header_lines[0].split()[1:2] == ["200"]
+
+
 def make_http_reader(client: AsyncHTTPClient) -> ReadJson:
     """Return a function like that of `make_answer_reader`, without the headers."""
     read_answer = make_answer_reader(client)
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -146,6 +146,10 @@
                     await self._pause(snapshot)
                 case Err(error):
                     self._record_failure(error)
+                    if error.has_begun:
+                        # All changes since the last answer may be too large for one
+                        # answer, and the same watch would fail again.
+                        self.revision = None
                     await asyncio.sleep(self.backoff.next_wait().total_seconds())
 
     async def _read_next(self) -> Result[Snapshot | None, ReadError]:
