--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -131,6 +131,9 @@
     events: list = field(default_factory=list)
     restarts: int = 0
     sink: int | None = None
+    regions: dict[str, str] = field(default_factory=dict)
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
 
     def run(self, coroutine):
         """Run a coroutine of a step, with a timeout of `MAX_WAIT_SECONDS`."""
--- a/zinniaramp/standins/platform/handlers.py
+++ b/zinniaramp/standins/platform/handlers.py
@@ -92,6 +92,8 @@
             self.set_header("Server-Leaving", "1")
         if self.standin.limit:
             self.set_header("Server-Limit", self.standin.limit)
+        if self.standin.cold_ms:
+            self.set_header("Zinniaramp-Cold-Ms", str(self.standin.cold_ms))
         behaviours = self.standin.behaviours
         if not behaviours or behaviours[0] is not ServerBehaviour.EARLY:
             return
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -55,6 +55,8 @@
         Bytes in answers without an end so far, and how many of these were closed.
     limit : str
         Value of ``Server-Limit`` in all answers; empty omits it.
+    cold_ms : int
+        Value of ``Zinniaramp-Cold-Ms`` in all answers; 0 omits it.
     refuses_reads : bool
         Whether a model server sheds the calls that read its cached segments.
     reads : int
@@ -99,6 +101,7 @@
     endless_bytes: int = 0
     endless_answers: int = 0
     limit: str = ""
+    cold_ms: int = 0
     refuses_reads: bool = False
     reads: int = 0
     events: int = 4
