Keep to cold endpoints' allowance, evacuations and allowed regions

Cause: gateways sent full traffic to endpoints that had just started, ignored op/evacuate/ZONE and allowed_regions, and nothing bounded the sum over gateways that cannot hear each other. Change: zinniaramp/warmup decides which endpoints are cold and which of the known gateways may send to one; the registry leaves evacuated data centres out of ready() and may_call(); the pool filters by region first and prefers warm endpoints.

--- a/features/gateway/cold_endpoints.feature
+++ b/features/gateway/cold_endpoints.feature
@@ -9,6 +9,7 @@
   Scenario: All gateways together keep to the allowance of a cold endpoint
     Given the servers "s-1" are listed as cold for 9000 ms
     And 3 connected gateways
+    And the gateways have had time to learn of each other
     When 90 requests "GET /read/x" are sent to the gateways in turn
     Then in no second "s-1" received over 8 requests
     And "s-1" received at least 1 requests
@@ -25,6 +26,7 @@
   Scenario: Warm endpoints take the traffic of an endpoint that is listed during traffic
     Given the servers "s-1" are listed
     And 2 connected gateways
+    And the gateways have had time to learn of each other
     When 4 requests "GET /read/x" are sent to the gateways in turn
     And the server "s-2" is listed while requests come
     And 20 requests "GET /read/y" are sent to the gateways in turn
@@ -38,6 +40,7 @@
   Scenario Outline: An endpoint becomes cold during traffic
     Given the servers "s-1 s-2" are listed
     And 2 connected gateways
+    And the gateways have had time to learn of each other
     When <event>
     And 20 requests "GET /read/y" are sent to the gateways in turn
     Then all callers got the server's answer
@@ -53,6 +56,7 @@
     Given the servers "s-1" are listed
     And the servers "s-2" are listed in the data centre "b"
     And 2 connected gateways
+    And the gateways have had time to learn of each other
     When the data centre "a" is evacuated
     And the evacuation of the data centre "a" is revoked
     And 20 requests "GET /read/y" are sent to the gateways in turn
--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import signal
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from loguru import logger
@@ -288,7 +288,10 @@
             store_history=STORE_HISTORY,
             heartbeat=HEARTBEAT_INTERVAL,
             seeds=tuple(seeds),
-            bounds=bounds,
+            bounds=replace(
+                bounds, cold_overshoot=self.cold_overshoot, cold_slack=self.cold_slack
+            ),
+            regions=self.regions,
         )
         daemon = Daemon(
             settings=settings, read_settings=lambda: Ok(settings), listener=listener
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -216,6 +216,17 @@
     context.rig.servers[name].cold_ms = milliseconds
 
 
+@given("the gateways have had time to learn of each other")
+def wait_for_members(context):
+    rig = context.rig
+
+    def is_known():
+        members = [daemon.gateway.mesh.members() or () for daemon in rig.daemons]
+        return all(len(known) == len(rig.daemons) for known in members)
+
+    rig.run(rig.wait_until(is_known))
+
+
 @then('in no second "{name}" received over {count:d} requests')
 def check_rate(context, name, count):
     times = sorted(one.received_at for one in context.rig.servers[name].arrivals)
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -23,6 +23,7 @@
 from ..platform.store import make_json_reader, make_store_source
 from ..registry import ReadBarrier, Registry, RevisionChecker, StoreFollower
 from ..sockets import Address
+from ..warmup import ColdBounds
 from .tasks import log_library_messages, log_uncaught_exceptions, supervise
 
 __all__ = ["Daemon", "run_daemon"]
@@ -56,6 +57,10 @@
         retry_share=settings.bounds.retry_share,
         retry_slack=settings.bounds.retry_slack,
         retry_window=settings.bounds.retry_window,
+        cold_bounds=ColdBounds(
+            overshoot=settings.bounds.cold_overshoot, slack=settings.bounds.cold_slack
+        ),
+        regions=settings.regions,
     )
 
 
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
@@ -14,6 +14,7 @@
 from ..peers import PeerMesh
 from ..registry import Registry
 from ..sockets import Address
+from ..warmup import ColdBounds
 from .cached_segments import CachedSegmentLoader
 from .events import (
     CONFIGURATION_AWAITED,
@@ -23,7 +24,9 @@
 )
 from .messages import HeaderCodec
 from .metrics import (
+    COLD,
     CONFIGURATION,
+    EVACUATED,
     IN_FLIGHT,
     LIMITED,
     QUARANTINED,
@@ -83,6 +86,10 @@
         `retry_share` retries per request plus `retry_slack` retries.
     retry_window : timedelta
         Length of the retry budget's window.
+    cold_bounds : ColdBounds
+        Bounds on the requests to a cold endpoint, from all gateway processes together.
+    regions : mapping of str
+        Region of each data centre.
     """
 
     host: str
@@ -96,6 +103,8 @@
     retry_share: float
     retry_slack: float
     retry_window: timedelta
+    cold_bounds: ColdBounds = ColdBounds()
+    regions: Mapping[str, str] = field(default_factory=dict)
 
 
 class Gateway:
@@ -180,6 +189,10 @@
             limits=self._retry_limits,
             visible_share=lambda: self.mesh.visible_share,
             data_center=settings.data_center,
+            own_address=str(settings.peers),
+            members=lambda: self.mesh.members(),
+            cold_bounds=lambda: self.settings.cold_bounds,
+            regions=lambda: self.settings.regions,
             clock=clock,
             random=random,
         )
@@ -235,6 +248,8 @@
         QUARANTINED.set_function(lambda: len(quarantine.active()))
         shared_limits = self.pool.restrictions.shared_limits
         LIMITED.set_function(lambda: len(shared_limits.limits))
+        COLD.set_function(lambda: len(self.pool.restrictions.cold_names()))
+        EVACUATED.set_function(lambda: len(self.registry.evacuations.data_centers))
         self.mesh.start()
         emit(
             GATEWAY_STARTED,
@@ -291,7 +306,7 @@
 
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
-        self.pool.restrictions.shared_limits.keep(tuple(self.registry.incarnations))
+        self.pool.restrictions.keep(tuple(self.registry.incarnations))
         self.pool.resumption.update_mixed_services()
         self.mesh.announce_revision()
         if self.registry.configuration is not None:
--- a/zinniaramp/gateway/crashes.py
+++ b/zinniaramp/gateway/crashes.py
@@ -72,6 +72,8 @@
         name = endpoint.incarnation
         if name in self.checks or self._may_end(name):
             return
+        if not self.registry.may_call(name):
+            return
         task = asyncio.create_task(self._connect(endpoint, self.clock()))
         self.checks[name] = task
         task.add_done_callback(lambda _: self.checks.pop(name, None))
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -213,8 +213,7 @@
         if status == 503 and wait is None:
             matched = self.matched
             left = matched.deadline - self.pool.clock() if matched else None
-            service = matched.service if matched else None
-            retry_after = self.pool.retry_after(service, left)
+            retry_after = self.pool.retry_after(matched, left)
         route = self.matched.route.name if self.matched else ""
         ANSWERS.labels(route, status, "gateway").inc()
         emit(
--- a/zinniaramp/gateway/messages.py
+++ b/zinniaramp/gateway/messages.py
@@ -95,6 +95,8 @@
         together; None if it names no limit, or none that can be understood.
     states_no_limit : bool
         Whether the answer is from the addressed endpoint and names no limit.
+    cold_remaining : timedelta
+        How much longer the addressed endpoint stays cold; 0 if it does not say so.
     """
 
     request_id: str
@@ -104,6 +106,7 @@
     retry_after: timedelta | None = None
     limit: float | None = None
     states_no_limit: bool = False
+    cold_remaining: timedelta = timedelta()
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -8,8 +8,11 @@
 __all__ = [
     "ADDED_SECONDS",
     "ANSWERS",
+    "COLD",
+    "COLD_SENDS",
     "CONFIGURATION",
     "CUT_ANSWERS",
+    "EVACUATED",
     "FIRST_EVENT_SECONDS",
     "IN_FLIGHT",
     "LIMITED",
@@ -67,6 +70,17 @@
     "zinniaramp_gateway_limited_endpoints",
     "Endpoints that take a limited number of requests per second.",
 )
+COLD = Gauge(
+    "zinniaramp_gateway_cold_endpoints",
+    "Endpoints that have started recently and get few requests.",
+)
+COLD_SENDS = Counter(
+    "zinniaramp_gateway_cold_sends", "Sends of this process to cold endpoints."
+)
+EVACUATED = Gauge(
+    "zinniaramp_gateway_evacuated_data_centers",
+    "Data centres to whose endpoints nothing is sent.",
+)
 STORE_AGE = Gauge(
     "zinniaramp_gateway_store_confirmed_seconds",
     "Time since the store was last known to have no later change.",
--- a/zinniaramp/gateway/peer_events.py
+++ b/zinniaramp/gateway/peer_events.py
@@ -85,7 +85,7 @@
             case EndpointLimited(report=report):
                 pool.restrictions.apply_report(report, peer=peer)
             case EndpointUsed(endpoint=endpoint):
-                pool.restrictions.shared_limits.record(endpoint)
+                pool.restrictions.record_heard(endpoint)
 
     def current(self) -> Iterable[LoadEvent]:
         """Return the events that a newly connected process has to learn of."""
@@ -101,7 +101,7 @@
         yield from self.pool.resumption.own_streams()
 
     def _add_send(self, peer: str, event: SendStarted) -> None:
-        self.pool.restrictions.shared_limits.record(event.engine)
+        self.pool.restrictions.record_heard(event.engine)
         endpoint = self.pool.registry.by_incarnation(event.engine)
         traits = endpoint and self.pool.engine_traits(endpoint.service)
         if not traits:
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -1,6 +1,6 @@
 """Endpoint selection, load, ejection and retry budgets, shared by all requests."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 from itertools import count
@@ -21,6 +21,7 @@
 from ..registry import Endpoint, Registry
 from ..routing.budget import WindowRetryBudget
 from ..routing.ejection import Ejections
+from ..warmup import ColdBounds
 from .crashes import CrashWatch
 from .events import ENDPOINT_LEFT_OUT
 from .matching import MatchedRequest
@@ -53,6 +54,10 @@
 """Share by which the ``Retry-After`` of callers is spread beyond the end of the first
 endpoint's cooldown, so that they don't all return at that moment."""
 
+COLD_RETURN_SECONDS = 1.0
+"""Shortest ``Retry-After`` if only cold endpoints are left, unless one is warm sooner:
+the time in which each of the gateways that may send to one does so once."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryLimits:
@@ -127,6 +132,14 @@
         Returns the share of the gateways whose load events arrive here.
     data_center : str
         The process's data centre; its endpoints are preferred.
+    own_address : str
+        Address at which peers know this process.
+    members : callable
+        Returns the addresses of the known gateways; None if too few may be known.
+    cold_bounds : callable
+        Returns the bounds on the requests to a cold endpoint.
+    regions : callable
+        Returns the region of each data centre.
     clock : Clock
         The process's clock.
     random : Random
@@ -161,6 +174,7 @@
         "codec",
         "limits",
         "data_center",
+        "regions",
         "clock",
         "random",
         "placement",
@@ -184,6 +198,10 @@
         limits: Callable[[], RetryLimits],
         visible_share: Callable[[], float],
         data_center: str,
+        own_address: str,
+        members: Callable[[], frozenset[str] | None],
+        cold_bounds: Callable[[], ColdBounds],
+        regions: Callable[[], Mapping[str, str]],
         clock: Clock,
         random: Random,
     ):
@@ -191,6 +209,7 @@
         self.codec = codec
         self.limits = limits
         self.data_center = data_center
+        self.regions = regions
         self.clock = clock
         self.random = random
         self.placement = Placement(cost_terms=(_remote_cost_ms,))
@@ -201,6 +220,9 @@
             random=random,
             visible_share=visible_share,
             broadcast=self._broadcast,
+            own_address=own_address,
+            members=members,
+            cold_bounds=cold_bounds,
         )
         self.crash_watch = CrashWatch(
             registry=registry, clock=clock, broadcast=self._broadcast
@@ -236,8 +258,9 @@
             None if no endpoint is ready, or none of them takes a request now.
         """
         service, metadata = matched.service, matched.metadata
-        usable = self._usable_endpoints(service, version)
-        ready = [one for one in usable if one.incarnation not in tried] or usable
+        usable = self._usable_endpoints(matched, version)
+        untried = [one for one in usable if one.incarnation not in tried] or usable
+        ready = self._without_needless_cold(matched, untried)
         if not ready:
             return None
         traits = self.engine_traits(service)
@@ -252,7 +275,7 @@
         self.crash_watch.quarantine.add(
             selection.number, name, segments, matched.fingerprint
         )
-        self.restrictions.record_send(name, is_announced=is_prompt)
+        self.restrictions.record_send(selection.number, name, is_announced=is_prompt)
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
 
@@ -263,17 +286,56 @@
         """
         if self.find_quarantine(matched) is not None:
             return False
-        return bool(self._usable_endpoints(matched.service, version))
+        return bool(self._usable_endpoints(matched, version))
 
-    def _usable_endpoints(self, service: str, version: str | None) -> list[Endpoint]:
+    def _usable_endpoints(
+        self, matched: MatchedRequest, version: str | None
+    ) -> list[Endpoint]:
         by_name = {
             one.incarnation: one
-            for one in self.registry.ready(service)
+            for one in self._permitted_endpoints(matched)
             if version is None or one.version == version
         }
-        usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
+        usable = self.restrictions.usable(list(by_name))
+        cold = [name for name in usable if self.restrictions.cold_time(name)]
+        if cold:
+            # Endpoints that may be replaced by cold ones are not left out in greater
+            # number than without these.
+            warm = [name for name in usable if name not in cold]
+            usable = self.ejections.usable(warm) + self.ejections.usable(cold)
+        else:
+            usable = self.ejections.usable(usable)
         return [by_name[name] for name in usable]
 
+    def _permitted_endpoints(self, matched: MatchedRequest) -> list[Endpoint]:
+        """Return the endpoints in the regions that a route and a workspace allow.
+
+        An endpoint whose region is not known is in none.
+        """
+        ready = self.registry.ready(matched.service)
+        bindings = [
+            owner.allowed_regions
+            for owner in (matched.route, matched.workspace)
+            if owner is not None and owner.allowed_regions is not None
+        ]
+        if not bindings:
+            return ready
+        regions, allowed = self.regions(), frozenset.intersection(*bindings)
+        return [one for one in ready if regions.get(one.data_center) in allowed]
+
+    def _without_needless_cold(
+        self, matched: MatchedRequest, usable: list[Endpoint]
+    ) -> list[Endpoint]:
+        """Leave out the cold endpoints if there are warm ones.
+
+        A prompt that others take precedence over may also use a cold one, whose
+        capacity is idle; the most urgent prompts leave it to those.
+        """
+        time = self.restrictions.cold_time
+        warm = [one for one in usable if not time(one.incarnation)]
+        may_use_cold = matched.metadata.demand is not None and matched.urgency > 0
+        return usable if may_use_cold or not warm else warm
+
     def apply_hints(
         self, endpoint: Endpoint, metadata: AnswerMetadata, request_id: str
     ) -> None:
@@ -304,6 +366,7 @@
                 name=one.incarnation,
                 data_center=one.data_center,
                 is_remote=self._is_remote(one),
+                is_cold=bool(self.restrictions.cold_time(one.incarnation)),
             )
             for one in ready
         ]
@@ -392,8 +455,13 @@
         """Record a further event of a send and the time since the one before."""
         self.placement.record_event(selection.number, gap, self.clock())
 
+    def record_written(self, selection: Selection) -> None:
+        """Record that a send was written to its connection, or could not be."""
+        self.restrictions.cold_allowance.finish(selection.number)
+
     def record_end(self, selection: Selection) -> None:
         """Record that a send has ended, with any outcome."""
+        self.record_written(selection)
         name = selection.endpoint.incarnation
         left = self.in_flight.get(name, 1) - 1
         if left:
@@ -415,6 +483,7 @@
             quarantine.record_answer(selection.number)
         in_cooldown = self.restrictions.cooldowns.is_active(name)
         if result.is_closed and not in_cooldown:
+            self.restrictions.record_probe(name)
             self.crash_watch.check(selection.endpoint)
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.UNKNOWN):
             self._eject(name, result.problem)
@@ -446,19 +515,29 @@
         RETRIES.labels("yes" if is_allowed else "no").inc()
         return is_allowed
 
-    def retry_after(self, service: str | None, left: timedelta | None) -> float:
+    def retry_after(
+        self, matched: MatchedRequest | None, left: timedelta | None
+    ) -> float:
         """Return the ``Retry-After`` of a refused request, in seconds.
 
         Parameters
         ----------
-        service : str or None
-            Service of the request.  If none of its endpoints takes a request now, the
-            caller learns when the first one does, whatever time the caller has left.
+        matched : MatchedRequest or None
+            The request.  If none of its endpoints takes a request now, the caller
+            learns when the first one does, whatever time the caller has left.
         left : timedelta or None
             Time until the request's deadline; None if it is not known.
         """
-        ready = [one.incarnation for one in self.registry.ready(service or "")]
+        permitted = self._permitted_endpoints(matched) if matched else []
+        ready = [one.incarnation for one in permitted]
         closed = self.restrictions.time_closed(ready)
+        cold_times = [self.restrictions.cold_time(name) for name in ready]
+        warm_in = min(cold_times, default=timedelta()).total_seconds()
+        if warm_in:
+            # Only a few of the callers that wait can be served before that.
+            return self.random.uniform(
+                min(COLD_RETURN_SECONDS, warm_in), warm_in * (1 + COOLDOWN_SPREAD)
+            )
         if closed:
             spread = self.random.uniform(1, 1 + COOLDOWN_SPREAD)
             return closed.total_seconds() * spread
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -220,6 +220,7 @@
             self._build_request(endpoint, left),
             connect_timeout=min(CONNECT_TIMEOUT, left),
         )
+        self.pool.record_written(self.selection)
         if isinstance(sent, Err):
             return SendResult(outcome=SendOutcome.NOT_SENT, problem=str(sent.err_value))
         self.answer = sent.ok_value
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -13,6 +13,7 @@
 from ..registry import Registry, Snapshot, StoreRevision
 from ..resumption import StreamOrigin
 from ..sockets import Address, open_stream, parse_address
+from ..warmup import Membership
 from .catch_up import CatchUp
 from .codec import MessageDecoder, MessageError, encode
 from .events import (
@@ -111,6 +112,8 @@
     ----------
     known : set of str
         Addresses of all other gateway processes that this one has heard of.
+    membership : Membership
+        The same, with those that could lately not be reached.
     connect_tasks : dict of asyncio.Task
         Task that maintains the connection to a peer, by the peer's address.
     untried : set of str
@@ -139,6 +142,7 @@
         "origin_requests",
         "random",
         "known",
+        "membership",
         "connect_tasks",
         "untried",
         "write_queues",
@@ -174,6 +178,9 @@
         )
         self.random = random
         self.known: set[str] = set()
+        self.membership = Membership(
+            own_address=str(own_address), seeds=tuple(map(str, seeds))
+        )
         self.connect_tasks: dict[str, asyncio.Task] = {}
         self.untried: set[str] = set()
         self.write_queues: dict[str, bytearray] = {}
@@ -209,6 +216,20 @@
         heard = 1 + len(self.inbound_peers)
         return heard / max(heard, self.entry_count)
 
+    def members(self) -> frozenset[str] | None:
+        """Return the addresses of all gateway processes, this one included.
+
+        It is None as long as this process may know too few of them.  Processes that
+        could lately not be reached are included.
+        """
+        return self.membership.members(asyncio.get_running_loop().time())
+
+    def record_contacts(self) -> None:
+        """Record the peers in contact, which shows whether this process is a member."""
+        heard = [hello.address for hello in self.inbound_peers.values()]
+        now = asyncio.get_running_loop().time()
+        self.membership.record_contacts(heard, tuple(self.write_queues), now)
+
     def add_peer(self, address: str) -> None:
         """Count a peer, and start connecting to it unless the limit is reached.
 
@@ -222,6 +243,7 @@
         parsed = parse_address(address)
         if len(self.known) < MAX_KNOWN:
             self.known.add(address)
+        self.membership.add(address)
         if len(self.connect_tasks) >= MAX_PEERS:
             return
         self.untried.add(address)
@@ -261,16 +283,12 @@
             await asyncio.sleep(backoff.next_wait().total_seconds())
         del self.connect_tasks[str(address)]
         self.known.discard(str(address))
+        self.membership.mark_lost(str(address), asyncio.get_running_loop().time())
 
     async def _run_connection(self, name: str, stream: IOStream) -> None:
         """Exchange messages with a peer until the connection ends."""
         emit(PEER_CONNECTED, peer=name)
-        hello = Hello(
-            address=str(self.own_address),
-            data_center=self.data_center,
-            known_peers=tuple(self.known),
-        )
-        first = (hello, *self.current_events())
+        first = (self._hello(self.known), *self.current_events())
         self.write_queues[name] = bytearray(b"".join(map(encode, first)))
         self.write_events[name] = asyncio.Event()
         self.origin_requests.ask_connected(name)
@@ -286,9 +304,21 @@
             del self.write_queues[name], self.write_events[name]
             emit(PEER_DISCONNECTED, peer=name, problem=problem)
 
+    def _hello(self, known: Iterable[str]) -> Hello:
+        """Return the message that tells a peer of other processes."""
+        return Hello(
+            address=str(self.own_address),
+            data_center=self.data_center,
+            known_peers=tuple(known),
+        )
+
     async def _write_messages(self, name: str, stream: IOStream) -> None:
         queue, data_ready = self.write_queues[name], self.write_events[name]
+        announced = set(self.known)
         while True:
+            if not announced.issuperset(self.known):
+                queue += encode(self._hello(self.known - announced))
+                announced |= self.known
             queue += encode(self._heartbeat())
             if len(queue) > MAX_QUEUED_BYTES:
                 raise TimeoutError("the peer does not read; its write queue is full")
@@ -356,6 +386,7 @@
         heartbeat : Heartbeat
             Revision that the peer has, and when the store confirmed it.
         """
+        self.record_contacts()
         revision = heartbeat.revision
         self.peer_revisions[name] = revision
         if heartbeat.age is not None:
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from ..registry.core import DecodedItem, Endpoint, EndpointState, ItemError
+from ..registry.evacuations import Evacuation
 from ..registry.items import Item
 from ..routes import (
     ClientLimits,
@@ -27,6 +28,9 @@
 ENDPOINT_PREFIX = "servers/"
 """Prefix of the keys of endpoint entries; the endpoint's id follows it."""
 
+EVACUATION_PREFIX = "op/evacuate/"
+"""Prefix of the keys of evacuations; the name of the data centre follows it."""
+
 ENDPOINT_STATES = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
 """State of an endpoint, by the value of ``state`` in its entry."""
 
@@ -126,6 +130,12 @@
             raise self.wrong(name, "a list of strings")
         return values
 
+    def regions(self, name: str) -> frozenset[str] | None:
+        """Return a list of regions; None if it is absent or empty."""
+        if self.fields.get(name) is None:
+            return None
+        return frozenset(self.strings(name)) or None
+
     def wrong(self, name: str, expected: str) -> ItemError:
         value = _shorten(self.fields.get(name))
         return ItemError(
@@ -170,6 +180,7 @@
         max_attempts=max(1, route.whole("max_attempts", 1)),
         priority=route.whole("priority", 0),
         public=route.boolean("public"),
+        allowed_regions=route.regions("allowed_regions"),
     )
 
 
@@ -186,14 +197,21 @@
 
 def _parse_service(service: _Document) -> Service:
     name = service.text("name")
+    try:
+        cold_start = timedelta(seconds=service.number("cold_start_s", 0))
+    except (OverflowError, ValueError):
+        raise service.wrong("cold_start_s", "a duration") from None
+    cold_per_s = service.number("cold_per_s", 0)
     if service.fields.get("engine") is None:
-        return Service(name=name)
+        return Service(name=name, cold_start=cold_start, cold_per_s=cold_per_s)
     engine = _Document(fields=service.fields["engine"], path=f"{service.path}.engine")
     return Service(
         name=name,
         kv_capacity_tokens=engine.whole("kv_capacity_tokens"),
         slots=engine.whole("slots", 0),
         tokens_per_event=engine.whole("stride", 0),
+        cold_start=cold_start,
+        cold_per_s=cold_per_s,
     )
 
 
@@ -204,6 +222,7 @@
         workspace = Workspace(
             name=tenant.text("name"),
             priority=None if priority is None else tenant.whole("priority"),
+            allowed_regions=tenant.regions("allowed_regions"),
         )
         workspaces.update(dict.fromkeys(tenant.strings("api_keys"), workspace))
     return workspaces
@@ -256,6 +275,7 @@
         address=address,
         slots=entry.whole("slots"),
         state=state,
+        cold_remaining=entry.duration("cold_remaining_ms", 0),
     )
 
 
@@ -265,9 +285,13 @@
     Returns
     -------
     Result
-        A `Configuration` or an `Endpoint`; None if the key belongs to neither; or an
-        `ItemError` if the document is not valid.
+        A `Configuration`, an `Endpoint` or an `Evacuation`; None if the key belongs to
+        none of them; or an `ItemError` if the document is not valid.
     """
+    if item.key.startswith(EVACUATION_PREFIX):
+        # Its existence counts, whatever its value is.
+        data_center = item.key.removeprefix(EVACUATION_PREFIX)
+        return Ok(Evacuation(data_center=data_center) if data_center else None)
     is_configuration = item.key == CONFIGURATION_KEY
     name = item.key.removeprefix(ENDPOINT_PREFIX)
     if not is_configuration and (name == item.key or not name):
--- a/zinniaramp/platform/headers.py
+++ b/zinniaramp/platform/headers.py
@@ -28,6 +28,7 @@
 NOT_EXECUTED = "Zinniaramp-Not-Executed"
 SERVER_LEAVING = "Server-Leaving"
 SERVER_LIMIT = "Server-Limit"
+COLD_MS = "Zinniaramp-Cold-Ms"
 EXPECT_INSTANCE = "Zinniaramp-Expect-Instance"
 WORKSPACE = "Zinniaramp-Tenant"
 URGENCY_LEVEL = "Zinniaramp-Urgency-Level"
@@ -183,6 +184,7 @@
     is_shed = status == SERVICE_UNAVAILABLE
     limit_text = None if is_other else headers.get(SERVER_LIMIT)
     limit = None if limit_text is None else _parse_limit(limit_text)
+    cold_ms = None if is_other else _parse_number(headers.get(COLD_MS))
     return AnswerMetadata(
         request_id=headers.get(REQUEST_ID, ""),
         is_signed=SERVER_STAMP in headers,
@@ -191,6 +193,7 @@
         retry_after=parse_retry_after(headers) if is_shed else None,
         limit=limit,
         states_no_limit=limit_text is None and not is_other,
+        cold_remaining=timedelta(milliseconds=cold_ms or 0),
     )
 
 
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -1,7 +1,8 @@
 """Settings file that the platform writes for each process, in TOML."""
 
 import tomllib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 from pathlib import Path
 
@@ -32,6 +33,9 @@
         per request of the service, and a number of retries that is added to them.
     retry_window : timedelta
         Time window over which retries are counted.
+    cold_overshoot, cold_slack : float
+        Requests that a cold endpoint gets at most in any second: `cold_overshoot` times
+        the rate that it bears, and a number that is added.
     """
 
     grace: timedelta
@@ -39,6 +43,8 @@
     retry_share: float
     retry_slack: float
     retry_window: timedelta
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -66,6 +72,8 @@
         Other gateway processes to connect to at startup.
     bounds : HostBounds
         Limits that the platform sets for the process.
+    regions : mapping of str
+        Region of each data centre; empty if the platform names none.
     """
 
     name: str
@@ -80,6 +88,7 @@
     heartbeat: timedelta
     seeds: tuple[Address, ...]
     bounds: HostBounds
+    regions: Mapping[str, str] = field(default_factory=dict)
 
 
 class _Table:
@@ -118,6 +127,15 @@
             raise self._field_error(name, value, "a number >= 0")
         return float(value)
 
+    def text_by_name(self, name: str) -> dict[str, str]:
+        """Return a table of texts; empty if it is missing."""
+        value = self.table.get(name, {})
+        if not isinstance(value, dict) or not all(
+            isinstance(text, str) for text in value.values()
+        ):
+            raise self._field_error(name, value, "a table of texts")
+        return value
+
     def address(self, name: str) -> Address:
         return self._parse_address(name, self.table.get(name))
 
@@ -154,9 +172,18 @@
         retry_share=fields.number("retry_budget_ratio"),
         retry_slack=fields.number("retry_budget_slack"),
         retry_window=timedelta(seconds=fields.number("budget_window_s")),
+        cold_overshoot=fields.number("cold_overshoot", 1),
+        cold_slack=fields.number("cold_slack", 0),
     )
 
 
+def _parse_regions(top: _Table) -> dict[str, str]:
+    regions = top.text_by_name("zones")
+    if "region" in top.table:
+        regions = {top.text("zone"): top.text("region")} | regions
+    return regions
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -173,6 +200,7 @@
         heartbeat=timedelta(milliseconds=top.number("heartbeat_ms")),
         seeds=top.addresses("seeds"),
         bounds=_parse_bounds(top.subtable("bounds")),
+        regions=_parse_regions(top),
     )
 
 
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -1,7 +1,7 @@
 """Registered endpoints and the active configuration, from the store's items."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from enum import Enum
 
@@ -11,6 +11,7 @@
 from ..observability import emit
 from ..routes import Configuration
 from ..sockets import Address
+from .evacuations import Evacuation, Evacuations
 from .events import (
     CONFIGURATION_IN_FORCE,
     CONFIGURATION_OLD,
@@ -19,6 +20,9 @@
     ENDPOINT_LEAVING,
     ENDPOINT_LISTED,
     ENDPOINT_MISSING,
+    EVACUATION_HELD,
+    EVACUATION_IN_FORCE,
+    EVACUATION_REVOKED,
     ITEM_REFUSED,
     STORE_ANSWER_OLD,
     STORE_RESTORED,
@@ -70,6 +74,9 @@
         Number of requests that it runs concurrently.
     state : EndpointState
         State that it reports.
+    cold_remaining : timedelta
+        How much longer it is cold, as of its entry.  It changes with each write of the
+        entry, and does not distinguish endpoints.
     """
 
     id: str
@@ -80,6 +87,7 @@
     address: Address
     slots: int
     state: EndpointState
+    cold_remaining: timedelta = field(default=timedelta(), compare=False)
 
     @property
     def incarnation(self) -> str:
@@ -100,7 +108,7 @@
     at: datetime
 
 
-DecodedItem = Endpoint | Configuration | None
+DecodedItem = Endpoint | Configuration | Evacuation | None
 """Result of decoding an item; None if items of its kind are not used."""
 
 ItemDecoder = Callable[[Item], Result[DecodedItem, ItemError]]
@@ -110,6 +118,9 @@
 class Registry:
     """Endpoints and configuration of the process, updated from snapshots of the store.
 
+    Whatever is sent to an endpoint passes `ready` or `may_call`, which leave out the
+    evacuated data centres.
+
     An older revision of an item or version of the configuration never replaces a newer
     one, and an incarnation that has reported that it is leaving stays so, also if the
     store is restored from an older copy.
@@ -156,6 +167,13 @@
         Registered endpoints by the name of their incarnation.
     on_change : list of callable
         Called after each applied snapshot, and when grace periods have ended.
+    on_entry : list of callable
+        Called with each endpoint whose entry was read, and whether that was in the
+        first read of this process.
+    on_revoked : list of callable
+        Called with the name of a data centre whose evacuation has ended.
+    evacuations : Evacuations
+        Evacuations in force.
     versions : ServedVersions
         Software versions of the endpoints.
     refused : dict of str
@@ -179,6 +197,9 @@
         "by_service",
         "incarnations",
         "on_change",
+        "on_entry",
+        "on_revoked",
+        "evacuations",
         "versions",
         "refused",
     )
@@ -207,6 +228,9 @@
         self.by_service: dict[str, list[Endpoint]] = {}
         self.incarnations: dict[str, Endpoint] = {}
         self.on_change: list[Callable[[], None]] = []
+        self.on_entry: list[Callable[[Endpoint, bool], None]] = []
+        self.on_revoked: list[Callable[[str], None]] = []
+        self.evacuations = Evacuations(clock=clock)
         self.versions = ServedVersions(clock=clock)
         self.refused: dict[str, str] = {}
 
@@ -276,11 +300,23 @@
         self.store_returned_at = self.clock()
 
     def ready(self, service: str) -> list[Endpoint]:
-        """Return the endpoints of a service that accept new requests."""
-        if self.lapsed_until or self.held_until:
+        """Return the endpoints of a service to which new requests may be sent."""
+        if self.lapsed_until or self.held_until or self.evacuations.in_force:
             self._end_waits()
         return self.by_service.get(service, [])
 
+    def may_call(self, name: str) -> bool:
+        """Return whether anything at all may be sent to an incarnation.
+
+        Nothing may be sent to one that is not registered or whose data centre is
+        evacuated; one that is leaving still answers calls.
+        """
+        endpoint = self.incarnations.get(name)
+        return endpoint is not None and not self._is_evacuated(endpoint)
+
+    def _is_evacuated(self, endpoint: Endpoint) -> bool:
+        return endpoint.data_center in self.evacuations.data_centers
+
     def by_incarnation(self, name: str) -> Endpoint | None:
         """Return the registered endpoint of an incarnation's name, or None."""
         return self.incarnations.get(name)
@@ -300,6 +336,10 @@
                 self._register(item, endpoint)
             case Ok(Configuration() as configuration):
                 self._activate(configuration)
+            case Ok(Evacuation() as evacuation):
+                era = self.cache.revision.era
+                if self.evacuations.apply(item.key, evacuation, era):
+                    emit(EVACUATION_IN_FORCE, data_center=evacuation.data_center)
             case Ok(_):
                 return
             case Err(error):
@@ -319,6 +359,9 @@
         self._hold_if_departed(item, endpoint)
         if endpoint.state is EndpointState.LEAVING:
             self.leaving.add(endpoint.incarnation)
+        is_first_read = self.versions.known_since is None
+        for listener in self.on_entry:
+            listener(endpoint, is_first_read)
         if self.endpoints.get(key) == endpoint:
             return
         self.versions.record(endpoint.service, endpoint.version)
@@ -366,7 +409,28 @@
         self.configuration = configuration
         emit(CONFIGURATION_IN_FORCE, version=configuration.version)
 
+    def _end_evacuation(self, item: Item) -> None:
+        cache, current = self.cache, self.evacuations.in_force[item.key]
+        is_copy = item.revision <= cache.era_start
+        ended = self.evacuations.remove(
+            item.key, era=cache.revision.era, is_copy=is_copy
+        )
+        if item.key in self.evacuations.in_force:
+            seconds = (current.held_until - self.clock()).total_seconds()
+            data_center = current.data_center
+            emit(EVACUATION_HELD, data_center=data_center, seconds=seconds)
+        elif ended is not None:
+            self._announce_revoked(ended)
+
+    def _announce_revoked(self, data_center: str) -> None:
+        emit(EVACUATION_REVOKED, data_center=data_center)
+        for listener in self.on_revoked:
+            listener(data_center)
+
     def _remove(self, item: Item) -> None:
+        if item.key in self.evacuations.in_force:
+            self._end_evacuation(item)
+            return
         was_refused = self.refused.pop(item.key, None) is not None
         endpoint = self.endpoints.get(item.key)
         if endpoint is None:
@@ -400,7 +464,10 @@
         for name in admitted:
             del self.held_until[name]
             self.departed.pop(name, None)
-        if expired or admitted:
+        ended = self.evacuations.end_holds()
+        for data_center in ended:
+            self._announce_revoked(data_center)
+        if expired or admitted or ended:
             self._rebuild_indexes()
 
     def _unregister(self, key: str) -> None:
@@ -417,7 +484,8 @@
     def _rebuild_indexes(self) -> None:
         by_service: dict[str, list[Endpoint]] = {}
         for endpoint in self.endpoints.values():
-            if not self._is_unused(endpoint.incarnation):
+            is_unused = self._is_unused(endpoint.incarnation)
+            if not is_unused and not self._is_evacuated(endpoint):
                 by_service.setdefault(endpoint.service, []).append(endpoint)
         self.by_service = by_service
         registered = self.endpoints.values()
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -10,6 +10,9 @@
     "ENDPOINT_LEAVING",
     "ENDPOINT_LISTED",
     "ENDPOINT_MISSING",
+    "EVACUATION_HELD",
+    "EVACUATION_IN_FORCE",
+    "EVACUATION_REVOKED",
     "HISTORY_READ",
     "ITEM_REFUSED",
     "PEER_UNUSABLE",
@@ -136,3 +139,27 @@
     "versions served before it started; `is_known` is whether these are all.",
     fields=("changes", "is_known", "problem"),
 )
+EVACUATION_IN_FORCE = declare_event(
+    number=1915,
+    name="evacuation-in-force",
+    level="WARNING",
+    meaning="A data centre is evacuated: nothing new is sent to its endpoints, and "
+    "running requests are completed.",
+    fields=("data_center",),
+)
+EVACUATION_REVOKED = declare_event(
+    number=1916,
+    name="evacuation-revoked",
+    level="INFO",
+    meaning="The evacuation of a data centre has ended; its endpoints are cold at "
+    "first.",
+    fields=("data_center",),
+)
+EVACUATION_HELD = declare_event(
+    number=1917,
+    name="evacuation-held",
+    level="WARNING",
+    meaning="The copy from which the store was restored lacks the evacuation of a data "
+    "centre; it stays in force for `seconds` unless it is published again and removed.",
+    fields=("data_center", "seconds"),
+)
--- a/zinniaramp/routes/core.py
+++ b/zinniaramp/routes/core.py
@@ -80,6 +80,8 @@
         Priority of the requests; 0 is the most urgent.
     public : bool
         Whether requests are accepted without an API key.
+    allowed_regions : frozenset of str or None
+        Regions to whose endpoints requests may be sent; None for all.
     """
 
     name: str
@@ -94,6 +96,7 @@
     max_attempts: int
     priority: int
     public: bool
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -111,12 +114,18 @@
         Requests in one batch of a model engine; 0 if unknown.
     tokens_per_event : int
         Tokens in one event of a stream; 0 if unknown.
+    cold_start : timedelta
+        Time for which an endpoint is cold after its start; 0 if it never is.
+    cold_per_s : float
+        Requests per second that a cold endpoint bears; 0 if it is never cold.
     """
 
     name: str
     kv_capacity_tokens: int = 0
     slots: int = 0
     tokens_per_event: int = 0
+    cold_start: timedelta = timedelta()
+    cold_per_s: float = 0.0
 
     @property
     def is_engine(self) -> bool:
@@ -134,10 +143,13 @@
         Name that is sent to endpoints.
     priority : int or None
         Priority that takes precedence over the route's; None if not set.
+    allowed_regions : frozenset of str or None
+        Regions to whose endpoints requests may be sent; None for all.
     """
 
     name: str
     priority: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True, order=True)
