--- /dev/null
+++ b/features/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Simulations of cold endpoints and evacuations."""
