--- a/features/gateway/cold_data_center.feature
+++ b/features/gateway/cold_data_center.feature
@@ -35,3 +35,16 @@
     And every server closes its connections
     And 60 requests "GET /read/x" are sent to the gateways in turn
     Then in no second "s-1" received over 8 requests
+
+  Scenario: Idle cold engines are for prompts that can wait, and get no other calls
+    Given the model servers "m-1" are listed as cold for 0 ms
+    And the model servers "m-2" are listed as cold for 9000 ms
+    And 2 connected gateways
+    And the gateways have had time to learn of each other
+    When 20 prompts "GET /ask/x" are sent to the gateways in turn
+    Then all callers got the server's answer
+    And only the server "m-1" has received requests
+    When 20 prompts "GET /sum/x" are sent to the gateways in turn
+    Then all callers got the server's answer
+    And in no second "m-2" received over 8 requests
+    And the server "m-2" was not asked for its cached segments
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -7,7 +7,12 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import configuration, route, store_revision
+from features.gateway.rig import (
+    configuration,
+    request,
+    route,
+    store_revision,
+)
 from features.steps.gateway_steps import start_rig
 from zinniaramp.standins.platform import ServerBehaviour
 
@@ -114,6 +119,26 @@
     context.rig.run(context.rig.add_model_server("m-1", slots=1))
 
 
+@given('the model servers "{names}" are listed as cold for {milliseconds:d} ms')
+def cold_model_servers(context, names, milliseconds):
+    rig = context.rig
+    for name in names.split():
+        rig.run(rig.add_model_server(name, slots=4, cold_remaining_ms=milliseconds))
+
+
+@when('{count:d} prompts "{text}" are sent to the gateways in turn')
+def send_prompts(context, count, text):
+    rig = context.rig
+    method, path = text.split()
+    lines = ("Zinniaramp-Token-Usage: 20,2", "Zinniaramp-Prefix-Hash: s:10")
+    context.replies = []
+    for number in range(count):
+        daemon = rig.daemons[number % len(rig.daemons)]
+        data = request(path, name=f"p-{path}-{number}", method=method, lines=lines)
+        reply = rig.run(rig.exchange(data, daemon.settings.callers))
+        context.replies.append(reply)
+
+
 @then("nobody has read the cached segments of a model server")
 def check_no_reads(context):
     rig = context.rig
@@ -156,11 +181,13 @@
     context.cold_time = timedelta(milliseconds=milliseconds)
     rig = start_rig(context)
     rig.cold_overshoot, rig.cold_slack = 1.5, 5.0
-    service = PLAIN_SERVICE | {
-        "cold_start_s": milliseconds / 1000,
-        "cold_per_s": float(rate),
-    }
-    rig.store.put("op/config", configuration(services=[service]))
+    cold = {"cold_start_s": milliseconds / 1000, "cold_per_s": float(rate)}
+    engine = {"slots": 4, "kv_capacity_tokens": 60_000}
+    services = [
+        PLAIN_SERVICE | cold,
+        PLAIN_SERVICE | cold | {"name": "model", "engine": engine},
+    ]
+    rig.store.put("op/config", configuration(services=services))
 
 
 @given("the service has no cold behaviour")
@@ -262,3 +289,11 @@
 def close_connections(context):
     for server in context.rig.servers.values():
         server.behaviours.extend([ServerBehaviour.CLOSE] * 100)
+
+
+@then('the server "{name}" was not asked for its cached segments')
+def check_not_asked(context, name):
+    servers = context.rig.servers
+    assert servers[name].reads == 0
+    others = [server for key, server in servers.items() if key != name]
+    assert all(server.reads for server in others)
