--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -3,7 +3,7 @@
 import asyncio
 import json
 import signal
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 
 from loguru import logger
@@ -131,6 +131,9 @@
     events: list = field(default_factory=list)
     restarts: int = 0
     sink: int | None = None
+    regions: dict[str, str] = field(default_factory=dict)
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
 
     def run(self, coroutine):
         """Run a coroutine of a step, with a timeout of `MAX_WAIT_SECONDS`."""
@@ -285,7 +288,10 @@
             store_history=STORE_HISTORY,
             heartbeat=HEARTBEAT_INTERVAL,
             seeds=tuple(seeds),
-            bounds=bounds,
+            bounds=replace(
+                bounds, cold_overshoot=self.cold_overshoot, cold_slack=self.cold_slack
+            ),
+            regions=self.regions,
         )
         daemon = Daemon(
             settings=settings, read_settings=lambda: Ok(settings), listener=listener
