Bound the memory and descriptors that callers and peers hold

Cause: bodies were buffered and copied without a bound on their sum, at every path; connections were accepted without a bound, and closed ones stayed in the set of idle connections because HTTPServer does not pass on_close to its delegate.

Change: zinniaramp/intake accounts for connections, header fields, bodies, buffered bytes and answers, within limits derived from [limits] memory_mb and max_fds. Requests are charged from their headers and refused (503) or admitted before their body is read; chunked bodies are charged as they arrive. When room is short, the holders of most bytes times seconds, or the oldest connections, are evicted. Large bodies that will be refused anyway are refused at once and discarded. Large bodies are no longer copied. The readiness and metrics listeners take no bodies, and an accepted peer's message has at most 256 KB.

--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -56,6 +56,8 @@
         retry_share=settings.bounds.retry_share,
         retry_slack=settings.bounds.retry_slack,
         retry_window=settings.bounds.retry_window,
+        memory_mb=settings.limits.memory_mb,
+        max_fds=settings.limits.max_fds,
     )
 
 
@@ -168,6 +170,7 @@
                 changed = settings != self.settings
                 self.settings = settings
                 self.gateway.settings = _make_gateway_settings(settings)
+                self.gateway.apply_host_limits()
                 self.registry.lapse_grace = settings.bounds.endpoint_relist_window
                 self.registry.entry_lifetime = HEARTBEATS_PER_ENTRY * settings.heartbeat
                 emit(SETTINGS_RELOADED, changed=changed)
--- a/zinniaramp/gateway/caller.py
+++ b/zinniaramp/gateway/caller.py
@@ -1,5 +1,6 @@
 """Writing of one answer to a caller's connection."""
 
+import asyncio
 import json
 from collections.abc import Callable
 
@@ -7,15 +8,24 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine, responses
 from tornado.iostream import StreamClosedError
 
+from ..intake import Phase
 from .hops import end_to_end_headers
 from .upstream import AnswerHead
 
-__all__ = ["CallerConnection", "CallerGoneError"]
+__all__ = ["CallerConnection", "CallerGoneError", "UnfinishedCallerConnection"]
 
 DEFAULT_REASON = "Unknown"
 """Reason phrase for a status that has no standard one."""
 
 
+BLOCKED_BYTES = 128 * 1024
+"""Memory of an answer whose caller does not read, beside the part that is written: the
+messages that are queued meanwhile, and the buffer of the endpoint's connection."""
+
+ROOM_INTERVAL_SECONDS = 0.02
+"""Interval at which an answer that found no room in memory is tried again."""
+
+
 class CallerGoneError(Exception):
     """The caller closed its connection before the answer was complete."""
 
@@ -64,10 +74,37 @@
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body and wait until it is flushed to the socket."""
         try:
-            await self.connection.write(data)
+            await self._flush(self.connection.write(data))
         except StreamClosedError as error:
             raise CallerGoneError from error
 
+    async def _flush(self, written: asyncio.Future) -> None:
+        """Wait for a write; a caller that does not read may be evicted meanwhile."""
+        if written.done():
+            await written
+            return
+        holder = self.connection.stream.holder
+        phase = holder.phase
+        holder.enter(Phase.ANSWER)
+        holder.charge(BLOCKED_BYTES)
+        try:
+            await written
+        finally:
+            holder.charge(-BLOCKED_BYTES)
+            holder.enter(phase)
+
+    async def hold(self, count: int) -> None:
+        """Wait until there is room for a part of an answer, and charge it.
+
+        Parameters
+        ----------
+        count : int
+            Bytes of the part.
+        """
+        holder = self.connection.stream.holder
+        while not holder.reserve(count):
+            await asyncio.sleep(ROOM_INTERVAL_SECONDS)
+
     def finish(self) -> None:
         """Mark the answer as complete."""
         self.is_done = True
@@ -117,6 +154,20 @@
         self.has_started = True
         line = ResponseStartLine("HTTP/1.1", status, phrase)
         try:
-            await self.connection.write_headers(line, headers)
+            await self._flush(self.connection.write_headers(line, headers))
         except StreamClosedError as error:
             raise CallerGoneError from error
+
+
+class UnfinishedCallerConnection(CallerConnection):
+    """Writes a refusal while the caller still sends the body of its request.
+
+    The connection stays open after the answer, so that its owner can read the rest of
+    the body.
+    """
+
+    __slots__ = ()
+
+    def finish(self) -> None:
+        """Mark the answer as complete."""
+        self.is_done = True
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from ..clock import Clock
+from ..intake import Kind
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
@@ -21,6 +22,7 @@
     GATEWAY_STOPPED,
     GATEWAY_STOPPING,
 )
+from .intake import Intake, serve_application
 from .messages import HeaderCodec
 from .metrics import (
     CONFIGURATION,
@@ -83,6 +85,8 @@
         `retry_share` retries per request plus `retry_slack` retries.
     retry_window : timedelta
         Length of the retry budget's window.
+    memory_mb, max_fds : float or None
+        Memory in MiB and descriptors of the host; None if they are not limited.
     """
 
     host: str
@@ -96,6 +100,8 @@
     retry_share: float
     retry_slack: float
     retry_window: timedelta
+    memory_mb: float | None = None
+    max_fds: float | None = None
 
 
 class Gateway:
@@ -135,6 +141,8 @@
         Listener for callers' requests.
     mesh : PeerMesh
         Connections to the other gateway processes.
+    intake : Intake
+        Account of the memory and descriptors that connections hold.
     segment_loader : CachedSegmentLoader
         Reads the contents of the engines' KV caches after the start.
     is_stopping : bool
@@ -148,6 +156,7 @@
         "pool",
         "callers",
         "mesh",
+        "intake",
         "segment_loader",
         "is_stopping",
         "settings_problem",
@@ -183,7 +192,12 @@
             clock=clock,
             random=random,
         )
-        self.callers = CallerServer(pool=self.pool, clock=clock)
+        self.intake = Intake(
+            clock=clock, memory_mb=settings.memory_mb, max_fds=settings.max_fds
+        )
+        self.callers = CallerServer(
+            pool=self.pool, account=self.intake.account, clock=clock
+        )
         peer_events = PeerEvents(pool=self.pool)
         self.mesh = PeerMesh(
             own_address=settings.peers,
@@ -195,6 +209,7 @@
             find_origin=lambda key: self.pool.resumption.find_known(key),
             random=random,
         )
+        self.mesh.server.account = self.intake.account
         self.pool.resumption = StreamResumption(
             registry=registry,
             clock=clock,
@@ -227,9 +242,23 @@
         opened = [listener] if listener else bind_sockets(callers.port, callers.ip)
         self.serving = asyncio.create_task(self._serve(opened))
         readiness_app = make_readiness(self.unready_reason, self.list_problems)
-        readiness_app.listen(readiness.port, readiness.ip)
+        account = self.intake.account
+        serve_application(
+            readiness_app,
+            account=account,
+            kind=Kind.READINESS,
+            port=readiness.port,
+            ip=readiness.ip,
+        )
         metrics = self.settings.metrics
-        make_metrics().listen(metrics.port, metrics.ip)
+        serve_application(
+            make_metrics(),
+            account=account,
+            kind=Kind.METRICS,
+            port=metrics.port,
+            ip=metrics.ip,
+        )
+        self.intake.start()
         IN_FLIGHT.set_function(lambda: len(self.callers.tasks))
         quarantine = self.pool.crash_watch.quarantine
         QUARANTINED.set_function(lambda: len(quarantine.active()))
@@ -243,6 +272,11 @@
             callers=str(callers),
         )
 
+    def apply_host_limits(self) -> None:
+        """Apply the limits of the host after the settings have changed."""
+        settings = self.settings
+        self.intake.apply(memory_mb=settings.memory_mb, max_fds=settings.max_fds)
+
     async def _serve(self, listeners: list[socket.socket]) -> None:
         """Accept requests once a configuration is known or the wait times out."""
         try:
@@ -287,6 +321,7 @@
         after = (self.clock() - stop_began_at).total_seconds()
         emit(GATEWAY_STOPPED, left=remaining, after_s=after)
         self.mesh.stop()
+        self.intake.stop()
         await self.callers.close()
 
     def _apply_registry_change(self) -> None:
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -80,6 +80,21 @@
             if self.sender is not None:
                 self.sender.end_send()
 
+    def find_refusal(self) -> RefusalError | None:
+        """Return why the request will be refused whatever its body is, or None."""
+        try:
+            self._match()
+        except RefusalError as refusal:
+            return refusal
+        return None
+
+    async def refuse(self, refusal: RefusalError) -> None:
+        """Refuse the request without handling it."""
+        try:
+            await self._end_without_answer(refusal)
+        except asyncio.CancelledError:
+            self.caller.abort()
+
     def _match(self) -> MatchedRequest:
         if self.pool.is_refusing:
             raise RefusalError(503, "stopping")
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -40,15 +40,15 @@
         Method, target and version.
     headers : HTTPHeaders
         Headers as received.
-    body : bytes
-        Complete body.
+    body : bytes or bytearray
+        Complete body; a large one is a bytearray, which nothing may change.
     received : datetime
         When the headers were received.
     """
 
     start_line: RequestStartLine
     headers: HTTPHeaders
-    body: bytes
+    body: bytes | bytearray
     received: datetime
 
 
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -8,9 +8,13 @@
 __all__ = [
     "ADDED_SECONDS",
     "ANSWERS",
+    "BUDGET_BYTES",
+    "CONNECTIONS",
     "CONFIGURATION",
     "CUT_ANSWERS",
+    "EVICTIONS",
     "FIRST_EVENT_SECONDS",
+    "HELD_BYTES",
     "IN_FLIGHT",
     "LIMITED",
     "QUARANTINED",
@@ -75,6 +79,24 @@
     "zinniaramp_gateway_store_lost", "1 while the store gives no valid response."
 )
 
+HELD_BYTES = Gauge(
+    "zinniaramp_gateway_held_bytes",
+    "Memory charged for the connections of callers and peers and for their requests.",
+)
+BUDGET_BYTES = Gauge(
+    "zinniaramp_gateway_held_limit_bytes",
+    "Memory that may be charged now; less than usual while the process is large.",
+)
+CONNECTIONS = Gauge(
+    "zinniaramp_gateway_connections", "Accepted connections, by listener.", ["kind"]
+)
+EVICTIONS = Counter(
+    "zinniaramp_gateway_evictions",
+    "Connections closed because memory or descriptors ran short, by listener, phase "
+    "and cause.",
+    ["kind", "phase", "cause"],
+)
+
 
 def make_metrics() -> Application:
     """Return the application that serves ``/metrics``."""
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -318,11 +318,17 @@
 
     async def _read_body(self, answer: Answer, result: SendResult) -> SendResult:
         parts, size = [], 0
+        held = _announced_length(result.head)
+        if held:
+            await self.caller.hold(held)
         while True:
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 parts.append(message.data)
                 size += len(message.data)
+                if size > held:
+                    await self.caller.hold(size - held)
+                    held = size
                 if size > MAX_BUFFERED_BYTES:
                     problem = f"body with more than {MAX_BUFFERED_BYTES} bytes"
                     return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
@@ -421,3 +427,10 @@
         if self.selection is not None:
             self.pool.record_end(self.selection)
             self.selection = None
+
+
+def _announced_length(head: AnswerHead) -> int:
+    """Return the length of a body that is kept until it is complete; 0 if unknown."""
+    value = head.headers.get("Content-Length", "")
+    length = int(value) if value.isascii() and value.isdigit() else 0
+    return min(length, MAX_BUFFERED_BYTES)
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -1,24 +1,28 @@
 """Listener for callers: reads complete requests and starts a handler for each."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from datetime import timedelta
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
     RequestStartLine,
+    ResponseStartLine,
 )
 
 from ..clock import Clock
+from ..intake import FIELD_BYTES, LARGE_BYTES, Account, Kind, Phase
 from ..routes import ClientLimits
-from .caller import CallerConnection
+from .caller import CallerConnection, UnfinishedCallerConnection
 from .handling import RequestHandler
-from .matching import CallerRequest
+from .intake import BoundedServer, MeteredStream
+from .matching import CallerRequest, RefusalError
+from .metrics import ANSWERS
 from .pool import EndpointPool
 
 __all__ = ["CallerServer"]
@@ -28,17 +32,45 @@
 keeps the limit with which it began, so a raised limit would not apply to it."""
 
 
+LINGER_SECONDS = 5.0
+"""Longest time for which the rest of a refused body is read and discarded.  A
+connection that is closed with unread bytes is reset, and the caller may lose the
+refusal.  Under pressure the connection is closed earlier."""
+
+
 class _RequestReader(HTTPMessageDelegate):
-    """Reads one complete request and starts its handler."""
+    """Reads one complete request and starts its handler.
+
+    Attributes
+    ----------
+    body : bytearray
+        Body received so far; of a large one with a length, that length from the start,
+        so that it is never copied.
+    filled : int
+        Bytes of the body received so far.
+    is_refused : bool
+        Whether the request was refused; the rest of its body is discarded.
+    has_ended : bool
+        Whether the complete request was received.
+    """
 
     def __init__(self, *, server: "CallerServer", connection: HTTP1Connection):
         self.server = server
         self.connection = connection
         server.idle.add(connection)
+        self.stream: MeteredStream = connection.stream
+        self.stream.reader = self
+        self.holder = self.stream.holder
+        if self.holder.phase is not Phase.HEAD:
+            self.holder.enter(Phase.IDLE)
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.received = server.clock()
         self.body = bytearray()
+        self.filled = 0
+        self.is_chunked = False
+        self.is_refused = False
+        self.has_ended = False
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders):
         self.server.idle.discard(self.connection)
@@ -48,24 +80,80 @@
         self.start_line = start_line
         self.headers = headers
         self.received = self.server.clock()
+        self.stream.settle()
+        self._admit()
+
+    def _admit(self) -> None:
+        """Charge the request, or refuse it before any of its body is read."""
+        length = _announced_length(self.headers)
+        self.is_chunked = "Transfer-Encoding" in self.headers
+        if self.is_chunked or length > LARGE_BYTES:
+            refusal = self.server.find_refusal(self.request(b""))
+            if refusal is not None:
+                self._refuse(refusal)
+                return
+        if not self.holder.reserve(length + FIELD_BYTES * len(self.headers)):
+            self._refuse(RefusalError(503, "memory-short"))
+            return
+        if length > LARGE_BYTES:
+            self.body = bytearray(length)
+        if self.is_chunked or length > self.stream.buffered:
+            self.holder.enter(Phase.BODY)
+
+    def _refuse(self, refusal: RefusalError) -> None:
+        self.drop()
+        self.holder.release()
+        self.holder.enter(Phase.REFUSED)
+        self.server.refuse(self, refusal)
+
+    def drop(self) -> None:
+        """Free the body when the connection is evicted, and ignore what follows."""
+        self.is_refused = True
+        self.body = bytearray()
+
+    def request(self, body: bytes | bytearray) -> CallerRequest:
+        """Return the request with a body."""
+        return CallerRequest(
+            start_line=self.start_line,
+            headers=self.headers,
+            body=body,
+            received=self.received,
+        )
 
     def data_received(self, chunk: bytes) -> None:
-        self.body += chunk
+        self.stream.settle()
+        if self.is_refused:
+            return
+        if self.is_chunked and not self.holder.reserve(len(chunk)):
+            self._refuse(RefusalError(503, "memory-short"))
+            return
+        end = self.filled + len(chunk)
+        if end > len(self.body):
+            self.body += chunk
+        else:
+            self.body[self.filled : end] = chunk
+        self.filled = end
 
     def finish(self) -> None:
+        self.has_ended = True
+        if self.is_refused:
+            return
         if self.connection.stream.closed():
             # The connection was closed as idle before the headers were parsed.  The
             # caller concludes that the request was not read, so it must not be sent.
             return
-        request = CallerRequest(
-            start_line=self.start_line,
-            headers=self.headers,
-            body=bytes(self.body),
-            received=self.received,
-        )
+        is_large = self.filled > LARGE_BYTES
+        body, self.body = self.body, bytearray()
+        request = self.request(body if is_large else bytes(body))
         self.server.handle(request, self.connection)
 
 
+def _announced_length(headers: HTTPHeaders) -> int:
+    """Return the length of a body; 0 if there is none, or none that is valid."""
+    value = headers.get("Content-Length", "0")
+    return int(value) if value.isascii() and value.isdigit() else 0
+
+
 class _ConnectionDelegate(HTTPServerConnectionDelegate):
     def __init__(self, server: "CallerServer"):
         self.server = server
@@ -73,9 +161,6 @@
     def start_request(self, server_conn, request_conn: HTTP1Connection):
         return _RequestReader(server=self.server, connection=request_conn)
 
-    def on_close(self, server_conn) -> None:
-        self.server.drop_closed()
-
 
 class CallerServer:
     """Accepts callers' connections and tracks their requests.
@@ -84,6 +169,8 @@
     ----------
     pool : EndpointPool
         State that all handlers share.
+    account : Account
+        Account of the memory and descriptors that connections hold.
     clock : Clock
         The process's clock.
 
@@ -97,15 +184,29 @@
         Whether each connection closes after its current answer.
     """
 
-    __slots__ = ("pool", "clock", "http", "tasks", "idle", "is_closing", "limits")
-
-    def __init__(self, *, pool: EndpointPool, clock: Clock):
+    __slots__ = (
+        "pool",
+        "account",
+        "clock",
+        "http",
+        "tasks",
+        "idle",
+        "is_closing",
+        "limits",
+    )
+
+    def __init__(self, *, pool: EndpointPool, account: Account, clock: Clock):
         self.pool = pool
+        self.account = account
         self.clock = clock
         self.tasks: set[asyncio.Task] = set()
         self.idle: set[HTTP1Connection] = set()
         self.is_closing = False
-        self.http = HTTPServer(_ConnectionDelegate(self))
+        self.http = BoundedServer.make(
+            _ConnectionDelegate(self), account=account, kind=Kind.CALLER
+        )
+        self.http.make_evict = self._make_evict
+        self.http.on_closed = self._forget_closed
         self.limits: ClientLimits | None = None
 
     def serve(self, listeners: list[socket.socket]) -> None:
@@ -132,11 +233,71 @@
             connection=connection, is_closing=lambda: self.is_closing
         )
         handler = RequestHandler(pool=self.pool, request=request, caller=caller)
-        task = asyncio.create_task(handler.run())
+        holder = connection.stream.holder
+        if self.account.begin_run(holder):
+            running = handler.run()
+        else:
+            running = handler.refuse(RefusalError(503, "descriptors-short"))
+        task = asyncio.create_task(running)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+
+        def end(task: asyncio.Task) -> None:
+            self.tasks.discard(task)
+            holder.end_run()
+
+        task.add_done_callback(end)
         connection.set_close_callback(_make_cancel_callback(task))
 
+    def find_refusal(self, request: CallerRequest) -> RefusalError | None:
+        """Return why a request will be refused whatever its body is, or None."""
+        return RequestHandler(
+            pool=self.pool, request=request, caller=None
+        ).find_refusal()
+
+    def refuse(self, reader: _RequestReader, refusal: RefusalError) -> None:
+        """Refuse a request whose body was not read, and close its connection."""
+        task = asyncio.create_task(self._refuse(reader, refusal))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _refuse(self, reader: _RequestReader, refusal: RefusalError) -> None:
+        stream = reader.stream
+        caller = UnfinishedCallerConnection(
+            connection=reader.connection, is_closing=lambda: True
+        )
+        handler = RequestHandler(
+            pool=self.pool, request=reader.request(b""), caller=caller
+        )
+        await handler.refuse(refusal)
+        if not stream.closed():
+            with contextlib.suppress(OSError):
+                stream.socket.shutdown(socket.SHUT_WR)
+            asyncio.get_running_loop().call_later(
+                0 if reader.has_ended else LINGER_SECONDS, stream.close
+            )
+
+    def _make_evict(self, stream: MeteredStream) -> Callable[[Phase], None]:
+        def evict(phase: Phase) -> None:
+            if phase is Phase.BODY and not stream.closed():
+                stream.reader.drop()
+                self._write_eviction(stream.reader.connection)
+            stream.close()
+
+        return evict
+
+    def _write_eviction(self, connection: HTTP1Connection) -> None:
+        """Tell a caller whose body is incomplete that its request was not run."""
+        ANSWERS.labels("", 503, "gateway").inc()
+        headers = HTTPHeaders({"Content-Length": "0", "Connection": "close"})
+        headers["Retry-After"] = f"{self.pool.retry_after(None, None):.3f}"
+        line = ResponseStartLine("HTTP/1.1", 503, "Service Unavailable")
+        connection.write_headers(line, headers)
+
+    def _forget_closed(self, stream: MeteredStream) -> None:
+        if stream.reader is not None:
+            self.idle.discard(stream.reader.connection)
+            stream.reader = None
+
     def disable_keep_alive(self) -> None:
         """Close each connection after its current answer."""
         self.is_closing = True
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -35,9 +35,16 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Limit on the body of an answer with a length or chunks, in bytes."""
 
-MAX_QUEUED_MESSAGES = 8
+MAX_QUEUED_MESSAGES = 4
 """Messages of an answer that are buffered for a slow caller before reading pauses."""
 
+READ_BYTES = 16 * 1024
+"""Largest message of an answer, and size of one read.  `MAX_QUEUED_MESSAGES` of them
+are held for a caller that does not read; an event has a few hundred bytes."""
+
+LARGE_BODY_BYTES = 64 * 1024
+"""Size from which a body is not copied into one write with the headers."""
+
 MIN_FINAL_STATUS = 200
 """Lowest final status; lower ones are interim responses."""
 
@@ -49,7 +56,7 @@
     method: str
     target: str
     headers: HTTPHeaders
-    body: bytes
+    body: bytes | bytearray
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -144,14 +151,20 @@
     def start(self, request: UpstreamRequest) -> None:
         """Send the request and start reading the answer."""
         parameters = HTTP1ConnectionParameters(
-            max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            chunk_size=READ_BYTES,
         )
+        self.stream.read_chunk_size = READ_BYTES
         connection = HTTP1Connection(self.stream, True, parameters)
+        is_large = len(request.body) > LARGE_BODY_BYTES
         connection.write_headers(
             RequestStartLine(request.method, request.target, "HTTP/1.1"),
             request.headers,
-            request.body,
+            None if is_large else request.body,
         )
+        if is_large:
+            connection.write(request.body)
         connection.finish()
         self.task = asyncio.create_task(self._read(connection))
 
--- /dev/null
+++ b/zinniaramp/intake/account.py
@@ -0,0 +1,401 @@
+"""Account of what connections hold, admission, and the choice of whom to evict.
+
+No part of this does I/O: a holder's ``evict`` function, given by the listener, closes
+its connection.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable, Iterator
+from datetime import datetime
+from enum import Enum
+
+from ..clock import Clock
+from .limits import IntakeLimits
+
+__all__ = ["Account", "Holder", "Kind", "Phase"]
+
+CONNECTION_BYTES = 10 * 1024
+"""Memory of one connection without any data; 7 KB were measured."""
+
+FIELD_BYTES = 320
+"""Memory of one header field of a request that is being handled.  200 requests with
+3,200 fields each took 192 MB at a route, which keeps two copies."""
+
+LARGE_BYTES = 64 * 1024
+"""Size above which a request counts as large; ordinary ones have a few kilobytes."""
+
+LARGE_SHARE = 0.8
+"""Share of the budget up to which large requests are accepted; the rest is kept for
+ordinary ones."""
+
+RELIEF_SHARE = 0.125
+"""Share of the budget that one round of evictions frees beyond what is needed, so that
+a flood does not search all holders for each of its requests."""
+
+MIN_ROOM_SHARE = 0.125
+"""Share of the budget that stays available whatever the resident memory is, so that
+ordinary requests are served while the allocator keeps free memory."""
+
+
+class Kind(Enum):
+    """Listener that accepted a connection."""
+
+    CALLER = "caller"
+    PEER = "peer"
+    READINESS = "readiness"
+    METRICS = "metrics"
+
+
+class Phase(Enum):
+    """What a connection waits for."""
+
+    REFUSED = "refused"
+    """The request was refused; the rest of its body is read and discarded."""
+
+    HEAD = "head"
+    """No complete header block has arrived on the connection, or only a part of the
+    next one."""
+
+    BODY = "body"
+    """A part of a body has arrived; nothing of the request has been sent."""
+
+    IDLE = "idle"
+    """A request was answered, and nothing of the next one has arrived."""
+
+    ANSWER = "answer"
+    """An answer waits for its caller to read."""
+
+    RUNNING = "running"
+    """The request is being handled; such a connection is never evicted."""
+
+
+DESCRIPTOR_ORDER = (Phase.REFUSED, Phase.HEAD, Phase.BODY, Phase.IDLE, Phase.ANSWER)
+"""Order of phases in which connections are closed for their descriptors, the oldest of
+a phase first.  Idle ones come late: their callers may be about to send."""
+
+MEMORY_ORDER = (Phase.REFUSED, Phase.HEAD, Phase.BODY, Phase.ANSWER)
+"""Phases of the connections that are closed for their memory."""
+
+
+class Holder:
+    """One connection, and what it holds.
+
+    Parameters
+    ----------
+    account : Account
+        Account of the process.
+    kind : Kind
+        Listener that accepted the connection.
+    evict : callable
+        Closes the connection; called at most once, with the phase.
+
+    Attributes
+    ----------
+    phase : Phase
+        What the connection waits for.
+    since : datetime
+        When the phase began.
+    charged : int
+        Bytes of the request and of its answer.
+    buffered : int
+        Bytes that were received and not used yet.
+    is_open : bool
+        Whether the connection counts.
+    is_running : bool
+        Whether its request may have a connection to an endpoint.
+    """
+
+    __slots__ = (
+        "account",
+        "kind",
+        "evict",
+        "phase",
+        "since",
+        "charged",
+        "buffered",
+        "is_open",
+        "is_running",
+    )
+
+    def __init__(
+        self, *, account: "Account", kind: Kind, evict: Callable[[Phase], None]
+    ):
+        self.account = account
+        self.kind = kind
+        self.evict = evict
+        self.phase = Phase.HEAD
+        self.since: datetime = account.clock()
+        self.charged = 0
+        self.buffered = 0
+        self.is_open = True
+        self.is_running = False
+
+    def enter(self, phase: Phase) -> None:
+        """Begin a phase."""
+        if phase is self.phase or not self.is_open:
+            return
+        queues = self.account.queues[self.kind]
+        queues[self.phase].pop(self, None)
+        self.phase = phase
+        self.since = self.account.clock()
+        queues[phase][self] = None
+
+    def receive(self, count: int) -> None:
+        """Charge bytes that were received."""
+        self.buffered += count
+        self.account.add(count)
+        if self.phase is Phase.IDLE:
+            self.enter(Phase.HEAD)
+
+    def set_buffered(self, count: int) -> None:
+        """Set the number of received bytes that were not used yet."""
+        if self.is_open:
+            self.account.add(count - self.buffered)
+            self.buffered = count
+
+    def charge(self, count: int) -> None:
+        """Charge bytes that can't be refused any more."""
+        if self.is_open:
+            self.charged += count
+            self.account.add(count)
+
+    def reserve(self, count: int) -> bool:
+        """Charge bytes if there is room for them, evicting others if necessary.
+
+        Returns
+        -------
+        bool
+            Whether the bytes were charged; if not, refuse the request.
+        """
+        if not self.account.make_room(self, count):
+            return False
+        self.charge(count)
+        return True
+
+    def release(self) -> None:
+        """Give back all that was charged for the request and its answer."""
+        self.account.add(-self.charged)
+        self.charged = 0
+
+    def end_run(self) -> None:
+        """End the request: give back all that was charged for it."""
+        self.release()
+        if self.is_running:
+            self.is_running = False
+            self.account.running -= 1
+
+    def close(self) -> None:
+        """Remove the connection from the account."""
+        if not self.is_open:
+            return
+        self.end_run()
+        self.set_buffered(0)
+        self.is_open = False
+        self.account.remove(self)
+
+
+class Account:
+    """Memory and descriptors that the connections of a process hold.
+
+    Parameters
+    ----------
+    limits : IntakeLimits
+        Limits of the process.
+    clock : Clock
+        The process's clock.
+    on_evicted : callable
+        Called with the kind, the phase and the cause of each eviction.
+
+    Attributes
+    ----------
+    held : int
+        Bytes that are charged, without the connections themselves.
+    budget : float
+        Bytes that may be held now; at most that of the limits.
+    running : int
+        Callers' requests in work, each of which may have a connection to an endpoint.
+    counts : dict
+        Open connections, by kind.
+    queues : dict
+        Holders by kind and phase, in the order in which they entered it.
+    relief_due : callable
+        Called once when more is held than may be; it has `relieve` called soon.
+    """
+
+    __slots__ = (
+        "limits",
+        "clock",
+        "on_evicted",
+        "held",
+        "budget",
+        "running",
+        "counts",
+        "queues",
+        "relief_due",
+        "is_relief_due",
+    )
+
+    def __init__(
+        self,
+        *,
+        limits: IntakeLimits,
+        clock: Clock,
+        on_evicted: Callable[[Kind, Phase, str], None] = lambda *_: None,
+    ):
+        self.limits = limits
+        self.clock = clock
+        self.on_evicted = on_evicted
+        self.held = 0
+        self.budget = limits.budget
+        self.running = 0
+        self.counts = dict.fromkeys(Kind, 0)
+        self.queues: dict[Kind, dict[Phase, OrderedDict[Holder, None]]] = {
+            kind: {phase: OrderedDict() for phase in Phase} for kind in Kind
+        }
+        self.relief_due: Callable[[], None] = lambda: None
+        self.is_relief_due = False
+
+    @property
+    def connections(self) -> int:
+        """Number of open connections of all kinds."""
+        return sum(self.counts.values())
+
+    def set_limits(self, limits: IntakeLimits) -> None:
+        """Replace the limits; what is held beyond them is evicted soon."""
+        self.limits = limits
+        self.budget = limits.budget
+        self.add(0)
+
+    def open(self, kind: Kind, evict: Callable[[Phase], None]) -> Holder | None:
+        """Admit a connection, evicting an older one if necessary.
+
+        Returns
+        -------
+        Holder or None
+            The account of the connection; None if it must be closed at once.
+        """
+        cap = {
+            Kind.PEER: self.limits.peers,
+            Kind.READINESS: self.limits.readiness,
+            Kind.METRICS: self.limits.metrics,
+        }.get(kind, float("inf"))
+        if self.counts[kind] >= cap and not self._evict_oldest((kind,)):
+            return None
+        if self._used_sockets() >= self.limits.sockets and not self._evict_oldest(
+            (Kind.CALLER, kind)
+        ):
+            return None
+        holder = Holder(account=self, kind=kind, evict=evict)
+        self.counts[kind] += 1
+        self.queues[kind][Phase.HEAD][holder] = None
+        self.add(CONNECTION_BYTES)
+        return holder
+
+    def begin_run(self, holder: Holder) -> bool:
+        """Begin to handle a request, which may open a connection to an endpoint.
+
+        Returns
+        -------
+        bool
+            Whether a descriptor is left for it; if not, refuse the request.
+        """
+        holder.enter(Phase.RUNNING)
+        if self._used_sockets() >= self.limits.sockets and not self._evict_oldest(
+            (Kind.CALLER,)
+        ):
+            return False
+        holder.is_running = True
+        self.running += 1
+        return True
+
+    def remove(self, holder: Holder) -> None:
+        """Remove a closed connection."""
+        self.queues[holder.kind][holder.phase].pop(holder, None)
+        self.counts[holder.kind] -= 1
+        self.add(-CONNECTION_BYTES)
+
+    def add(self, count: int) -> None:
+        """Add to the bytes that are held."""
+        self.held += count
+        if self.held > self.budget and not self.is_relief_due:
+            self.is_relief_due = True
+            self.relief_due()
+
+    def make_room(self, holder: Holder, count: int) -> bool:
+        """Return whether bytes may be charged, after evictions if necessary.
+
+        Large requests find less room than others.  One request is admitted whatever
+        its size if nothing else of any size is held.
+        """
+        is_large = holder.charged + count > LARGE_BYTES
+        budget = self.budget * (LARGE_SHARE if is_large else 1)
+        if self.held + count <= budget:
+            return True
+        self._free(self.held + count - budget, sparing=holder)
+        if self.held + count <= budget:
+            return True
+        own = CONNECTION_BYTES * self.connections + holder.buffered + holder.charged
+        return self.held - own < LARGE_BYTES and count <= self.limits.budget
+
+    def relieve(self) -> None:
+        """Evict the largest and slowest holders if more is held than may be."""
+        self.is_relief_due = False
+        if self.held > self.budget:
+            self._free(self.held - self.budget)
+
+    def adjust(self, resident_bytes: int) -> None:
+        """Adjust the budget to the measured memory of the process.
+
+        Parameters
+        ----------
+        resident_bytes : int
+            Resident memory of the process.
+        """
+        limits = self.limits
+        room = max(
+            limits.high_water - resident_bytes,
+            limits.budget * MIN_ROOM_SHARE - self.held,
+        )
+        self.budget = min(limits.budget, self.held + room)
+        self.add(0)
+
+    def _used_sockets(self) -> int:
+        return self.connections + self.running
+
+    def _evict_oldest(self, kinds: tuple[Kind, ...]) -> bool:
+        """Evict the connection of some kinds that has done nothing for longest."""
+        for phase in DESCRIPTOR_ORDER:
+            for kind in kinds:
+                queue = self.queues[kind][phase]
+                if queue:
+                    self._evict(next(iter(queue)), "descriptors")
+                    return True
+        return False
+
+    def _free(self, count: float, sparing: Holder | None = None) -> None:
+        """Evict the holders of most bytes times seconds, until enough is free."""
+        now = self.clock()
+        candidates = [one for one in self._memory_holders() if one is not sparing]
+        candidates.sort(key=lambda one: _weight(one, now), reverse=True)
+        aim = self.held - count - self.limits.budget * RELIEF_SHARE
+        for holder in candidates:
+            if self.held <= aim:
+                return
+            self._evict(holder, "memory")
+
+    def _memory_holders(self) -> Iterator[Holder]:
+        for queues in self.queues.values():
+            for phase in MEMORY_ORDER:
+                yield from queues[phase]
+
+    def _evict(self, holder: Holder, cause: str) -> None:
+        phase = holder.phase
+        holder.close()
+        self.on_evicted(holder.kind, phase, cause)
+        holder.evict(phase)
+
+
+def _weight(holder: Holder, now: datetime) -> float:
+    """Return the bytes that a connection holds, times the time for which it has."""
+    size = CONNECTION_BYTES + holder.charged + holder.buffered
+    return size * (now - holder.since).total_seconds()
--- a/zinniaramp/peers/codec.py
+++ b/zinniaramp/peers/codec.py
@@ -235,13 +235,19 @@
 
 
 class MessageDecoder:
-    """Incremental decoder of the messages on one connection."""
+    """Incremental decoder of the messages on one connection.
+
+    Parameters
+    ----------
+    max_bytes : int, optional
+        Largest size of received bytes that are not decoded yet.
+    """
 
     __slots__ = ("unpacker",)
 
-    def __init__(self):
+    def __init__(self, *, max_bytes: int = MAX_MESSAGE_BYTES):
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_MESSAGE_BYTES, unicode_errors=TEXT_ERRORS
+            max_buffer_size=max_bytes, unicode_errors=TEXT_ERRORS
         )
 
     def feed(self, data: bytes) -> list[Message]:
--- a/zinniaramp/peers/server.py
+++ b/zinniaramp/peers/server.py
@@ -1,12 +1,14 @@
 """Listener for the connections of peers, and handling of their messages."""
 
 import asyncio
+from collections.abc import Coroutine
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from ..intake import Account, Holder, Kind, Phase
 from ..observability import emit
 from ..registry import Snapshot
 from ..sockets import enable_keepalive
@@ -37,6 +39,11 @@
 """Maximum size of one read."""
 
 
+MAX_INBOUND_BYTES = 256 * 1024
+"""Largest message on an accepted connection.  The largest valid one, a greeting that
+names 1,000 peers, has 22 KB; items of the store arrive on the other connections."""
+
+
 class MeshServer(TCPServer):
     """Accepts the connections of peers and handles their messages.
 
@@ -44,19 +51,38 @@
     ----------
     mesh : PeerMesh
         Mesh that uses the messages.
+
+    Attributes
+    ----------
+    account : Account or None
+        Account that admits connections; None admits all.
     """
 
     def __init__(self, mesh: "PeerMesh"):
-        super().__init__()
+        super().__init__(max_buffer_size=2 * MAX_INBOUND_BYTES)
         self.mesh = mesh
+        self.account: Account | None = None
 
-    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+    def handle_stream(
+        self, stream: IOStream, address: tuple
+    ) -> Coroutine[None, None, None] | None:
         """Handle the messages of a connection until it closes."""
+        holder = None
+        if self.account is not None:
+            holder = self.account.open(Kind.PEER, lambda phase: stream.close())
+            if holder is None:
+                stream.close()
+                return None
+        return self._handle(stream, address, holder)
+
+    async def _handle(
+        self, stream: IOStream, address: tuple, holder: Holder | None
+    ) -> None:
         enable_keepalive(stream.socket)
         connection = "{}:{}".format(*address)
         problem = ""
         try:
-            await self._read_messages(connection, stream)
+            await self._read_messages(connection, stream, holder)
         except (StreamClosedError, TimeoutError) as error:
             problem = repr(error)
         except MessageError as error:
@@ -64,14 +90,21 @@
             emit(PEER_SENT_INVALID_DATA, peer=connection, problem=problem)
         finally:
             stream.close()
+            if holder is not None:
+                holder.close()
             self._remove_connection(connection, problem)
 
-    async def _read_messages(self, connection: str, stream: IOStream) -> None:
-        decoder = MessageDecoder()
+    async def _read_messages(
+        self, connection: str, stream: IOStream, holder: Holder | None
+    ) -> None:
+        decoder = MessageDecoder(max_bytes=MAX_INBOUND_BYTES)
         while True:
             async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
                 data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
-            for message in decoder.feed(data):
+            messages = decoder.feed(data)
+            if holder is not None:
+                _charge(holder, data, messages)
+            for message in messages:
                 await self._handle_message(connection, message, stream)
 
     async def _handle_message(
@@ -87,15 +120,22 @@
                 if hello is not None:
                     mesh.record_heartbeat(hello.address, message)
             case ItemsRequest(after=after):
-                await stream.write(encode(mesh.registry.cache.changes_since(after)))
+                changes = encode(mesh.registry.cache.changes_since(after))
+                await self._write(stream, changes)
             case OriginRequest(key=key):
                 answer = OriginAnswer(key=key, origin=mesh.find_origin(key))
-                await stream.write(encode(answer))
+                await self._write(stream, encode(answer))
             case Snapshot() | OriginAnswer():
                 raise MessageError("reply that was not requested")
             case _:
                 mesh.on_load_event(connection, message)
 
+    @staticmethod
+    async def _write(stream: IOStream, data: bytes) -> None:
+        """Write an answer; raise `TimeoutError` if the peer does not read it."""
+        async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
+            await stream.write(data)
+
     def _add_peers(self, addresses: tuple[str, ...]) -> None:
         try:
             for address in addresses:
@@ -109,3 +149,15 @@
             self.mesh.peer_revisions.pop(hello.address, None)
             self.mesh.on_load_event(connection, None)
             emit(PEER_DISCONNECTED, peer=hello.address, problem=problem)
+
+
+def _charge(holder: Holder, data: bytes, messages: list[Message]) -> None:
+    """Charge received bytes until they are decoded.
+
+    Connections that have sent a valid message are evicted after those that have not.
+    """
+    if messages:
+        holder.set_buffered(0)
+        holder.enter(Phase.IDLE)
+    else:
+        holder.set_buffered(holder.buffered + len(data))
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -10,7 +10,13 @@
 from ..sockets import Address, parse_address
 from .listening import settings_path
 
-__all__ = ["HostBounds", "HostSettings", "SettingsError", "read_host_settings"]
+__all__ = [
+    "HostBounds",
+    "HostLimits",
+    "HostSettings",
+    "SettingsError",
+    "read_host_settings",
+]
 
 
 class SettingsError(Exception):
@@ -41,6 +47,22 @@
     retry_window: timedelta
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostLimits:
+    """Limits of the host that the process must not exceed.
+
+    Parameters
+    ----------
+    memory_mb : float or None
+        Resident memory in MiB; None if it is not limited.
+    max_fds : float or None
+        Open descriptors; None if they are not limited.
+    """
+
+    memory_mb: float | None = None
+    max_fds: float | None = None
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class HostSettings:
     """Settings of one process.
@@ -66,6 +88,8 @@
         Other gateway processes to connect to at startup.
     bounds : HostBounds
         Limits that the platform sets for the process.
+    limits : HostLimits
+        Limits of the host.
     """
 
     name: str
@@ -80,6 +104,7 @@
     heartbeat: timedelta
     seeds: tuple[Address, ...]
     bounds: HostBounds
+    limits: HostLimits = HostLimits()
 
 
 class _Table:
@@ -118,6 +143,9 @@
             raise self._field_error(name, value, "a number >= 0")
         return float(value)
 
+    def optional_number(self, name: str) -> float | None:
+        return self.number(name) if name in self.table else None
+
     def address(self, name: str) -> Address:
         return self._parse_address(name, self.table.get(name))
 
@@ -157,6 +185,14 @@
     )
 
 
+def _parse_limits(document: dict) -> HostLimits:
+    fields = _Table(table=document.get("limits", {}), path="limits")
+    return HostLimits(
+        memory_mb=fields.optional_number("memory_mb"),
+        max_fds=fields.optional_number("max_fds"),
+    )
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -173,6 +209,7 @@
         heartbeat=timedelta(milliseconds=top.number("heartbeat_ms")),
         seeds=top.addresses("seeds"),
         bounds=_parse_bounds(top.subtable("bounds")),
+        limits=_parse_limits(document),
     )
 
 
