--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -61,6 +61,8 @@
             overshoot=settings.bounds.cold_overshoot, slack=settings.bounds.cold_slack
         ),
         regions=settings.regions,
+        memory_mb=settings.limits.memory_mb,
+        max_fds=settings.limits.max_fds,
     )
 
 
@@ -173,6 +175,7 @@
                 changed = settings != self.settings
                 self.settings = settings
                 self.gateway.settings = _make_gateway_settings(settings)
+                self.gateway.apply_host_limits()
                 self.registry.lapse_grace = settings.bounds.endpoint_relist_window
                 self.registry.entry_lifetime = HEARTBEATS_PER_ENTRY * settings.heartbeat
                 emit(SETTINGS_RELOADED, changed=changed)
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from ..clock import Clock
+from ..intake import Kind
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
@@ -22,6 +23,7 @@
     GATEWAY_STOPPED,
     GATEWAY_STOPPING,
 )
+from .intake import Intake, serve_application
 from .messages import HeaderCodec
 from .metrics import (
     COLD,
@@ -90,6 +92,8 @@
         Bounds on the requests to a cold endpoint, from all gateway processes together.
     regions : mapping of str
         Region of each data centre.
+    memory_mb, max_fds : float or None
+        Memory in MiB and descriptors of the host; None if they are not limited.
     """
 
     host: str
@@ -105,6 +109,8 @@
     retry_window: timedelta
     cold_bounds: ColdBounds = ColdBounds()
     regions: Mapping[str, str] = field(default_factory=dict)
+    memory_mb: float | None = None
+    max_fds: float | None = None
 
 
 class Gateway:
@@ -144,6 +150,8 @@
         Listener for callers' requests.
     mesh : PeerMesh
         Connections to the other gateway processes.
+    intake : Intake
+        Account of the memory and descriptors that connections hold.
     segment_loader : CachedSegmentLoader
         Reads the contents of the engines' KV caches after the start.
     is_stopping : bool
@@ -157,6 +165,7 @@
         "pool",
         "callers",
         "mesh",
+        "intake",
         "segment_loader",
         "is_stopping",
         "settings_problem",
@@ -196,7 +205,12 @@
             clock=clock,
             random=random,
         )
-        self.callers = CallerServer(pool=self.pool, clock=clock)
+        self.intake = Intake(
+            clock=clock, memory_mb=settings.memory_mb, max_fds=settings.max_fds
+        )
+        self.callers = CallerServer(
+            pool=self.pool, account=self.intake.account, clock=clock
+        )
         peer_events = PeerEvents(pool=self.pool)
         self.mesh = PeerMesh(
             own_address=settings.peers,
@@ -208,6 +222,7 @@
             find_origin=lambda key: self.pool.resumption.find_known(key),
             random=random,
         )
+        self.mesh.server.account = self.intake.account
         self.pool.resumption = StreamResumption(
             registry=registry,
             clock=clock,
@@ -240,9 +255,23 @@
         opened = [listener] if listener else bind_sockets(callers.port, callers.ip)
         self.serving = asyncio.create_task(self._serve(opened))
         readiness_app = make_readiness(self.unready_reason, self.list_problems)
-        readiness_app.listen(readiness.port, readiness.ip)
+        account = self.intake.account
+        serve_application(
+            readiness_app,
+            account=account,
+            kind=Kind.READINESS,
+            port=readiness.port,
+            ip=readiness.ip,
+        )
         metrics = self.settings.metrics
-        make_metrics().listen(metrics.port, metrics.ip)
+        serve_application(
+            make_metrics(),
+            account=account,
+            kind=Kind.METRICS,
+            port=metrics.port,
+            ip=metrics.ip,
+        )
+        self.intake.start()
         IN_FLIGHT.set_function(lambda: len(self.callers.tasks))
         quarantine = self.pool.crash_watch.quarantine
         QUARANTINED.set_function(lambda: len(quarantine.active()))
@@ -258,6 +287,11 @@
             callers=str(callers),
         )
 
+    def apply_host_limits(self) -> None:
+        """Apply the limits of the host after the settings have changed."""
+        settings = self.settings
+        self.intake.apply(memory_mb=settings.memory_mb, max_fds=settings.max_fds)
+
     async def _serve(self, listeners: list[socket.socket]) -> None:
         """Accept requests once a configuration is known or the wait times out."""
         try:
@@ -302,6 +336,7 @@
         after = (self.clock() - stop_began_at).total_seconds()
         emit(GATEWAY_STOPPED, left=remaining, after_s=after)
         self.mesh.stop()
+        self.intake.stop()
         await self.callers.close()
 
     def _apply_registry_change(self) -> None:
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -11,7 +11,13 @@
 from ..sockets import Address, parse_address
 from .listening import settings_path
 
-__all__ = ["HostBounds", "HostSettings", "SettingsError", "read_host_settings"]
+__all__ = [
+    "HostBounds",
+    "HostLimits",
+    "HostSettings",
+    "SettingsError",
+    "read_host_settings",
+]
 
 
 class SettingsError(Exception):
@@ -47,6 +53,22 @@
     cold_slack: float = 0.0
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostLimits:
+    """Limits of the host that the process must not exceed.
+
+    Parameters
+    ----------
+    memory_mb : float or None
+        Resident memory in MiB; None if it is not limited.
+    max_fds : float or None
+        Open descriptors; None if they are not limited.
+    """
+
+    memory_mb: float | None = None
+    max_fds: float | None = None
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class HostSettings:
     """Settings of one process.
@@ -74,6 +96,8 @@
         Limits that the platform sets for the process.
     regions : mapping of str
         Region of each data centre; empty if the platform names none.
+    limits : HostLimits
+        Limits of the host.
     """
 
     name: str
@@ -89,6 +113,7 @@
     seeds: tuple[Address, ...]
     bounds: HostBounds
     regions: Mapping[str, str] = field(default_factory=dict)
+    limits: HostLimits = HostLimits()
 
 
 class _Table:
@@ -136,6 +161,9 @@
             raise self._field_error(name, value, "a table of texts")
         return value
 
+    def optional_number(self, name: str) -> float | None:
+        return self.number(name) if name in self.table else None
+
     def address(self, name: str) -> Address:
         return self._parse_address(name, self.table.get(name))
 
@@ -184,6 +212,14 @@
     return regions
 
 
+def _parse_limits(document: dict) -> HostLimits:
+    fields = _Table(table=document.get("limits", {}), path="limits")
+    return HostLimits(
+        memory_mb=fields.optional_number("memory_mb"),
+        max_fds=fields.optional_number("max_fds"),
+    )
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -201,6 +237,7 @@
         seeds=top.addresses("seeds"),
         bounds=_parse_bounds(top.subtable("bounds")),
         regions=_parse_regions(top),
+        limits=_parse_limits(document),
     )
 
 
