--- a/features/admission/play.py
+++ b/features/admission/play.py
@@ -117,7 +117,9 @@
     workspaces : int
         Workspaces that send equally much.
     heavy : float
-        Factor on the rate of the first workspace.
+        Factor on the rate of the first workspace in `heavy_s`.
+    heavy_s : tuple of float
+        Start and end of the time in which it sends more than usual.
     retries : int
         Times that the first workspace's callers come back at once when refused;
         others come back once after ``Retry-After``.
@@ -131,6 +133,7 @@
     away_s: tuple[float, float] = (0, 0)
     workspaces: int = 24
     heavy: float = 1.0
+    heavy_s: tuple[float, float] = (0, 0)
     retries: int = 0
     scale: float = 1.0
 
@@ -219,29 +222,32 @@
 def draw_calls(load, seed):
     """Return the requests of a load in order of arrival."""
     random, numbers, calls = Random(seed), count(), []
-    weights = [load.heavy] + [1.0] * (load.workspaces - 1)
-    factor = load.scale * sum(weights) / load.workspaces
     for name, kind in load.site.kinds.items():
-        at_s = random.expovariate(kind.rate_per_s * factor)
-        while at_s < load.seconds:
-            number = random.choices(range(load.workspaces), weights)[0]
-            is_heavy = not number and load.heavy > 1
-            calls.append(
-                _draw_call(
-                    next(numbers),
-                    at_s * 1000,
-                    name,
-                    kind,
-                    f"workspace-{number}",
-                    random,
-                )
+        rate = kind.rate_per_s * load.scale
+        more = rate * (load.heavy - 1) / load.workspaces
+        start_s, end_s = load.heavy_s
+        times = [(at_s, None) for at_s in _times(random, rate, 0, load.seconds)]
+        times += [(at_s, 0) for at_s in _times(random, more, start_s, end_s)]
+        for at_s, chosen in times:
+            workspace = chosen
+            if workspace is None:
+                workspace = random.randrange(load.workspaces)
+            call = _draw_call(
+                next(numbers), at_s * 1000, name, kind, f"workspace-{workspace}", random
             )
-            if is_heavy and load.retries:
-                calls[-1].tries_left = load.retries
-            at_s += random.expovariate(kind.rate_per_s * factor)
+            if not workspace and load.retries:
+                call.tries_left = load.retries
+            calls.append(call)
     return sorted(calls, key=lambda one: one.sent_at_ms)
 
 
+def _times(random, per_s, start_s, end_s):
+    """Yield the times of independent arrivals."""
+    at_s = start_s
+    while per_s and (at_s := at_s + random.expovariate(per_s)) < end_s:
+        yield at_s
+
+
 def _draw_call(number, at_ms, name, kind, workspace, random):
     factor = random.lognormvariate(-(kind.spread**2) / 2, kind.spread)
     own = max(1, int(min(MAX_OWN_FACTOR, factor) * kind.own_tokens))
--- a/zinniaramp/admission/core.py
+++ b/zinniaramp/admission/core.py
@@ -9,7 +9,7 @@
 from .queue import HeldRequest, HoldQueue
 from .rates import Rate
 from .shares import WorkspaceShares
-from .usage import ServiceUsage
+from .usage import FLOOR_RANK, OTHERS_SLOTS, ServiceUsage
 from .verdicts import Hold, Refuse, Send, Verdict
 
 __all__ = ["Admission", "ServiceAdmission"]
@@ -27,6 +27,10 @@
 run at 0.7 of the nominal times in some deployments, and a refusal of a request that
 could have been served is worse than a late answer."""
 
+LONG_WAIT = timedelta(milliseconds=100)
+"""Wait of a request from which less urgent ones leave more room.  Shorter ones occur
+whenever an engine's last slot is taken; the tightest targets are some 300 ms."""
+
 DISPLACE_SHARE = 0.5
 """Share of its target latency that a request waits before it is sent to an engine that
 has to preempt less urgent ones for it.  These lose what they have prefilled."""
@@ -228,9 +232,12 @@
             if request.passed >= PASSED_LIMIT:
                 claimed.add(request.engine)
             if rank not in open_classes:
+                asked = FLOOR_RANK if state.queue.is_at_floor(rank) else rank
                 open_classes[rank] = state.usage.has_open_slot(
-                    request.engines(), rank, request.traits, now
+                    request.engines(), asked, request.traits, now
                 )
+            if now - request.since > LONG_WAIT:
+                state.usage.pressed_at[rank] = now
             if not self._is_due(state, request, open_classes[rank], now):
                 continue
             verdict = self._reconsider(state, request, closed, now)
@@ -310,8 +317,13 @@
             return True
         if request.waits_for_any:
             return is_any_open
-        lack = state.usage.lack(request.engine, request.demand, request.traits, now)
-        return not lack
+        return not state.usage.lack(
+            request.engine,
+            request.demand,
+            request.traits,
+            now,
+            is_floor=state.queue.is_at_floor(request.rank),
+        )
 
     def _place(
         self,
@@ -324,13 +336,20 @@
         usage, demand, traits = state.usage, request.demand, request.traits
         best = request.choose(names)
         self._predict(state, request, best.engine, best.predicted_ttft)
-        lack = usage.lack(best.engine, demand, traits, now)
+        is_over = self._is_over_share(state, request, best.engine, now)
+        is_held = request in state.queue
+        is_floor = is_held and state.queue.is_at_floor(request.rank)
+
+        def find_lack(name: str) -> str:
+            return usage.lack(
+                name, demand, traits, now, is_over_share=is_over, is_floor=is_floor
+            )
+
+        lack = find_lack(best.engine)
         if not lack:
             return Send(choice=best)
         waited_ms = (now - request.since) / MILLISECOND
-        open_names = [
-            name for name in names if not usage.lack(name, demand, traits, now)
-        ]
+        open_names = [name for name in names if not find_lack(name)]
         request.waits_for_any = not open_names
         request.reconsider_at = now + RECONSIDER_TIME
         if open_names:
@@ -358,6 +377,15 @@
             )
         return Hold(engine=best.engine, reason=lack)
 
+    @staticmethod
+    def _is_over_share(
+        state: ServiceAdmission, request: HeldRequest, engine: str, now: datetime
+    ) -> bool:
+        """Return whether a request's workspace is over its share, if that matters."""
+        slots, taken = request.traits.slots, state.usage.count(engine)
+        is_short = taken + OTHERS_SLOTS >= slots or state.queue.count > 0
+        return is_short and state.shares.is_over_share(request.demand.workspace, now)
+
     @staticmethod
     def _has_less_urgent(state: ServiceAdmission, engine: str, rank: int) -> bool:
         by_rank = state.usage.engines[engine].by_rank
--- a/zinniaramp/admission/queue.py
+++ b/zinniaramp/admission/queue.py
@@ -164,6 +164,10 @@
             for other in waiting:
                 other.passed += 1
 
+    def is_at_floor(self, rank: int) -> bool:
+        """Return whether a class is served next because it has waited for long."""
+        return self.skipped.get(rank, 0) >= FLOOR_RELEASES
+
     def ahead(self, held: HeldRequest) -> int:
         """Return how many requests are released before one that isn't held yet."""
         urgent = sum(
@@ -180,8 +184,7 @@
     def in_order(self) -> Iterator[HeldRequest]:
         """Yield the requests in the order of release; the queue may not change."""
         ranks = sorted(
-            self.classes,
-            key=lambda rank: (self.skipped.get(rank, 0) < FLOOR_RELEASES, rank),
+            self.classes, key=lambda rank: (not self.is_at_floor(rank), rank)
         )
         for rank in ranks:
             yield from self._class_in_order(self.classes[rank])
--- a/zinniaramp/admission/shares.py
+++ b/zinniaramp/admission/shares.py
@@ -1,6 +1,5 @@
 """Service that each workspace has received, for fair shares under contention."""
 
-import math
 from collections import Counter
 from datetime import datetime, timedelta
 
@@ -11,6 +10,21 @@
 USUAL_LIFETIME = timedelta(seconds=60)
 """Time in which a workspace's usual rate follows a change.  Bursts last 3 to 9 s."""
 
+RECENT_LIFETIME = timedelta(seconds=2)
+"""Time over which the recent rate of a workspace is measured."""
+
+WEIGHT_EXPONENT = 0.75
+"""Exponent of the usual rate in a workspace's weight.  With 1, one of which nothing is
+known would get nothing; with 0, large workspaces would always be over their share."""
+
+OVER_SHARE = 1.5
+"""Recent rate over weight, relative to the mean of the active workspaces, from which a
+workspace is over its share.  One that sends seven times its usual is held to about a
+third of that while room is short, and the rule is a quarter."""
+
+MEAN_LIFETIME = timedelta(milliseconds=50)
+"""Time for which the mean over all workspaces is kept, which saves processor time."""
+
 MIN_WEIGHT = 0.25
 """Smallest weight of a workspace, which a workspace without recent requests has."""
 
@@ -27,29 +41,31 @@
         Virtual time by workspace: the tokens of its requests over its weight.
     active : Counter
         Requests in flight or held, by workspace.
-    usual : dict of Rate
+    usual, recent : dict of Rate
         Tokens of the requests that were sent, by workspace.
 
     Notes
     -----
     A workspace that becomes active is raised to the least served active one, so that
-    idle time earns no credit.  The weight is the square root of the usual rate relative
-    to the mean: large workspaces get more than small ones, and one that sends seven
-    times its usual, or that has no history yet, gets at least the square root of that.
-    Requests that were refused don't raise it, so repeating them gains nothing.
+    idle time earns no credit.  The weight grows with the usual rate relative to the
+    mean, so that large workspaces get more than small ones.  Requests that were refused
+    don't raise it, so repeating them gains nothing.
 
     References
     ----------
     Y. Sheng et al., "Fairness in Serving Large Language Models", OSDI 2024.
     """
 
-    __slots__ = ("served", "active", "usual", "all_usual")
+    __slots__ = ("served", "active", "usual", "recent", "all_usual", "mean", "mean_at")
 
     def __init__(self):
         self.served: dict[str, float] = {}
         self.active: Counter = Counter()
         self.usual: dict[str, Rate] = {}
+        self.recent: dict[str, Rate] = {}
         self.all_usual = Rate(lifetime=USUAL_LIFETIME)
+        self.mean = 0.0
+        self.mean_at: datetime | None = None
 
     def enter(self, workspace: str) -> None:
         """Count a request that is now in flight or held."""
@@ -73,17 +89,35 @@
         self.served[workspace] += tokens / self.weight(workspace, now)
         if workspace not in self.usual:
             self.usual[workspace] = Rate(lifetime=USUAL_LIFETIME)
+            self.recent[workspace] = Rate(lifetime=RECENT_LIFETIME)
         self.usual[workspace].add(tokens, now)
+        self.recent[workspace].add(tokens, now)
         self.all_usual.add(tokens, now)
 
+    def is_over_share(self, workspace: str, now: datetime) -> bool:
+        """Return whether a workspace got far more than its share in the last seconds.
+
+        It leaves the last room at an engine to the others then.
+        """
+        if self.mean_at is None or now - self.mean_at > MEAN_LIFETIME:
+            rates = [self._recent_over_weight(one, now) for one in self.active]
+            self.mean, self.mean_at = sum(rates) / max(1, len(rates)), now
+        return self._recent_over_weight(workspace, now) > OVER_SHARE * self.mean
+
+    def _recent_over_weight(self, workspace: str, now: datetime) -> float:
+        recent = self.recent.get(workspace)
+        return recent.per_s(now) / self.weight(workspace, now) if recent else 0.0
+
     def weight(self, workspace: str, now: datetime) -> float:
         """Return a workspace's weight; 1 for one with the mean rate."""
         usual, total = self.usual.get(workspace), self.all_usual.per_s(now)
         if usual is None or not total:
             return MIN_WEIGHT if total else 1.0
-        return max(MIN_WEIGHT, math.sqrt(usual.per_s(now) * len(self.usual) / total))
+        relative = usual.per_s(now) * len(self.usual) / total
+        return max(MIN_WEIGHT, relative**WEIGHT_EXPONENT)
 
     def _forget_idle(self) -> None:
         for one in [one for one in self.served if one not in self.active]:
             del self.served[one]
             self.usual.pop(one, None)
+            self.recent.pop(one, None)
--- a/zinniaramp/admission/usage.py
+++ b/zinniaramp/admission/usage.py
@@ -9,12 +9,16 @@
 from ..placement import Demand, EngineTraits
 from .rates import Rate
 
-__all__ = ["EngineUsage", "ServiceUsage"]
+__all__ = ["FLOOR_RANK", "OTHERS_SLOTS", "EngineUsage", "ServiceUsage"]
 
 RATE_LIFETIME = timedelta(seconds=2)
 """Time in which arrivals are forgotten.  Bursts of a class last 3 to 9 s, so that room
 is kept for a burst soon after its start and given up soon after its end."""
 
+FLOOR_RANK = -1
+"""Urgency for which no room is kept: that of a request whose class is served because it
+has waited for long."""
+
 EVENT_DELAY_S = 0.05
 """Time in which a decision may miss sends of other gateways: their load events are on
 their way, or wait for the processor of a busy host."""
@@ -23,10 +27,23 @@
 """Largest share of an engine's slots and memory that is kept free for more urgent
 classes, so that a burst of these doesn't stop the others."""
 
+MAX_DISPLACED_SHARE = 0.125
+"""Requests beyond an engine's slots, as a share of these, while it is to preempt less
+urgent ones.  With more, an engine's queue fills and it sheds urgent requests itself."""
+
+OTHERS_SLOTS = 2
+"""Slots of an engine that a workspace over its share leaves to others.  With one, two
+gateways that act at the same time would leave none."""
+
 MIN_RESERVED_ARRIVALS = 0.05
 """Expected arrivals below which nothing is kept free: fewer than one in 20 times the
 room would be used before the next request ends."""
 
+PRESSED_TIME = timedelta(seconds=1)
+"""Time after a long wait of a more urgent request in which less urgent ones leave the
+largest room.  Other gateways have the same classes and probably hold such requests too,
+which they don't report."""
+
 DURATION_WEIGHT = 0.05
 """Weight of one request in the moving average of the time from send to end."""
 
@@ -116,15 +133,18 @@
         Moving average of the time from send to end.
     tokens : dict of float
         Moving average of a request's own tokens, by urgency.
+    pressed_at : dict of datetime
+        When a request of this gateway had last waited long, by urgency.
     """
 
-    __slots__ = ("engines", "sends", "duration_s", "tokens")
+    __slots__ = ("engines", "sends", "duration_s", "tokens", "pressed_at")
 
     def __init__(self):
         self.engines: dict[str, EngineUsage] = {}
         self.sends: dict[object, tuple[str, Demand, datetime]] = {}
         self.duration_s = DEFAULT_DURATION_S
         self.tokens: dict[int, float] = {}
+        self.pressed_at: dict[int, datetime] = {}
 
     def add(self, key: object, engine: str, demand: Demand, now: datetime) -> None:
         """Add a send."""
@@ -183,10 +203,32 @@
         return self.duration_s / max(1, self.count(engine))
 
     def lack(
-        self, engine: str, demand: Demand, traits: EngineTraits, now: datetime
+        self,
+        engine: str,
+        demand: Demand,
+        traits: EngineTraits,
+        now: datetime,
+        *,
+        is_over_share: bool = False,
+        is_floor: bool = False,
     ) -> str:
         """Return what an engine lacks for a request.
 
+        Parameters
+        ----------
+        engine : str
+            The engine.
+        demand : Demand
+            Demand of the request.
+        traits : EngineTraits
+            Properties of the engine.
+        now : datetime
+            Current time.
+        is_over_share : bool
+            Whether its workspace leaves the last slots to others.
+        is_floor : bool
+            Whether no room is kept for more urgent classes.
+
         Returns
         -------
         str
@@ -197,10 +239,12 @@
         usage = self.engines.get(engine)
         if usage is None or not usage.count:
             return ""
-        if self._lacks_slot(usage, demand.urgency, traits, now):
+        others = OTHERS_SLOTS if is_over_share else 0
+        rank = FLOOR_RANK if is_floor else demand.urgency
+        if self._lacks_slot(usage, rank, traits, now, others):
             return "slots"
         if traits.kv_capacity_tokens:
-            reserved = self._reserved(usage, demand.urgency, now)
+            reserved = self._reserved(usage, rank, traits, now)
             kept = min(
                 reserved * self._urgent_tokens(demand.urgency),
                 MAX_RESERVED_SHARE * traits.kv_capacity_tokens,
@@ -221,12 +265,18 @@
         rank = demand.urgency
         before = sum(n for one, n in usage.by_rank.items() if one <= rank)
         tokens = sum(n for one, n in usage.own_tokens.items() if one <= rank)
-        has_slot = not traits.slots or before < traits.slots
+        most = traits.slots * (1 + MAX_DISPLACED_SHARE)
+        has_slot = not traits.slots or (before < traits.slots and usage.count < most)
         capacity = traits.kv_capacity_tokens
         return has_slot and (not capacity or tokens + demand.own_tokens <= capacity)
 
     def _lacks_slot(
-        self, usage: EngineUsage, rank: int, traits: EngineTraits, now: datetime
+        self,
+        usage: EngineUsage,
+        rank: int,
+        traits: EngineTraits,
+        now: datetime,
+        others: int = 0,
     ) -> bool:
         if not traits.slots or not usage.count:
             return False
@@ -235,15 +285,24 @@
         most = int(MAX_RESERVED_SHARE * traits.slots)
         if usage.count + 1 + most <= traits.slots:
             return False
-        kept = min(self._reserved(usage, rank, now), most)
+        kept = min(self._reserved(usage, rank, traits, now) + others, most)
         return usage.count + 1 + kept > traits.slots
 
-    def _reserved(self, usage: EngineUsage, rank: int, now: datetime) -> int:
+    def _reserved(
+        self, usage: EngineUsage, rank: int, traits: EngineTraits, now: datetime
+    ) -> int:
         """Return for how many more urgent requests an engine's room is kept.
 
         It is the number that arrives before the next send ends and is exceeded in one
         of 40 cases if the arrivals are independent.
         """
+        if rank == FLOOR_RANK:
+            return 0
+        if any(
+            one < rank and now - at < PRESSED_TIME
+            for one, at in self.pressed_at.items()
+        ):
+            return traits.slots
         per_s = sum(
             rate.per_s(now) for one, rate in usage.arrivals.items() if one < rank
         )
--- a/zinniaramp/gateway/admission_events.py
+++ b/zinniaramp/gateway/admission_events.py
@@ -11,8 +11,9 @@
     meaning="A prompt waits in the gateway, because the engine with the lowest cost, "
     "`endpoint`, lacks `lacks`: `slots` or `memory`, or others wait for it "
     "(`queue`).  `in_flight` is the number of requests of all gateways at that engine, "
-    "`slots` what it has, `held` how many wait in this gateway for the service, `needed_ms` the "
-    "predicted time from the send to the end, and `left_ms` the time to the deadline.",
+    "`slots` what it has, `held` how many wait in this gateway for the service, "
+    "`needed_ms` the predicted time from the send to the end, and `left_ms` the time "
+    "to the deadline.",
     fields=(
         "request",
         "service",
@@ -32,8 +33,8 @@
     name="hold-ended",
     level="INFO",
     meaning="A prompt waits no longer: it is `sent` to `endpoint`, `refused`, or "
-    "`left` if its caller left or its deadline passed; `passed` is the number of requests of "
-    "its class that were sent before it.",
+    "`left` if its caller left or its deadline passed; `passed` is the number of "
+    "requests of its class that were sent before it.",
     fields=(
         "request",
         "service",
--- a/zinniaramp/gateway/holding.py
+++ b/zinniaramp/gateway/holding.py
@@ -19,8 +19,8 @@
 __all__ = ["RequestHolder"]
 
 MAX_RETRY_AFTER_SHARE = 1 / 3
-"""Largest ``Retry-After`` as a share of the caller's remaining time; callers honour it up
-to this share."""
+"""Largest ``Retry-After`` as a share of the caller's remaining time.  Callers honour it
+up to this share."""
 
 RETRY_SPREAD = 0.3
 """Share by which the ``Retry-After`` of refused callers is spread beyond the predicted
