Read odd cold fields leniently, and tell callers with little time to return sooner

An entry with a null or negative cold_remaining_ms would have taken its endpoint out of use, and [zones] of another form would have kept the process from starting.

--- a/features/gateway/cold_data_center.feature
+++ b/features/gateway/cold_data_center.feature
@@ -26,7 +26,10 @@
     And in no second "s-2" received over 8 requests
     And "s-1" received at least 1 requests
     And the other callers get 503 with a time when the server takes a request
-    And those times are spread over more than 1 s and end 4 s from now at the latest
+    And those times are spread over more than 500 ms and end 1500 ms from now at the latest
+    When callers with a deadline of 30 s come
+    Then those times are spread over more than 300 ms and end 3900 ms from now at the latest
+    And they begin when the first server is warm
 
   Scenario: A retry and an endpoint that closes connections are counted
     Given 3 connected gateways
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -187,7 +187,9 @@
         PLAIN_SERVICE | cold,
         PLAIN_SERVICE | cold | {"name": "model", "engine": engine},
     ]
-    rig.store.put("op/config", configuration(services=services))
+    document = configuration(services=services)
+    document["routes"].append(route("patient", "safe", timeout_ms=30_000))
+    rig.store.put("op/config", document)
 
 
 @given("the service has no cold behaviour")
@@ -274,15 +276,35 @@
     assert seen <= count, seen
 
 
+def return_times(context):
+    refused = [reply for reply in context.replies if reply.status == 503]
+    return [float(reply.headers["retry-after"]) for reply in refused]
+
+
 @then(
-    "those times are spread over more than {spread:d} s and end {latest:d} s from now "
-    "at the latest"
+    "those times are spread over more than {spread:d} ms and end {latest:d} ms from "
+    "now at the latest"
 )
 def check_return_times(context, spread, latest):
-    refused = [reply for reply in context.replies if reply.status == 503]
-    times = [float(reply.headers["retry-after"]) for reply in refused]
-    assert max(times) - min(times) > spread, times
-    assert max(times) <= latest, times
+    times = return_times(context)
+    assert (max(times) - min(times)) * 1000 > spread, times
+    assert max(times) * 1000 <= latest, times
+
+
+@when("callers with a deadline of {seconds:d} s come")
+def patient_callers(context, seconds):
+    rig = context.rig
+    context.replies = []
+    for number in range(40):
+        call = rig.call("/patient/x", name=f"w-{number}", deadline_ms=seconds * 1000)
+        context.replies.append(rig.run(call))
+
+
+@then("they begin when the first server is warm")
+def check_warm_then(context):
+    restrictions = context.rig.daemons[0].gateway.pool.restrictions
+    left = min(restrictions.cold_time(name) for name in restrictions.cold_names())
+    assert min(return_times(context)) >= left.total_seconds()
 
 
 @when("every server closes its connections")
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -54,9 +54,9 @@
 """Share by which the ``Retry-After`` of callers is spread beyond the end of the first
 endpoint's cooldown, so that they don't all return at that moment."""
 
-COLD_RETURN_SECONDS = 1.0
-"""Shortest ``Retry-After`` if only cold endpoints are left, unless one is warm sooner:
-the time in which each of the gateways that may send to one does so once."""
+COLD_RETURN_SECONDS = 0.5
+"""Shortest ``Retry-After`` of callers that have no time to wait until an endpoint is
+warm: half of the time in which each gateway that may send to a cold one does so."""
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -534,10 +534,7 @@
         cold_times = [self.restrictions.cold_time(name) for name in ready]
         warm_in = min(cold_times, default=timedelta()).total_seconds()
         if warm_in:
-            # Only a few of the callers that wait can be served before that.
-            return self.random.uniform(
-                min(COLD_RETURN_SECONDS, warm_in), warm_in * (1 + COOLDOWN_SPREAD)
-            )
+            return self._cold_retry_after(warm_in, left)
         if closed:
             spread = self.random.uniform(1, 1 + COOLDOWN_SPREAD)
             return closed.total_seconds() * spread
@@ -546,6 +543,20 @@
             return wait
         return max(0.0, min(wait, left.total_seconds() * MAX_RETRY_AFTER_SHARE))
 
+    def _cold_retry_after(self, warm_in: float, left: timedelta | None) -> float:
+        """Return the ``Retry-After`` if only cold endpoints are left, in seconds.
+
+        Callers that can wait for a warm one come back then, a little apart.  The others
+        try again within the time that they honour: the allowance opens every second.
+        """
+        latest = warm_in * (1 + COOLDOWN_SPREAD)
+        if left is None:
+            return self.random.uniform(warm_in, latest)
+        reach = max(0.0, left.total_seconds() * MAX_RETRY_AFTER_SHARE)
+        if warm_in <= reach:
+            return self.random.uniform(warm_in, min(latest, reach))
+        return self.random.uniform(min(COLD_RETURN_SECONDS, reach), reach)
+
     def _budget(self, service: str) -> WindowRetryBudget:
         if service not in self.budgets:
             self.budgets[service] = WindowRetryBudget(
--- a/zinniaramp/gateway/restrictions.py
+++ b/zinniaramp/gateway/restrictions.py
@@ -52,6 +52,8 @@
         Which endpoints are cold.
     cold_allowance : ColdAllowance
         What this gateway may send to them.
+    kept_names : sequence of str
+        Incarnations named in the last call of `keep`.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         "shared_limits",
         "warm_ups",
         "cold_allowance",
+        "kept_names",
     )
 
     def __init__(
@@ -89,6 +92,7 @@
             members=members,
             bounds=cold_bounds,
         )
+        self.kept_names: Sequence[str] = ()
         registry.on_entry.append(self._record_entry)
         registry.on_revoked.append(self._record_revoked)
 
@@ -157,6 +161,10 @@
     def keep(self, names: Sequence[str]) -> None:
         """Forget all endpoints except the named ones."""
         self.shared_limits.keep(names)
+        if names == self.kept_names:
+            # Entries are written again every second or so, mostly of the same endpoints.
+            return
+        self.kept_names = names
         self.warm_ups.keep(frozenset(names))
         self.cold_allowance.keep(frozenset(self.cold_names()))
 
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -2,6 +2,7 @@
 
 import json
 from datetime import timedelta
+from math import isfinite
 
 from result import Err, Ok, Result
 
@@ -41,6 +42,9 @@
 MAX_NAME_CHARACTERS = 200
 """Largest number of characters in a name; the store's keys have at most 200 bytes."""
 
+MAX_COLD = timedelta(hours=1)
+"""Longest warm-up that is believed; engines are warm within seconds or minutes."""
+
 MAX_WHOLE = 2**63 - 1
 """Largest whole number: the one of a signed integer with 64 bits."""
 
@@ -94,6 +98,15 @@
             raise self.wrong(name, "a number >= 0")
         return value
 
+    def optional(self, name: str) -> float:
+        """Return a finite number; 0 if it is absent or null."""
+        if self.fields.get(name) is None:
+            return 0.0
+        value = self.number(name)
+        if not isfinite(value):
+            raise self.wrong(name, "a finite number")
+        return value
+
     def whole(self, name: str, default: int | None = None) -> int:
         value = self.fields.get(name, default)
         if type(value) is not int or not 0 <= value <= MAX_WHOLE:
@@ -197,11 +210,9 @@
 
 def _parse_service(service: _Document) -> Service:
     name = service.text("name")
-    try:
-        cold_start = timedelta(seconds=service.number("cold_start_s", 0))
-    except (OverflowError, ValueError):
-        raise service.wrong("cold_start_s", "a duration") from None
-    cold_per_s = service.number("cold_per_s", 0)
+    cold_start = min(service.optional("cold_start_s"), MAX_COLD.total_seconds())
+    cold_start = timedelta(seconds=cold_start)
+    cold_per_s = service.optional("cold_per_s")
     if service.fields.get("engine") is None:
         return Service(name=name, cold_start=cold_start, cold_per_s=cold_per_s)
     engine = _Document(fields=service.fields["engine"], path=f"{service.path}.engine")
@@ -253,6 +264,17 @@
     )
 
 
+def _parse_cold_remaining(entry: _Document) -> timedelta:
+    """Return how much longer an endpoint is cold; 0 if the entry does not say so.
+
+    An odd value must not take the endpoint out of use.
+    """
+    value = entry.fields.get("cold_remaining_ms")
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
+        return timedelta()
+    return timedelta(milliseconds=min(value, MAX_COLD / timedelta(milliseconds=1)))
+
+
 def _parse_endpoint(name: str, entry: _Document) -> Endpoint:
     # The id is sent in a header.
     if not (name.isascii() and name.isprintable()) or " " in name:
@@ -275,7 +297,7 @@
         address=address,
         slots=entry.whole("slots"),
         state=state,
-        cold_remaining=entry.duration("cold_remaining_ms", 0),
+        cold_remaining=_parse_cold_remaining(entry),
     )
 
 
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -127,15 +127,6 @@
             raise self._field_error(name, value, "a number >= 0")
         return float(value)
 
-    def text_by_name(self, name: str) -> dict[str, str]:
-        """Return a table of texts; empty if it is missing."""
-        value = self.table.get(name, {})
-        if not isinstance(value, dict) or not all(
-            isinstance(text, str) for text in value.values()
-        ):
-            raise self._field_error(name, value, "a table of texts")
-        return value
-
     def address(self, name: str) -> Address:
         return self._parse_address(name, self.table.get(name))
 
@@ -178,10 +169,15 @@
 
 
 def _parse_regions(top: _Table) -> dict[str, str]:
-    regions = top.text_by_name("zones")
-    if "region" in top.table:
-        regions = {top.text("zone"): top.text("region")} | regions
-    return regions
+    """Return the region of each data centre for which the settings name one.
+
+    Other values are left out: no request that is bound to a region is sent to a data
+    centre without one, and the process serves the others.
+    """
+    zones = top.table.get("zones")
+    own = {top.text("zone"): top.table.get("region")}
+    regions = own | (zones if isinstance(zones, dict) else {})
+    return {zone: one for zone, one in regions.items() if isinstance(one, str) and one}
 
 
 def _parse_settings(document: dict) -> HostSettings:
