--- a/zinniaramp/gateway/restrictions.py
+++ b/zinniaramp/gateway/restrictions.py
@@ -162,7 +162,7 @@
         """Forget all endpoints except the named ones."""
         self.shared_limits.keep(names)
         if names == self.kept_names:
-            # Entries are written again every second or so, mostly of the same endpoints.
+            # Entries are written about every second, mostly of the same endpoints.
             return
         self.kept_names = names
         self.warm_ups.keep(frozenset(names))
