Replace the flat cost of another data centre by a model of locality

The cost of an engine in another data centre was 40 ms for every request, and a plain endpoint there counted as one request in flight. Both ignored the size of the request, the path, and whether waiting at home threatens a target.

zinniaramp/locality prices the bytes, measures the time to connect by data centre, estimates the queues of plain endpoints from response times, and lets a random share of requests leave that grows with the pressure at home.

--- /dev/null
+++ b/features/locality/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of traffic between data centres."""
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -56,6 +56,7 @@
         retry_share=settings.bounds.retry_share,
         retry_slack=settings.bounds.retry_slack,
         retry_window=settings.bounds.retry_window,
+        transfer_price=settings.transfer_price,
     )
 
 
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from ..clock import Clock
+from ..locality import DEFAULT_PRICE
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
@@ -83,6 +84,8 @@
         `retry_share` retries per request plus `retry_slack` retries.
     retry_window : timedelta
         Length of the retry budget's window.
+    transfer_price : float
+        Price of 1,000 bytes between data centres, in milliseconds of waiting.
     """
 
     host: str
@@ -96,6 +99,7 @@
     retry_share: float
     retry_slack: float
     retry_window: timedelta
+    transfer_price: float = DEFAULT_PRICE
 
 
 class Gateway:
@@ -180,6 +184,7 @@
             limits=self._retry_limits,
             visible_share=lambda: self.mesh.visible_share,
             data_center=settings.data_center,
+            transfer_price=lambda: self.settings.transfer_price,
             clock=clock,
             random=random,
         )
@@ -291,6 +296,7 @@
 
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
+        self.pool.locality.keep(self.registry.incarnations)
         self.pool.restrictions.shared_limits.keep(tuple(self.registry.incarnations))
         self.pool.resumption.update_mixed_services()
         self.mesh.announce_revision()
--- a/zinniaramp/gateway/matching.py
+++ b/zinniaramp/gateway/matching.py
@@ -94,6 +94,8 @@
         The earlier of the caller's deadline and the route's timeout.
     fingerprint : str
         Digest of the request's content and workspace; the same for each repetition.
+    body_bytes : int
+        Size of the request's body.
     """
 
     metadata: RequestMetadata
@@ -103,6 +105,7 @@
     service: str
     deadline: datetime
     fingerprint: str
+    body_bytes: int = 0
 
     @property
     def is_resumed(self) -> bool:
@@ -209,4 +212,5 @@
         service=pick_service(route, _id_for_split(metadata, route)),
         deadline=request.received + limit,
         fingerprint=compute_fingerprint(request, metadata.host, workspace),
+        body_bytes=len(request.body),
     )
--- a/zinniaramp/gateway/outcomes.py
+++ b/zinniaramp/gateway/outcomes.py
@@ -59,6 +59,8 @@
     is_closed : bool
         Whether the endpoint closed the connection before the end of a framed answer, or
         at the end of one without a length.
+    answer_bytes : int
+        Bytes of the body that were received.
     """
 
     outcome: SendOutcome
@@ -66,6 +68,7 @@
     head: AnswerHead | None = None
     body: bytes = b""
     is_closed: bool = False
+    answer_bytes: int = 0
 
     @property
     def status(self) -> int | None:
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 from itertools import count
 from random import Random
 
 from ..clock import Clock
+from ..locality import Locality
 from ..observability import emit
 from ..peers import LoadEvent, SendEnded, SendFirstEvent, SendStarted
 from ..placement import (
@@ -15,7 +16,6 @@
     EngineChoice,
     EngineTraits,
     Placement,
-    Prediction,
 )
 from ..quarantine import Quarantine
 from ..registry import Endpoint, Registry
@@ -44,11 +44,6 @@
 """Largest ``Retry-After`` as a share of the caller's remaining time.  Callers honour
 values up to a third of that time."""
 
-REMOTE_MS = 40.0
-"""Cost of an engine in another data centre, in milliseconds.
-
-Traffic between data centres is billed: about 17 KB for a long prompt."""
-
 COOLDOWN_SPREAD = 0.3
 """Share by which the ``Retry-After`` of callers is spread beyond the end of the first
 endpoint's cooldown, so that they don't all return at that moment."""
@@ -101,13 +96,6 @@
     prefill_tokens: int = 0
 
 
-def _remote_cost_ms(
-    demand: Demand, view: EndpointView, predicted: Prediction, now: datetime
-) -> float:
-    """Return the cost of leaving the data centre; a `CostTerm`."""
-    return REMOTE_MS if view.is_remote else 0.0
-
-
 def _discard_event(event: LoadEvent) -> None:
     """Discard an event; used until a peer mesh is connected."""
 
@@ -127,6 +115,9 @@
         Returns the share of the gateways whose load events arrive here.
     data_center : str
         The process's data centre; its endpoints are preferred.
+    transfer_price : callable
+        Returns the price of 1,000 bytes between data centres, in milliseconds of
+        waiting.
     clock : Clock
         The process's clock.
     random : Random
@@ -136,6 +127,8 @@
     ----------
     placement : Placement
         Model of the engines' load and KV caches, which places prompts.
+    locality : Locality
+        Cost of leaving the data centre, and selection among plain endpoints.
     ejections : Ejections
         Outlier ejection of endpoints whose sends fail.
     restrictions : EndpointRestrictions
@@ -164,6 +157,7 @@
         "clock",
         "random",
         "placement",
+        "locality",
         "ejections",
         "restrictions",
         "budgets",
@@ -184,6 +178,7 @@
         limits: Callable[[], RetryLimits],
         visible_share: Callable[[], float],
         data_center: str,
+        transfer_price: Callable[[], float],
         clock: Clock,
         random: Random,
     ):
@@ -193,7 +188,10 @@
         self.data_center = data_center
         self.clock = clock
         self.random = random
-        self.placement = Placement(cost_terms=(_remote_cost_ms,))
+        self.locality = Locality(
+            data_center=data_center, price=transfer_price, random=random
+        )
+        self.placement = Placement(cost_terms=(self.locality.cost_ms,))
         self.ejections = Ejections(clock=clock, random_source=random)
         self.restrictions = EndpointRestrictions(
             registry=registry,
@@ -246,7 +244,7 @@
             choice = self._choose_engine(traits, metadata.demand, ready)
             selection = self._start_send(traits, metadata, choice, len(ready))
         else:
-            selection = self._select_least_loaded(metadata, ready)
+            selection = self._select_plain(matched, ready)
         name = selection.endpoint.incarnation
         segments = metadata.demand.shared_names if is_prompt else ()
         self.crash_watch.quarantine.add(
@@ -299,17 +297,23 @@
     def _choose_engine(
         self, traits: EngineTraits, demand: Demand, ready: list[Endpoint]
     ) -> EngineChoice:
-        candidates = [
+        candidates = self._views(ready)
+        now = self.clock()
+        self.locality.begin(traits.service, demand, now)
+        choice = self.placement.choose(demand, candidates, traits=traits, now=now)
+        selected = next(one for one in candidates if one.name == choice.engine)
+        self.locality.finish(traits.service, selected, demand.transfer_bytes, now)
+        return choice
+
+    def _views(self, endpoints: list[Endpoint]) -> list[EndpointView]:
+        return [
             EndpointView(
                 name=one.incarnation,
                 data_center=one.data_center,
                 is_remote=self._is_remote(one),
             )
-            for one in ready
+            for one in endpoints
         ]
-        return self.placement.choose(
-            demand, candidates, traits=traits, now=self.clock()
-        )
 
     def _start_send(
         self,
@@ -363,25 +367,42 @@
         self.placement.remove(key)
         self.crash_watch.quarantine.record_end(key)
 
-    def _select_least_loaded(
-        self, metadata: RequestMetadata, ready: list[Endpoint]
+    def _select_plain(
+        self, matched: MatchedRequest, ready: list[Endpoint]
     ) -> Selection:
-        def load(endpoint: Endpoint) -> float:
-            in_flight = self.in_flight.get(endpoint.incarnation, 0)
-            # The random part is below 0.5, so that it only breaks ties.
-            return in_flight + self._is_remote(endpoint) + self.random.random() / 2
-
-        endpoint = min(ready, key=load)
+        number, now = next(self.send_numbers), self.clock()
+        selected = self.locality.choose_plain(
+            matched.service,
+            self._views(ready),
+            slots={one.incarnation: one.slots for one in ready},
+            target=matched.route.target,
+            sent_bytes=matched.body_bytes,
+            now=now,
+        )
+        responses = self.locality.service(matched.service).responses
+        responses.record_start(selected.name, number, now)
         return Selection(
-            endpoint=endpoint,
-            number=next(self.send_numbers),
-            metadata=metadata,
+            endpoint=self.registry.incarnations[selected.name],
+            number=number,
+            metadata=matched.metadata,
             ready=len(ready),
         )
 
     def _is_remote(self, endpoint: Endpoint) -> bool:
         return endpoint.data_center != self.data_center
 
+    def record_connect(self, endpoint: Endpoint, took: timedelta) -> None:
+        """Record how long a connection attempt took, or after what time it failed."""
+        self.locality.paths.record(
+            endpoint.data_center, took / timedelta(milliseconds=1), self.clock()
+        )
+
+    def record_head(self, selection: Selection) -> None:
+        """Record that the headers of a successful answer were received."""
+        endpoint = selection.endpoint
+        responses = self.locality.service(endpoint.service).responses
+        responses.record_response(endpoint.incarnation, selection.number, self.clock())
+
     def record_first_event(self, selection: Selection) -> None:
         """Record that a send's first event was received."""
         if selection.number in self.placement.engine_by_send:
@@ -401,6 +422,8 @@
         else:
             self.in_flight.pop(name, None)
         is_prompt = selection.number in self.placement.engine_by_send
+        responses = self.locality.service(selection.endpoint.service).responses
+        responses.record_end(name, selection.number)
         self.remove_send(selection.number)
         if is_prompt:
             self.broadcast(SendEnded(number=selection.number))
@@ -420,6 +443,24 @@
             self._eject(name, result.problem)
         elif result.outcome is SendOutcome.ANSWERED:
             self.ejections.record_success(name)
+        self._record_traffic(selection, result)
+
+    def _record_traffic(self, selection: Selection, result: SendResult) -> None:
+        """Update what is known of the traffic between data centres."""
+        endpoint, demand = selection.endpoint, selection.metadata.demand
+        has_engine = self.engine_traits(endpoint.service) is not None
+        is_prompt = demand is not None and has_engine
+        if result.outcome is SendOutcome.ANSWERED:
+            self.locality.record_answer_size(
+                endpoint.service,
+                result.answer_bytes,
+                is_remote=self._is_remote(endpoint),
+                output_tokens=demand.output_estimate if is_prompt else 0,
+            )
+        elif result.outcome is not SendOutcome.FAILED and not is_prompt:
+            self.locality.record_rejection(
+                endpoint.service, endpoint.incarnation, self.clock()
+            )
 
     def _eject(self, name: str, problem: str) -> None:
         time = self.ejections.record_failure(name)
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -6,7 +6,7 @@
 import asyncio
 from datetime import datetime, timedelta
 
-from result import Err
+from result import Err, Ok
 
 from ..observability import emit
 from ..registry import Endpoint
@@ -94,6 +94,8 @@
         Whether the endpoint closed the connection of the latest send.
     events : int
         Reads of the latest send that completed events of its stream.
+    answer_bytes : int
+        Bytes of the latest send's answer so far.
     """
 
     __slots__ = (
@@ -111,6 +113,7 @@
         "last_at",
         "longest_gap",
         "events",
+        "answer_bytes",
         "is_closed",
         "answer",
         "selection",
@@ -141,6 +144,7 @@
         self.last_at: datetime | None = None
         self.longest_gap = timedelta()
         self.events = 0
+        self.answer_bytes = 0
         self.is_closed = False
         self.answer: Answer | None = None
         self.selection: Selection | None = None
@@ -161,11 +165,13 @@
         self.selection = selection
         self.tried.add(selection.endpoint.incarnation)
         self.events = 0
+        self.answer_bytes = 0
         self.is_closed = False
         began = self.pool.clock()
         try:
             result = await self._send(selection.endpoint)
             result.is_closed = self.is_closed
+            result.answer_bytes = self.answer_bytes
         finally:
             self.end_send()
         self.pool.record_result(selection, result)
@@ -214,12 +220,16 @@
         return selection
 
     async def _send(self, endpoint: Endpoint) -> SendResult:
-        left = self.matched.deadline - self.pool.clock()
+        began = self.pool.clock()
+        left = self.matched.deadline - began
         sent = await send_request(
             endpoint.address,
             self._build_request(endpoint, left),
             connect_timeout=min(CONNECT_TIMEOUT, left),
         )
+        # A refusal is about the endpoint, and says nothing about the path to it.
+        if isinstance(sent, Ok) or not sent.err_value.is_refused:
+            self.pool.record_connect(endpoint, self.pool.clock() - began)
         if isinstance(sent, Err):
             return SendResult(outcome=SendOutcome.NOT_SENT, problem=str(sent.err_value))
         self.answer = sent.ok_value
@@ -265,6 +275,8 @@
         request_id = self.matched.metadata.id
         self.pool.apply_hints(self.selection.endpoint, metadata, request_id)
         result = classify_answer(message, metadata, request_id)
+        if result.outcome is SendOutcome.ANSWERED:
+            self.pool.record_head(self.selection)
         if result.outcome is SendOutcome.ANSWERED and self.relay is not None:
             return await self._relay_stream(answer, result)
         if result.head is None:
@@ -282,6 +294,8 @@
         message = await self._next_or_silence(answer)
         if isinstance(message, AnswerEnd):
             self.is_closed = message.is_closed
+        elif isinstance(message, AnswerChunk):
+            self.answer_bytes += len(message.data)
         return message
 
     async def _next_or_silence(
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from ..locality import DEFAULT_PRICE
 from ..sockets import Address, parse_address
 from .listening import settings_path
 
@@ -66,6 +67,9 @@
         Other gateway processes to connect to at startup.
     bounds : HostBounds
         Limits that the platform sets for the process.
+    transfer_price : float
+        Price of 1,000 bytes between data centres, in milliseconds of waiting that are
+        worth the same.
     """
 
     name: str
@@ -80,6 +84,7 @@
     heartbeat: timedelta
     seeds: tuple[Address, ...]
     bounds: HostBounds
+    transfer_price: float = DEFAULT_PRICE
 
 
 class _Table:
@@ -157,6 +162,13 @@
     )
 
 
+def _parse_transfer_price(top: _Table) -> float:
+    """Return the operator's price; the table is optional."""
+    if "locality" not in top.table:
+        return DEFAULT_PRICE
+    return top.subtable("locality").number("transfer_ms_per_kb", DEFAULT_PRICE)
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -173,6 +185,7 @@
         heartbeat=timedelta(milliseconds=top.number("heartbeat_ms")),
         seeds=top.addresses("seeds"),
         bounds=_parse_bounds(top.subtable("bounds")),
+        transfer_price=_parse_transfer_price(top),
     )
 
 
