--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -63,6 +63,7 @@
         regions=settings.regions,
         memory_mb=settings.limits.memory_mb,
         max_fds=settings.limits.max_fds,
+        transfer_price=settings.transfer_price,
     )
 
 
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..intake import Kind
+from ..locality import DEFAULT_PRICE
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
@@ -95,6 +96,8 @@
         Region of each data centre.
     memory_mb, max_fds : float or None
         Memory in MiB and descriptors of the host; None if they are not limited.
+    transfer_price : float
+        Price of 1,000 bytes between data centres, in milliseconds of waiting.
     """
 
     host: str
@@ -112,6 +115,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     memory_mb: float | None = None
     max_fds: float | None = None
+    transfer_price: float = DEFAULT_PRICE
 
 
 class Gateway:
@@ -203,6 +207,7 @@
             members=lambda: self.mesh.members(),
             cold_bounds=lambda: self.settings.cold_bounds,
             regions=lambda: self.settings.regions,
+            transfer_price=lambda: self.settings.transfer_price,
             clock=clock,
             random=random,
         )
@@ -344,6 +349,7 @@
 
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
+        self.pool.locality.keep(self.registry.incarnations)
         self.pool.holder.apply_endpoints(self.registry.incarnations)
         self.pool.restrictions.keep(tuple(self.registry.incarnations))
         self.pool.resumption.update_mixed_services()
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -8,6 +8,7 @@
 
 from result import Err, Ok, Result
 
+from ..locality import DEFAULT_PRICE
 from ..sockets import Address, parse_address
 from .listening import settings_path
 
@@ -98,6 +99,9 @@
         Region of each data centre; empty if the platform names none.
     limits : HostLimits
         Limits of the host.
+    transfer_price : float
+        Price of 1,000 bytes between data centres, in milliseconds of waiting that are
+        worth the same.
     """
 
     name: str
@@ -114,6 +118,7 @@
     bounds: HostBounds
     regions: Mapping[str, str] = field(default_factory=dict)
     limits: HostLimits = HostLimits()
+    transfer_price: float = DEFAULT_PRICE
 
 
 class _Table:
@@ -216,6 +221,13 @@
     )
 
 
+def _parse_transfer_price(top: _Table) -> float:
+    """Return the operator's price; the table is optional."""
+    if "locality" not in top.table:
+        return DEFAULT_PRICE
+    return top.subtable("locality").number("transfer_ms_per_kb", DEFAULT_PRICE)
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -234,6 +246,7 @@
         bounds=_parse_bounds(top.subtable("bounds")),
         regions=_parse_regions(top),
         limits=_parse_limits(document),
+        transfer_price=_parse_transfer_price(top),
     )
 
 
