--- a/zinniaramp/intake/events.py
+++ b/zinniaramp/intake/events.py
@@ -1,11 +1,11 @@
-"""Log events of the account, 2700 to 2799."""
+"""Log events of the account, 2900 to 2999."""
 
 from ..observability import declare_event
 
 __all__ = ["INTAKE_EVICTED", "INTAKE_LIMITS"]
 
 INTAKE_LIMITS = declare_event(
-    number=2700,
+    number=2900,
     name="intake-limits",
     level="INFO",
     meaning="What connections of callers and peers may hold: `budget_mb` of memory "
@@ -14,7 +14,7 @@
     fields=("budget_mb", "resident_mb", "sockets"),
 )
 INTAKE_EVICTED = declare_event(
-    number=2701,
+    number=2901,
     name="intake-evicted",
     level="WARNING",
     meaning="Memory or descriptors ran short, and connections were closed: `evicted` "
