--- a/zinniaramp/admission/core.py
+++ b/zinniaramp/admission/core.py
@@ -27,9 +27,10 @@
 run at 0.7 of the nominal times in some deployments, and a refusal of a request that
 could have been served is worse than a late answer."""
 
-LONG_WAIT = timedelta(milliseconds=100)
-"""Wait of a request from which less urgent ones leave more room.  Shorter ones occur
-whenever an engine's last slot is taken; the tightest targets are some 300 ms."""
+LONG_WAIT_SHARE = 0.06
+"""Wait of a request, as a share of the time from its arrival to its deadline, from
+which less urgent ones leave more room.  With a quarter, urgent requests got nothing
+while larger, less urgent ones began (docs/design/admission.md)."""
 
 DISPLACE_SHARE = 0.5
 """Share of its target latency that a request waits before it is sent to an engine that
@@ -236,7 +237,8 @@
                 open_classes[rank] = state.usage.has_open_slot(
                     request.engines(), asked, request.traits, now
                 )
-            if now - request.since > LONG_WAIT:
+            whole = request.deadline - request.since
+            if now - request.since > LONG_WAIT_SHARE * whole:
                 state.usage.pressed_at[rank] = now
             if not self._is_due(state, request, open_classes[rank], now):
                 continue
