End sends to servers that are gone before they answer

A request at a server that lost its host waited for its deadline, 7 to 9 s. If the entry was removed and connections fail, it ends now: repeatable ones go to another server within the budget, others get 502. Repeatable ones go also if connections are refused or another process has taken the server's place. features/gateway/gone.feature: 5 scenarios pass.

--- a/zinniaramp/gateway/admission_events.py
+++ b/zinniaramp/gateway/admission_events.py
@@ -2,7 +2,7 @@
 
 from ..observability import declare_event
 
-__all__ = ["HOLD_ENDED", "PROMPT_HELD", "PROMPT_REFUSED"]
+__all__ = ["ENDPOINT_GONE_WAITED", "HOLD_ENDED", "PROMPT_HELD", "PROMPT_REFUSED"]
 
 PROMPT_HELD = declare_event(
     number=2600,
@@ -68,3 +68,13 @@
         "retry_after",
     ),
 )
+ENDPOINT_GONE_WAITED = declare_event(
+    number=2603,
+    name="endpoint-gone-waited",
+    level="WARNING",
+    meaning="`sends` requests that waited for the first part of an answer were ended, "
+    "because connections to the endpoint fail and its entry was removed "
+    "(`is_removed`), or, if they may be repeated, connections are refused or another "
+    "process has taken its place.",
+    fields=("endpoint", "sends", "is_removed"),
+)
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -295,6 +295,7 @@
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
         self.pool.holder.apply_endpoints(self.registry.incarnations)
+        self.pool.gone_watch.apply_endpoints()
         self.pool.restrictions.shared_limits.keep(tuple(self.registry.incarnations))
         self.pool.resumption.update_mixed_services()
         self.mesh.announce_revision()
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -23,6 +23,7 @@
 from ..routing.ejection import Ejections
 from .crashes import CrashWatch
 from .events import ENDPOINT_LEFT_OUT
+from .gone import GoneWatch
 from .holding import RequestHolder
 from .matching import MatchedRequest
 from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
@@ -157,6 +158,8 @@
         Origins of the streams that callers resume; set before the first request.
     holder : RequestHolder
         Prompts that wait for room at an engine.
+    gone_watch : GoneWatch
+        Endpoints that are gone while requests wait for the first part of an answer.
     """
 
     __slots__ = (
@@ -178,6 +181,7 @@
         "crash_watch",
         "resumption",
         "holder",
+        "gone_watch",
     )
 
     def __init__(
@@ -217,6 +221,7 @@
         self.broadcast: Callable[[LoadEvent], None] = _discard_event
         self.resumption: StreamResumption
         self.holder = RequestHolder(pool=self, random=random)
+        self.gone_watch = GoneWatch(registry=registry)
 
     def _broadcast(self, event: LoadEvent) -> None:
         self.broadcast(event)
@@ -464,6 +469,8 @@
             quarantine.discard(selection.number)
         elif result.outcome is not SendOutcome.UNKNOWN and not result.is_closed:
             quarantine.record_answer(selection.number)
+        if result.outcome is SendOutcome.NOT_SENT:
+            self.gone_watch.check(selection.endpoint)
         in_cooldown = self.restrictions.cooldowns.is_active(name)
         if result.is_closed and not in_cooldown:
             self.crash_watch.check(selection.endpoint)
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -272,7 +272,13 @@
         )
 
     async def _receive(self, answer: Answer) -> SendResult:
-        message = await self._next_message(answer)
+        may_repeat = self.matched.route.repeat is not RetryPolicy.NEVER
+        gone_watch, endpoint = self.pool.gone_watch, self.selection.endpoint
+        gone_watch.add(answer, endpoint, may_repeat=may_repeat)
+        try:
+            message = await self._next_message(answer)
+        finally:
+            gone_watch.remove(answer)
         if not isinstance(message, AnswerHead):
             problem = getattr(message, "problem", "body before headers")
             return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
