--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -352,6 +352,7 @@
         self.pool.locality.keep(self.registry.incarnations)
         self.pool.holder.apply_endpoints(self.registry.incarnations)
         self.pool.restrictions.keep(tuple(self.registry.incarnations))
+        self.pool.gone_watch.apply_endpoints()
         self.pool.resumption.update_mixed_services()
         self.mesh.announce_revision()
         if self.registry.configuration is not None:
