Check a platform's configuration before it is published

zinniaramp check-configuration decodes a document with the gateway's decoder, finds entries that never match and limits that contradict each other, and prints what changes from the version in force.

--- a/zinniaramp/commands/core.py
+++ b/zinniaramp/commands/core.py
@@ -3,6 +3,7 @@
 import fire
 
 from .callers import send, ticket
+from .configurations import check_configuration
 from .explain import explain
 from .files import check, publish_preview
 from .load import load, report
@@ -12,6 +13,7 @@
 
 VERBS = {
     "check": check,
+    "check-configuration": check_configuration,
     "publish-preview": publish_preview,
     "status": status,
     "explain": explain,
