--- a/features/steps/check_configuration_steps.py
+++ b/features/steps/check_configuration_steps.py
@@ -1,5 +1,6 @@
 """Steps for the check of a platform's configuration."""
 
+import copy
 import json
 
 from behave import given
@@ -9,7 +10,7 @@
 
 @given("a platform configuration")
 def write_configuration(context):
-    context.document = configuration(
+    document = configuration(
         routes=[
             route("read", "safe", attempts=2),
             route("book", "unsafe"),
@@ -21,6 +22,8 @@
             {"name": "second", "api_keys": ["secret-2"]},
         ],
     )
+    # A copy, because the limits are those of the other features too.
+    context.document = copy.deepcopy(document)
     context.files = {
         name: context.directory / f"{name}.json" for name in ("FILE", "OLD")
     }
--- a/zinniaramp/locality/core.py
+++ b/zinniaramp/locality/core.py
@@ -192,11 +192,16 @@
     ) -> float:
         """Return the cost of leaving the data centre; a `CostTerm`.
 
-        `begin` must have been called for the request.
+        Without a selection that was begun, the cost is that of a request that has no
+        reason to leave.
         """
         decision = self.decision
         if decision is None:
-            return 0.0
+            if not view.is_remote:
+                return 0.0
+            target_ms = demand.target / MILLISECOND or DEFAULT_TARGET_MS
+            price_ms = self.price() * demand.transfer_bytes / 1000
+            return price_ms + CALM_SHARE * target_ms
         if view.is_remote:
             return decision.fixed_ms + self._extra_ms(decision, view.data_center, now)
         share = used_share(predicted.wait_ms, 0.0, decision.target_ms)
--- a/zinniaramp/platform/configuration_check.py
+++ b/zinniaramp/platform/configuration_check.py
@@ -132,10 +132,11 @@
 
 
 def _refusal(error: ItemError) -> Finding:
-    problem, _, remedy = str(error).rpartition("; ")
+    problem = str(error)
     if "tenants" in problem:
         # The refused value may contain API keys.
         problem = re.sub(r" = .* is not ", " is not ", problem, flags=re.DOTALL)
+    remedy = "gateways would refuse the document"
     return Finding(place=CONFIGURATION_KEY, problem=problem, remedy=remedy)
 
 
