--- a/zinniaramp/admission/shares.py
+++ b/zinniaramp/admission/shares.py
@@ -22,8 +22,8 @@
 workspace is over its share.  One that sends seven times its usual is held to about a
 third of that while room is short, and the rule is a quarter."""
 
-MEAN_LIFETIME = timedelta(milliseconds=50)
-"""Time for which the mean over all workspaces is kept, which saves processor time."""
+COMPARISON_INTERVAL = timedelta(milliseconds=50)
+"""Time between two comparisons of all workspaces, which bounds their processor time."""
 
 MIN_WEIGHT = 0.25
 """Smallest weight of a workspace, which a workspace without recent requests has."""
@@ -43,6 +43,8 @@
         Requests in flight or held, by workspace.
     usual, recent : dict of Rate
         Tokens of the requests that were sent, by workspace.
+    over : frozenset of str
+        Workspaces over their share at the last comparison, at `compared_at`.
 
     Notes
     -----
@@ -56,7 +58,15 @@
     Y. Sheng et al., "Fairness in Serving Large Language Models", OSDI 2024.
     """
 
-    __slots__ = ("served", "active", "usual", "recent", "all_usual", "mean", "mean_at")
+    __slots__ = (
+        "served",
+        "active",
+        "usual",
+        "recent",
+        "all_usual",
+        "over",
+        "compared_at",
+    )
 
     def __init__(self):
         self.served: dict[str, float] = {}
@@ -64,8 +74,8 @@
         self.usual: dict[str, Rate] = {}
         self.recent: dict[str, Rate] = {}
         self.all_usual = Rate(lifetime=USUAL_LIFETIME)
-        self.mean = 0.0
-        self.mean_at: datetime | None = None
+        self.over: frozenset[str] = frozenset()
+        self.compared_at: datetime | None = None
 
     def enter(self, workspace: str) -> None:
         """Count a request that is now in flight or held."""
@@ -99,10 +109,13 @@
 
         It leaves the last room at an engine to the others then.
         """
-        if self.mean_at is None or now - self.mean_at > MEAN_LIFETIME:
-            rates = [self._recent_over_weight(one, now) for one in self.active]
-            self.mean, self.mean_at = sum(rates) / max(1, len(rates)), now
-        return self._recent_over_weight(workspace, now) > OVER_SHARE * self.mean
+        at = self.compared_at
+        if at is None or now - at > COMPARISON_INTERVAL:
+            rates = {one: self._recent_over_weight(one, now) for one in self.active}
+            limit = OVER_SHARE * sum(rates.values()) / max(1, len(rates))
+            self.over = frozenset(one for one, rate in rates.items() if rate > limit)
+            self.compared_at = now
+        return workspace in self.over
 
     def _recent_over_weight(self, workspace: str, now: datetime) -> float:
         recent = self.recent.get(workspace)
