--- a/zinniaramp/gateway/holding.py
+++ b/zinniaramp/gateway/holding.py
@@ -245,8 +245,9 @@
             return
         try:
             future.set_result(request.owner(verdict))
-        except RefusalError as refusal:
-            future.set_exception(refusal)
+        except Exception as error:
+            # The one request gets it; the other held ones are still to be examined.
+            future.set_exception(error)
 
     def _refuse(
         self, request: HeldRequest, matched: MatchedRequest, verdict: Refuse
