--- a/features/locality/locality.feature
+++ b/features/locality/locality.feature
@@ -36,14 +36,20 @@
       | engines, none at home |
 
   Scenario Outline: The share that leaves in a shortage doesn't oscillate
-    Given the load "plain, rush" at <gateways> gateways
+    Given the load "<load>" at <gateways> gateways
     When it is played with the flat cost and with the model of locality
     Then in no half second of the rush all or none of the first data centre's requests leave
 
-    Examples: load reports are 100 ms old
-      | gateways |
-      | 5        |
-      | 26       |
+    Examples: each gateway knows only its own requests
+      | load        | gateways |
+      | plain, rush | 1        |
+      | plain, rush | 5        |
+      | plain, rush | 26       |
+
+    Examples: load events are 100 ms old
+      | load          | gateways |
+      | engines, rush | 5        |
+      | engines, rush | 26       |
 
   Scenario: A data centre whose endpoint comes back gets its requests again
     Given the load "plain, dark" at 26 gateways
@@ -63,3 +69,14 @@
     Given a home engine with a wait of 60 ms and an idle one elsewhere
     When requests are placed there under pressure, and then in calm
     Then the events spill-began and spill-ended are logged once each
+
+  Scenario Outline: The operator sets the price of a byte
+    Given a process's settings file <with>
+    Then its price of 1000 bytes is <price>
+
+    Examples:
+      | with                                   | price   |
+      | without a table locality               | 2.4     |
+      | with the locality transfer_ms_per_kb 0 | 0.0     |
+      | with the locality transfer_ms_per_kb 9 | 9.0     |
+      | with the locality transfer_ms_per_kb -1 | refused |
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -5,10 +5,13 @@
 
 from behave import given, then, when
 from loguru import logger
+from result import Err, Ok
 
 from features.locality.play import DATA_CENTERS, LOADS, SERVICE, START, TRAITS, Play
 from zinniaramp.locality import DEFAULT_PRICE, Locality, PathLatencies
 from zinniaramp.placement import Demand, EndpointView, Prediction
+from zinniaramp.platform.settings import read_host_settings
+from zinniaramp.standins.platform import GatewayProcess
 
 BUCKET_MS = 500.0
 HOME = EndpointView(name="home", data_center="dc-0")
@@ -172,3 +175,24 @@
 @then("the events spill-began and spill-ended are logged once each")
 def check_events(context):
     assert context.names == ["spill-began", "spill-ended"], context.names
+
+
+@given("a process's settings file {table}")
+def write_settings(context, table):
+    process = GatewayProcess(directory=context.directory, name="node", store=1)
+    process.write_settings()
+    context.path = process.settings_path
+    if table.startswith("with the locality"):
+        name, value = table.split()[-2:]
+        with context.path.open("a") as file:
+            file.write(f"[locality]\n{name} = {value}\n")
+
+
+@then("its price of 1000 bytes is {price}")
+def check_price(context, price):
+    match read_host_settings(context.path):
+        case Ok(settings):
+            assert str(settings.transfer_price) == price, settings.transfer_price
+        case Err(problem):
+            assert price == "refused", problem
+            assert "locality.transfer_ms_per_kb" in str(problem), problem
