Leave answers without token counts out of an engine's average size

A request without token counts to an engine's service has an answer of unknown tokens; it was averaged as one token and would have raised the price of prompts.

--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -451,11 +451,13 @@
         has_engine = self.engine_traits(endpoint.service) is not None
         is_prompt = demand is not None and has_engine
         if result.outcome is SendOutcome.ANSWERED:
+            # A request without token counts says nothing of an engine's answers.
+            plain_tokens = None if has_engine else 1
             self.locality.record_answer_size(
                 endpoint.service,
                 result.answer_bytes,
                 is_remote=self._is_remote(endpoint),
-                output_tokens=demand.output_estimate if is_prompt else 0,
+                output_tokens=demand.output_estimate if is_prompt else plain_tokens,
             )
         elif result.outcome is not SendOutcome.FAILED and not is_prompt:
             self.locality.record_rejection(
--- a/zinniaramp/locality/core.py
+++ b/zinniaramp/locality/core.py
@@ -303,7 +303,7 @@
         return selected
 
     def record_answer_size(
-        self, service: str, size: int, *, is_remote: bool, output_tokens: int = 0
+        self, service: str, size: int, *, is_remote: bool, output_tokens: int | None
     ) -> None:
         """Record the size of a complete answer.
 
@@ -315,11 +315,14 @@
             Bytes of its body.
         is_remote : bool
             Whether it came from another data centre.
-        output_tokens : int
-            Estimated output tokens; 0 if the endpoint is plain.
+        output_tokens : int or None
+            Estimated output tokens, 1 if the endpoint is plain; None if the answer is
+            not counted in the average.
         """
         if is_remote:
             REMOTE_BYTES.labels(service, "received").inc(size)
+        if output_tokens is None:
+            return
         state = self.service(service)
         sample = size / max(1, output_tokens)
         if state.answer_bytes is None:
