--- a/zinniaramp/admission/core.py
+++ b/zinniaramp/admission/core.py
@@ -9,7 +9,7 @@
 from .queue import HeldRequest, HoldQueue
 from .rates import Rate
 from .shares import WorkspaceShares
-from .usage import FLOOR_RANK, OTHERS_SLOTS, ServiceUsage
+from .usage import OTHERS_SLOTS, ServiceUsage
 from .verdicts import Hold, Refuse, Send, Verdict
 
 __all__ = ["Admission", "ServiceAdmission"]
@@ -124,7 +124,13 @@
         return self.services[name]
 
     def record_start(
-        self, key: object, service: str, engine: str, demand: Demand, now: datetime
+        self,
+        key: object,
+        service: str,
+        engine: str,
+        demand: Demand,
+        now: datetime,
+        prefill: timedelta = timedelta(),
     ) -> None:
         """Record a send by this or another gateway to an engine.
 
@@ -138,9 +144,11 @@
             Its tokens, workspace and urgency.
         now : datetime
             Current time.
+        prefill : timedelta
+            Predicted time of its prefill.
         """
         state = self.service(service)
-        state.usage.add(key, engine, demand, now)
+        state.usage.add(key, engine, demand, now, prefill)
         state.shares.enter(demand.workspace)
         tokens = demand.prompt_tokens + demand.output_estimate
         state.shares.charge(demand.workspace, tokens, now)
@@ -233,9 +241,12 @@
             if request.passed >= PASSED_LIMIT:
                 claimed.add(request.engine)
             if rank not in open_classes:
-                asked = FLOOR_RANK if state.queue.is_at_floor(rank) else rank
-                open_classes[rank] = state.usage.has_open_slot(
-                    request.engines(), asked, request.traits, now
+                open_classes[rank] = state.usage.is_any_open(
+                    request.engines(),
+                    request.demand,
+                    request.traits,
+                    now,
+                    is_floor=state.queue.is_at_floor(rank),
                 )
             whole = request.deadline - request.since
             if now - request.since > LONG_WAIT_SHARE * whole:
--- a/zinniaramp/admission/usage.py
+++ b/zinniaramp/admission/usage.py
@@ -35,6 +35,18 @@
 """Slots of an engine that a workspace over its share leaves to others.  With one, two
 gateways that act at the same time would leave none."""
 
+PREFILL_SHARE = 0.9
+"""Largest share of an engine's time that prefill may take.
+
+While prefill runs without a pause, a stream advances by one token a chunk: with 85 ms a
+chunk, 175 tokens take 15 s and miss a deadline of 8 s.  Decode steps in a tenth of the
+time shorten this to 6 s."""
+
+PREFILL_TARGET_SHARE = 0.5
+"""Longest prefill queue of an engine that a request is sent to, as a share of the
+request's target latency.  The other half is for its own prefill and for what others send
+meanwhile."""
+
 MIN_RESERVED_ARRIVALS = 0.05
 """Expected arrivals below which nothing is kept free: fewer than one in 20 times the
 room would be used before the next request ends."""
@@ -72,6 +84,9 @@
         Tokens of the segments in use.
     arrivals : dict of Rate
         Sends that started, by urgency.
+    prefill_until : dict of datetime
+        When the prefill of a class and of more urgent ones will be done if it takes
+        `PREFILL_SHARE` of the time, by urgency.
     """
 
     by_rank: Counter = field(default_factory=Counter)
@@ -81,6 +96,7 @@
     segments: Counter = field(default_factory=Counter)
     shared_tokens: int = 0
     arrivals: dict[int, Rate] = field(default_factory=dict)
+    prefill_until: dict[int, datetime] = field(default_factory=dict)
 
     def new_tokens(self, demand: Demand) -> int:
         """Return the memory that a request needs beyond the segments in use."""
@@ -91,9 +107,10 @@
         )
         return demand.own_tokens + shared
 
-    def add(self, demand: Demand, now: datetime) -> None:
-        """Add a send."""
+    def add(self, demand: Demand, prefill: timedelta, now: datetime) -> None:
+        """Add a send whose prefill takes some time."""
         rank = demand.urgency
+        self._queue_prefill(rank, prefill, now)
         self.by_rank[rank] += 1
         self.own_tokens[rank] += demand.own_tokens
         self.count += 1
@@ -106,6 +123,18 @@
             self.arrivals[rank] = Rate(lifetime=RATE_LIFETIME)
         self.arrivals[rank].add(1, now)
 
+    def prefill_queue(self, rank: int, now: datetime) -> timedelta:
+        """Return the time until the prefill that a class waits for is done."""
+        until = [at for one, at in self.prefill_until.items() if one <= rank]
+        return max(max(until, default=now) - now, timedelta())
+
+    def _queue_prefill(self, rank: int, prefill: timedelta, now: datetime) -> None:
+        # Engines prefill more urgent prompts first, so less urgent ones wait longer.
+        self.prefill_until.setdefault(rank, now + self.prefill_queue(rank, now))
+        for one, until in self.prefill_until.items():
+            if one >= rank:
+                self.prefill_until[one] = max(until, now) + prefill / PREFILL_SHARE
+
     def remove(self, demand: Demand) -> None:
         """Remove a send that has ended."""
         rank = demand.urgency
@@ -146,9 +175,16 @@
         self.tokens: dict[int, float] = {}
         self.pressed_at: dict[int, datetime] = {}
 
-    def add(self, key: object, engine: str, demand: Demand, now: datetime) -> None:
-        """Add a send."""
-        self.engines.setdefault(engine, EngineUsage()).add(demand, now)
+    def add(
+        self,
+        key: object,
+        engine: str,
+        demand: Demand,
+        now: datetime,
+        prefill: timedelta = timedelta(),
+    ) -> None:
+        """Add a send whose prefill takes some time."""
+        self.engines.setdefault(engine, EngineUsage()).add(demand, prefill, now)
         self.sends[key] = engine, demand, now
         mean = self.tokens.get(demand.urgency, demand.own_tokens)
         self.tokens[demand.urgency] = mean + SIZE_WEIGHT * (demand.own_tokens - mean)
@@ -188,13 +224,26 @@
         counts = [self.count(name) for name in names]
         return not traits.slots or 2 * sum(counts) < traits.slots * len(counts)
 
-    def has_open_slot(
-        self, names: Iterable[str], rank: int, traits: EngineTraits, now: datetime
+    def is_any_open(
+        self,
+        names: Iterable[str],
+        demand: Demand,
+        traits: EngineTraits,
+        now: datetime,
+        *,
+        is_floor: bool = False,
     ) -> bool:
-        """Return whether an engine has a slot for a class, whatever its memory."""
+        """Return whether an engine has room for a request, whatever its memory.
+
+        The parameters are those of `lack`.
+        """
+        rank = FLOOR_RANK if is_floor else demand.urgency
         for name in names:
             usage = self.engines.get(name)
-            if usage is None or not self._lacks_slot(usage, rank, traits, now):
+            if usage is None or not usage.count:
+                return True
+            is_delayed = not is_floor and self._lacks_prefill(usage, demand, now)
+            if not is_delayed and not self._lacks_slot(usage, rank, traits, now):
                 return True
         return False
 
@@ -232,9 +281,9 @@
         Returns
         -------
         str
-            ``slots``, ``memory``, or nothing if it has room.  What more urgent classes
-            will need until the next request ends counts as taken.  An engine without
-            requests has room for any.
+            ``slots``, ``prefill``, ``memory``, or nothing if it has room.  What more
+            urgent classes will need until the next request ends counts as taken.  An
+            engine without requests has room for any.
         """
         usage = self.engines.get(engine)
         if usage is None or not usage.count:
@@ -243,6 +292,8 @@
         rank = FLOOR_RANK if is_floor else demand.urgency
         if self._lacks_slot(usage, rank, traits, now, others):
             return "slots"
+        if not is_floor and self._lacks_prefill(usage, demand, now):
+            return "prefill"
         if traits.kv_capacity_tokens:
             reserved = self._reserved(usage, rank, traits, now)
             kept = min(
@@ -288,6 +339,12 @@
         kept = min(self._reserved(usage, rank, traits, now) + others, most)
         return usage.count + 1 + kept > traits.slots
 
+    @staticmethod
+    def _lacks_prefill(usage: EngineUsage, demand: Demand, now: datetime) -> bool:
+        """Return whether the prefill queue threatens a request's target latency."""
+        longest = PREFILL_TARGET_SHARE * demand.target
+        return bool(longest) and usage.prefill_queue(demand.urgency, now) > longest
+
     def _reserved(
         self, usage: EngineUsage, rank: int, traits: EngineTraits, now: datetime
     ) -> int:
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -436,9 +436,11 @@
     ) -> Selection:
         demand = metadata.demand
         number, now = next(self.send_numbers), self.clock()
-        self.placement.add(number, choice.engine, demand, traits=traits, now=now)
+        prefill = self.placement.add(
+            number, choice.engine, demand, traits=traits, now=now
+        )
         self.holder.admission.record_start(
-            number, traits.service, choice.engine, demand, now
+            number, traits.service, choice.engine, demand, now, prefill
         )
         self.broadcast(
             SendStarted(
@@ -470,8 +472,10 @@
         The parameters are those of `Placement.add`.
         """
         now = self.clock()
-        self.placement.add(key, engine, demand, traits=traits, now=now)
-        self.holder.admission.record_start(key, traits.service, engine, demand, now)
+        prefill = self.placement.add(key, engine, demand, traits=traits, now=now)
+        self.holder.admission.record_start(
+            key, traits.service, engine, demand, now, prefill
+        )
         self.crash_watch.quarantine.add(key, engine, demand.shared_names)
 
     def record_first_event_of(self, key: object) -> None:
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -143,7 +143,7 @@
         *,
         traits: EngineTraits,
         now: datetime,
-    ) -> None:
+    ) -> timedelta:
         """Record a send by this or another gateway process to an engine.
 
         Parameters
@@ -158,6 +158,11 @@
             Published properties of the engine.
         now : datetime
             Current time.
+
+        Returns
+        -------
+        timedelta
+            Predicted time of its prefill.
         """
         sent = self._model(engine, traits).add(key, demand, now)
         self.sizer(traits.service).record(
@@ -168,6 +173,7 @@
             now=now,
         )
         self.engine_by_send[key] = engine
+        return sent.prefill_ms * MILLISECOND
 
     def record_cached(
         self, engine: str, parts: Iterable[PromptSegment], *, traits: EngineTraits
