Ask the locality plays for the stated bounds, and play plain endpoints over lossy links

Cause: two checks had been loosened after a measurement: 999 in 1000 requests on time, and 1 in 10 that still leave 3 s after a data centre is back. Change: no fewer requests on time than with the flat cost, and the bound of the calm load, 1 in 100; the load "plain, lossy rush" is played as well.

--- a/features/locality/locality.feature
+++ b/features/locality/locality.feature
@@ -21,7 +21,7 @@
   Scenario Outline: In a shortage callers get no less than with the flat cost
     Given the load "<load>" at 26 gateways
     When it is played with the flat cost and with the model of locality
-    Then with the model no fewer than 999 in 1000 as many requests are on time
+    Then with the model no fewer requests are on time
 
     Examples: plain endpoints of 6 slots, one in each data centre
       | load                |
@@ -29,6 +29,7 @@
       | plain, swing        |
       | plain, dark         |
       | plain, none at home |
+      | plain, lossy rush   |
 
     Examples: engines, 8 in each data centre
       | load                  |
@@ -54,7 +55,7 @@
   Scenario: A data centre whose endpoint comes back gets its requests again
     Given the load "plain, dark" at 26 gateways
     When it is played with the flat cost and with the model of locality
-    Then with the model requests leave while it is dark, and 3 s later 1 in 10 at most
+    Then with the model requests leave while it is dark, and 3 s later 1 in 100 at most
 
   Scenario: A small request leaves where a large one stays
     Given a home engine with a wait of 60 ms and an idle one elsewhere
--- a/features/steps/locality_steps.py
+++ b/features/steps/locality_steps.py
@@ -56,13 +56,6 @@
     )
 
 
-@then("with the model no fewer than 999 in 1000 as many requests are on time")
-def check_nearly_on_time(context):
-    assert context.after.on_time >= 0.999 * context.before.on_time, (
-        f"{context.before}; {context.after}"
-    )
-
-
 @then(
     "in no half second of the rush all or none of the first data centre's "
     "requests leave"
@@ -79,7 +72,7 @@
     assert min(shares) > 0 and max(shares) < 1, shares
 
 
-@then("with the model requests leave while it is dark, and 3 s later 1 in 10 at most")
+@then("with the model requests leave while it is dark, and 3 s later 1 in 100 at most")
 def check_return(context):
     _, end_s = context.load.dark_s
     own = [
@@ -89,7 +82,7 @@
     ]
     assert any(is_remote for at_s, is_remote in own if at_s < end_s)
     later = [is_remote for at_s, is_remote in own if at_s >= end_s + 3]
-    assert sum(later) <= len(later) / 10, (sum(later), len(later))
+    assert sum(later) <= len(later) / 100, (sum(later), len(later))
 
 
 def place(locality, body_bytes, wait_ms, now):
--- a/zinniaramp/admission/usage.py
+++ b/zinniaramp/admission/usage.py
@@ -44,8 +44,8 @@
 
 PREFILL_TARGET_SHARE = 0.5
 """Longest prefill queue of an engine that a request is sent to, as a share of the
-request's target latency.  The other half is for its own prefill and for what others send
-meanwhile."""
+request's target latency.  The other half is for its own prefill and for what others
+send meanwhile."""
 
 MIN_RESERVED_ARRIVALS = 0.05
 """Expected arrivals below which nothing is kept free: fewer than one in 20 times the
