Size the split by streams and by the engines' capacity

Cause: the split between short and long prompts was sized by prefilled tokens and by the number of engines, so that streams with short prompts had too few engines and late gaps. Slots and memory were not in the prediction. Change: short prompts get engines for their time in the batch too, as far as the prefill of long ones leaves capacity; capacity is the sum of the engines' speeds. Copies of hot segments aren't built.

--- a/features/placement/contended.py
+++ b/features/placement/contended.py
@@ -283,11 +283,14 @@
         Tokens of shared segments that an engine prefilled although one had before.
     work_ms : dict of float
         Time that each engine was busy, by the place of the engine.
+    prefilled_again : int
+        Tokens of shared segments that an engine prefilled although one had before.
+    tokens : dict of int
+        Tokens that each engine was given to prefill.
     """
 
     requests: list
     prefilled_again: int = 0
-    work_ms: dict = field(default_factory=dict)
     tokens: dict = field(default_factory=dict)
 
     def on_time(self, site, name=None):
@@ -371,7 +374,6 @@
         """Run the simulation."""
         self.outcome = Outcome(
             requests=requests,
-            work_ms=dict.fromkeys(range(self.site.engines), 0.0),
             tokens=dict.fromkeys(range(self.site.engines), 0),
         )
         for request in requests:
@@ -414,7 +416,6 @@
         self.busy.add(name)
         factor = self.disturbances.factor(_place(name), now_ms)
         end_ms, started, ended = engine.step(now_ms, factor)
-        self.outcome.work_ms[_place(name)] += end_ms - now_ms
         gaps = [
             (one, one.gaps_ms[-1])
             for one in engine.running
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -10,6 +10,7 @@
 from .events import ENGINE_SPEED_CHANGED
 from .law import EngineTraits
 from .learning import LawEstimator
+from .metrics import SPEED_CHANGES
 from .prompts import Demand, PromptSegment
 from .speed import EngineSpeed, ServiceSpeed
 from .split import EngineSplit, SplitSizer
@@ -149,16 +150,31 @@
         estimator = self.estimator(traits.service)
         estimator.update(now)
         self.speed(traits.service).update(now)
-        by_name = {one.name: one for one in candidates}
         limit_ms = self._limit_ms(demand, traits)
         prompt_ms = self._prompt_ms(demand, traits)
         is_short = self.sizer(traits.service).is_short(prompt_ms, limit_ms)
-        mismatch_ms = self._mismatch_costs(is_short, tuple(by_name), traits, now)
-        choices = [
-            self._evaluate(demand, by_name[name], traits, now, mismatch_ms[name])
-            for name in rank(demand.affinity_key(), tuple(by_name))
-        ]
-        return min(choices, key=lambda choice: choice.cost_ms)
+        models = {one.name: self._model(one.name, traits) for one in candidates}
+        factors = {name: model.speed.factor(now) for name, model in models.items()}
+        preferred, mismatch_ms = self._preferred(is_short, factors, traits, now)
+        costs = {}
+        for view in candidates:
+            name = view.name
+            predicted, cost_ms = self._evaluate(
+                demand, view, models[name], factors[name], now
+            )
+            if name not in preferred:
+                cost_ms += mismatch_ms
+            costs[name] = (cost_ms, predicted)
+        least_ms = min(cost_ms for cost_ms, _ in costs.values())
+        tied = [name for name, (cost_ms, _) in costs.items() if cost_ms == least_ms]
+        name = tied[0] if len(tied) == 1 else rank(demand.affinity_key(), tied)[0]
+        predicted = costs[name][1]
+        return EngineChoice(
+            engine=name,
+            predicted_ttft=predicted.ttft_ms * MILLISECOND,
+            prefill_tokens=predicted.prefill_tokens,
+            cost_ms=least_ms,
+        )
 
     def add(
         self,
@@ -191,6 +207,7 @@
             limit_ms=self._limit_ms(demand, traits),
             target_ms=stream_targets(demand).first_ms,
             now=now,
+            stream_ms=self._stream_ms(demand, traits),
         )
         self.engine_by_send[key] = engine
 
@@ -232,6 +249,7 @@
     def _log_speed(self, model: EngineModel, now: datetime) -> None:
         change = model.speed.take_change(now)
         if change is not None:
+            SPEED_CHANGES.labels(model.traits.service).inc()
             emit(
                 ENGINE_SPEED_CHANGED,
                 service=model.traits.service,
@@ -246,6 +264,13 @@
         law = self.estimator(traits.service).law
         return law.prefill_ms(demand.prompt_tokens)
 
+    def _stream_ms(self, demand: Demand, traits: EngineTraits) -> float:
+        """Return the time of a stream's steps in a half-full batch, for each slot."""
+        if not traits.slots:
+            return 0.0
+        law = self.estimator(traits.service).law
+        return demand.output_estimate * law.step_ms(traits.slots // 2) / traits.slots
+
     def _limit_ms(self, demand: Demand, traits: EngineTraits) -> float:
         """Return how long prefill may take until a request or its stream is late."""
         law = self.estimator(traits.service).law
@@ -254,48 +279,40 @@
         limits = [ms for ms in (stall_ms, targets.first_ms) if ms]
         return min(limits, default=float("inf"))
 
-    def _mismatch_costs(
+    def _preferred(
         self,
         is_short: bool,
-        names: tuple[str, ...],
+        factors: dict[str, float],
         traits: EngineTraits,
         now: datetime,
-    ) -> dict[str, float]:
-        """Return the cost of each engine for the side of the split that it is on."""
+    ) -> tuple[frozenset[str], float]:
+        """Return the engines on a prompt's side of the split, and the others' cost."""
         sizer = self.sizer(traits.service)
-        split: EngineSplit = sizer.split(names, now)
-        preferred = set(split.short if is_short else split.long)
+        split: EngineSplit = sizer.split(tuple(factors), now, factors)
+        preferred = frozenset(split.short if is_short else split.long)
         share = SHORT_ON_LONG_SHARE if is_short else LONG_ON_SHORT_SHARE
-        cost_ms = share * sizer.tightest_target_ms
-        return {name: 0.0 if name in preferred else cost_ms for name in names}
+        return preferred, share * sizer.tightest_target_ms
 
     def _evaluate(
         self,
         demand: Demand,
         candidate: EndpointView,
-        traits: EngineTraits,
+        model: EngineModel,
+        factor: float,
         now: datetime,
-        mismatch_ms: float,
-    ) -> EngineChoice:
-        model = self._model(candidate.name, traits)
-        factor = model.speed.factor(now)
+    ) -> tuple[Prediction, float]:
+        """Return the predicted course, and the cost without that of the split."""
         tokens = model.uncached_tokens(demand)
         law_ms = model.estimator.law.prefill_ms(tokens)
+        backlog_ms = model.backlog_ms(now, factor)
         predicted = Prediction(
-            wait_ms=model.backlog_ms(now, factor),
+            wait_ms=backlog_ms + model.batch_wait_ms(demand, factor),
             prefill_ms=factor * law_ms,
             prefill_tokens=tokens,
         )
-        cost_ms = mismatch_ms + predicted.prefill_ms + (PREFILL_WEIGHT - 1) * law_ms
+        cost_ms = predicted.prefill_ms + (PREFILL_WEIGHT - 1) * law_ms
         cost_ms += predicted.wait_ms * (1 + CAUTION * model.speed.excess_deviation)
-        cost_ms += model.stall_harm_ms(
-            demand, predicted.wait_ms, predicted.prefill_ms, factor
-        )
+        cost_ms += model.stall_harm_ms(demand, backlog_ms, predicted.prefill_ms, factor)
         for term in self.cost_terms:
             cost_ms += term(demand, candidate, predicted, now)
-        return EngineChoice(
-            engine=candidate.name,
-            predicted_ttft=predicted.ttft_ms * MILLISECOND,
-            prefill_tokens=predicted.prefill_tokens,
-            cost_ms=cost_ms,
-        )
+        return predicted, cost_ms
--- a/zinniaramp/placement/engine.py
+++ b/zinniaramp/placement/engine.py
@@ -10,6 +10,7 @@
 from .learning import LawEstimator
 from .prompts import Demand, PromptSegment
 from .speed import NOISE_TIME, EngineSpeed, ServiceSpeed
+from .split import STALL
 
 __all__ = ["EngineModel", "SentRequest"]
 
@@ -139,6 +140,8 @@
         Number of requests in flight by their `StreamTargets`.
     own_tokens : int
         Tokens in flight that no other request shares.
+    output_tokens : int
+        Tokens to generate of all requests in flight.
     held : OrderedDict of int
         Tokens of each cached prompt segment by name, least recently used first.
     held_tokens : int
@@ -169,6 +172,7 @@
         "waiting_ms",
         "streams",
         "own_tokens",
+        "output_tokens",
         "held",
         "held_tokens",
         "prefill_started_at",
@@ -197,6 +201,7 @@
         self.waiting_ms = 0.0
         self.streams: Counter[StreamTargets] = Counter()
         self.own_tokens = 0
+        self.output_tokens = 0
         self.held: OrderedDict[str, int] = OrderedDict()
         self.held_tokens = 0
         self.prefill_started_at: datetime | None = None
@@ -236,6 +241,32 @@
             done_ms -= overdue_ms
         return max(0.0, factor * self.waiting_ms - done_ms)
 
+    def batch_wait_ms(self, demand: Demand, factor: float) -> float:
+        """Return the time until the batch has a slot and memory for a request.
+
+        Parameters
+        ----------
+        demand : Demand
+            Resource demand of the request.
+        factor : float
+            The engine's present factor on the law's times.
+
+        Notes
+        -----
+        In the time of a mean stream all slots become free once, and all memory.
+        """
+        requests, slots = len(self.sends), self.traits.slots
+        if not requests:
+            return 0.0
+        missing = (requests + 1 - slots) / slots if slots else 0.0
+        capacity = self.traits.kv_capacity_tokens
+        lacking = (self.own_tokens + demand.own_tokens - capacity) / capacity
+        share = max(missing, lacking)
+        if share <= 0:
+            return 0.0
+        steps = STALL * self.output_tokens / requests
+        return share * factor * steps * self.estimator.law.step_ms(requests)
+
     def stall_harm_ms(
         self,
         demand: Demand,
@@ -275,6 +306,10 @@
         own_limit_ms = self._stall_limit(own, factor)
         if own_limit_ms is not None and backlog_ms > own_limit_ms:
             harm_ms += own.first_ms
+        elif own.gap_ms:
+            step_ms = factor * self.estimator.law.step_ms(len(self.sends) + 1)
+            if self.traits.tokens_per_event * step_ms > own.gap_ms:
+                harm_ms += own.first_ms
         return LATE_HARM * harm_ms
 
     def _stall_limit(self, targets: StreamTargets, factor: float) -> float | None:
@@ -315,6 +350,7 @@
         self.waiting_ms += prefill_ms
         self.streams[sent.targets] += 1
         self.own_tokens += demand.own_tokens
+        self.output_tokens += demand.output_estimate
         self.record_cached(demand.parts)
         return sent
 
@@ -445,6 +481,7 @@
         self._remove_waiting(key)
         _decrement(self.streams, sent.targets)
         self.own_tokens -= sent.demand.own_tokens
+        self.output_tokens -= sent.demand.output_estimate
 
     def _remove_waiting(self, key: object) -> None:
         sent = self.waiting.pop(key, None)
