Compare decode steps also when events are read together

Cause: gaps of 0 ms between events that arrive together gave the logarithm of 0, an exception in the handling of a stream's event. Change: both times have a lower bound.

--- a/zinniaramp/placement/engine.py
+++ b/zinniaramp/placement/engine.py
@@ -463,7 +463,8 @@
             return
         self.speed.record(
             "steps",
-            math.log(self.steps_ms / self.law_steps_ms) + estimator.step_level,
+            math.log(max(1.0, self.steps_ms) / self.law_steps_ms)
+            + estimator.step_level,
             deviation=TIMING_MS / self.law_steps_ms,
             began_at=now - self.steps_ms * MILLISECOND,
             now=now,
--- a/zinniaramp/placement/learning.py
+++ b/zinniaramp/placement/learning.py
@@ -35,6 +35,9 @@
 USUAL_STREAMS, MANY_STREAMS = 10, 50
 """Streams for which the steps of two laws are compared."""
 
+MIN_STEP_MS = 0.01
+"""Shortest time of a step in comparisons."""
+
 SETTLED_CHANGE = 1.02
 """Factor between the law in use and its estimate below which it has settled."""
 
@@ -230,7 +233,8 @@
     def step_level(self) -> float:
         """Logarithm of the law's time of a step relative to the default law's."""
         default = self.default.step_ms(USUAL_STREAMS)
-        return math.log(self.law.step_ms(USUAL_STREAMS) / default)
+        # Events that are read together have no gap between them.
+        return math.log(max(MIN_STEP_MS, self.law.step_ms(USUAL_STREAMS)) / default)
 
     def _log_change(self) -> None:
         has_changed = any(
