--- a/zinniaramp/gateway/restrictions.py
+++ b/zinniaramp/gateway/restrictions.py
@@ -110,7 +110,7 @@
         if endpoint is None or configuration is None:
             return NO_TIME
         service = configuration.services.get(endpoint.service)
-        if service is None or not service.cold_per_s:
+        if service is None or not service.cold_rate:
             return NO_TIME
         return self.warm_ups.time_left(name, service.cold_start)
 
@@ -119,12 +119,12 @@
         cold_time = self.cold_time(name)
         if not cold_time:
             return cold_time
-        opens_in = self.cold_allowance.opens_in(name, self._cold_per_s(name))
+        opens_in = self.cold_allowance.opens_in(name, self._cold_rate(name))
         return cold_time if opens_in is None else min(opens_in, cold_time)
 
-    def _cold_per_s(self, name: str) -> float:
+    def _cold_rate(self, name: str) -> float:
         service = self.registry.incarnations[name].service
-        return self.registry.configuration.services[service].cold_per_s
+        return self.registry.configuration.services[service].cold_rate
 
     def _record_entry(self, endpoint: Endpoint, is_first_read: bool) -> None:
         name, remaining = endpoint.incarnation, endpoint.cold_remaining
@@ -147,7 +147,7 @@
         """Log that an endpoint is cold if its service is known to have cold ones."""
         configuration = self.registry.configuration
         service = configuration and configuration.services.get(endpoint.service)
-        if not service or not service.cold_per_s:
+        if not service or not service.cold_rate:
             return
         name = endpoint.incarnation
         left = self.warm_ups.time_left(name, service.cold_start)
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -212,9 +212,9 @@
     name = service.text("name")
     cold_start = min(service.optional("cold_start_s"), MAX_COLD.total_seconds())
     cold_start = timedelta(seconds=cold_start)
-    cold_per_s = service.optional("cold_per_s")
+    cold_rate = service.optional("cold_per_s")
     if service.fields.get("engine") is None:
-        return Service(name=name, cold_start=cold_start, cold_per_s=cold_per_s)
+        return Service(name=name, cold_start=cold_start, cold_rate=cold_rate)
     engine = _Document(fields=service.fields["engine"], path=f"{service.path}.engine")
     return Service(
         name=name,
@@ -222,7 +222,7 @@
         slots=engine.whole("slots", 0),
         tokens_per_event=engine.whole("stride", 0),
         cold_start=cold_start,
-        cold_per_s=cold_per_s,
+        cold_rate=cold_rate,
     )
 
 
--- a/zinniaramp/routes/core.py
+++ b/zinniaramp/routes/core.py
@@ -116,7 +116,7 @@
         Tokens in one event of a stream; 0 if unknown.
     cold_start : timedelta
         Time for which an endpoint is cold after its start; 0 if it never is.
-    cold_per_s : float
+    cold_rate : float
         Requests per second that a cold endpoint bears; 0 if it is never cold.
     """
 
@@ -125,7 +125,7 @@
     slots: int = 0
     tokens_per_event: int = 0
     cold_start: timedelta = timedelta()
-    cold_per_s: float = 0.0
+    cold_rate: float = 0.0
 
     @property
     def is_engine(self) -> bool:
