Hold prompts only where the settings file asks for it

Change: [admission] hold_prompts, default false; without it each prompt is sent at once and no usage is recorded.

--- a/features/steps/gateway_holding_steps.py
+++ b/features/steps/gateway_holding_steps.py
@@ -1,6 +1,7 @@
 """Steps for prompts that are held in the gateway."""
 
 import asyncio
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -30,6 +31,9 @@
 @given("prompts that take the {count:d} slots of the engine, and one that is held")
 def fill_engine(context, count):
     rig = context.rig
+    for daemon in rig.daemons:
+        gateway = daemon.gateway
+        gateway.settings = replace(gateway.settings, holds_prompts=True)
     is_short = "deadline passes" in context.scenario.name
 
     async def play():
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -64,6 +64,7 @@
         memory_mb=settings.limits.memory_mb,
         max_fds=settings.limits.max_fds,
         transfer_price=settings.transfer_price,
+        holds_prompts=settings.holds_prompts,
     )
 
 
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -98,6 +98,8 @@
         Memory in MiB and descriptors of the host; None if they are not limited.
     transfer_price : float
         Price of 1,000 bytes between data centres, in milliseconds of waiting.
+    holds_prompts : bool
+        Whether prompts wait in the gateway while engines lack room for them.
     """
 
     host: str
@@ -116,6 +118,7 @@
     memory_mb: float | None = None
     max_fds: float | None = None
     transfer_price: float = DEFAULT_PRICE
+    holds_prompts: bool = False
 
 
 class Gateway:
@@ -208,6 +211,7 @@
             cold_bounds=lambda: self.settings.cold_bounds,
             regions=lambda: self.settings.regions,
             transfer_price=lambda: self.settings.transfer_price,
+            holds_prompts=lambda: self.settings.holds_prompts,
             clock=clock,
             random=random,
         )
--- a/zinniaramp/gateway/holding.py
+++ b/zinniaramp/gateway/holding.py
@@ -8,7 +8,7 @@
 
 from ..admission import Admission, HeldRequest, Hold, Refuse, Send
 from ..observability import emit
-from ..placement import EngineTraits
+from ..placement import Demand, EngineTraits
 from .admission_events import HOLD_ENDED, PROMPT_HELD, PROMPT_REFUSED
 from .matching import MatchedRequest, RefusalError
 from .metrics import HELD_SECONDS, HOLDS, PROMPT_REFUSALS
@@ -39,6 +39,8 @@
         Endpoints and load that all requests share.
     random : Random
         Source of jitter.
+    is_enabled : callable
+        Returns whether requests are held at all; if not, each is sent at once.
 
     Attributes
     ----------
@@ -50,11 +52,14 @@
         Next examination of the held requests, by service.
     """
 
-    __slots__ = ("pool", "random", "admission", "waiting", "timers")
+    __slots__ = ("pool", "random", "is_enabled", "admission", "waiting", "timers")
 
-    def __init__(self, *, pool: "EndpointPool", random: Random):
+    def __init__(
+        self, *, pool: "EndpointPool", random: Random, is_enabled: Callable[[], bool]
+    ):
         self.pool = pool
         self.random = random
+        self.is_enabled = is_enabled
         self.admission = Admission(
             law=lambda service: pool.placement.estimator(service).law, random=random
         )
@@ -84,7 +89,8 @@
             The request is refused; nothing was sent.
         """
         traits = self.pool.engine_traits(matched.service)
-        if matched.metadata.demand is None or traits is None:
+        is_prompt = matched.metadata.demand is not None and traits is not None
+        if not is_prompt or not self.is_enabled():
             return self.pool.select(matched, tried, version)
         request = self._make_request(matched, traits, tried, version, check)
         verdict = self.admission.offer(request, self.pool.clock())
@@ -191,6 +197,19 @@
             held=self._held(request.traits.service),
         )
 
+    def record_start(
+        self,
+        key: object,
+        service: str,
+        engine: str,
+        demand: Demand,
+        prefill: timedelta,
+    ) -> None:
+        """Record a send by this or another gateway; see `Admission.record_start`."""
+        if self.is_enabled():
+            now = self.pool.clock()
+            self.admission.record_start(key, service, engine, demand, now, prefill)
+
     def record_end(self, key: object, *, is_own: bool) -> None:
         """Record the end of a send, which may have made room for held requests."""
         service = self.admission.record_end(key, self.pool.clock())
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -133,6 +133,8 @@
     transfer_price : callable
         Returns the price of 1,000 bytes between data centres, in milliseconds of
         waiting.
+    holds_prompts : callable
+        Returns whether prompts wait in the gateway while engines lack room for them.
     clock : Clock
         The process's clock.
     random : Random
@@ -205,6 +207,7 @@
         cold_bounds: Callable[[], ColdBounds],
         regions: Callable[[], Mapping[str, str]],
         transfer_price: Callable[[], float],
+        holds_prompts: Callable[[], bool],
         clock: Clock,
         random: Random,
     ):
@@ -240,7 +243,7 @@
         self.is_refusing = False
         self.broadcast: Callable[[LoadEvent], None] = _discard_event
         self.resumption: StreamResumption
-        self.holder = RequestHolder(pool=self, random=random)
+        self.holder = RequestHolder(pool=self, random=random, is_enabled=holds_prompts)
         self.gone_watch = GoneWatch(registry=registry)
 
     def _broadcast(self, event: LoadEvent) -> None:
@@ -439,9 +442,7 @@
         prefill = self.placement.add(
             number, choice.engine, demand, traits=traits, now=now
         )
-        self.holder.admission.record_start(
-            number, traits.service, choice.engine, demand, now, prefill
-        )
+        self.holder.record_start(number, traits.service, choice.engine, demand, prefill)
         self.broadcast(
             SendStarted(
                 number=number,
@@ -473,9 +474,7 @@
         """
         now = self.clock()
         prefill = self.placement.add(key, engine, demand, traits=traits, now=now)
-        self.holder.admission.record_start(
-            key, traits.service, engine, demand, now, prefill
-        )
+        self.holder.record_start(key, traits.service, engine, demand, prefill)
         self.crash_watch.quarantine.add(key, engine, demand.shared_names)
 
     def record_first_event_of(self, key: object) -> None:
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -102,6 +102,8 @@
     transfer_price : float
         Price of 1,000 bytes between data centres, in milliseconds of waiting that are
         worth the same.
+    holds_prompts : bool
+        Whether prompts wait in the gateway while engines lack room for them.
     """
 
     name: str
@@ -119,6 +121,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     limits: HostLimits = HostLimits()
     transfer_price: float = DEFAULT_PRICE
+    holds_prompts: bool = False
 
 
 class _Table:
@@ -228,6 +231,18 @@
     return top.subtable("locality").number("transfer_ms_per_kb", DEFAULT_PRICE)
 
 
+def _parse_holds_prompts(top: _Table) -> bool:
+    """Return whether the operator has switched holding on; the table is optional."""
+    if "admission" not in top.table:
+        return False
+    value = top.subtable("admission").table.get("hold_prompts", False)
+    if not isinstance(value, bool):
+        raise SettingsError(
+            f"admission.hold_prompts = {value!r} is not true or false; correct it"
+        )
+    return value
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -247,6 +262,7 @@
         regions=_parse_regions(top),
         limits=_parse_limits(document),
         transfer_price=_parse_transfer_price(top),
+        holds_prompts=_parse_holds_prompts(top),
     )
 
 
