--- a/zinniaramp/gateway/admission_events.py
+++ b/zinniaramp/gateway/admission_events.py
@@ -9,8 +9,8 @@
     name="prompt-held",
     level="INFO",
     meaning="A prompt waits in the gateway, because the engine with the lowest cost, "
-    "`endpoint`, lacks `lacks`: `slots` or `memory`, or others wait for it "
-    "(`queue`).  `in_flight` is the number of requests of all gateways at that engine, "
+    "`endpoint`, lacks `lacks`: `slots`, `prefill` or `memory`, or others wait "
+    "for it (`queue`).  `in_flight` is the number of requests of all gateways there, "
     "`slots` what it has, `held` how many wait in this gateway for the service, "
     "`needed_ms` the predicted time from the send to the end, and `left_ms` the time "
     "to the deadline.",
