--- a/zinniaramp/peers/server.py
+++ b/zinniaramp/peers/server.py
@@ -95,7 +95,7 @@
             self._remove_connection(connection, problem)
 
     async def _read_messages(
-        self, connection: str, stream: IOStream, holder: Holder | None
+        self, connection: str, stream: IOStream, holder: Holder | None = None
     ) -> None:
         decoder = MessageDecoder(max_bytes=MAX_INBOUND_BYTES)
         while True:
