--- a/features/intake/account.feature
+++ b/features/intake/account.feature
@@ -26,7 +26,7 @@
   Scenario: Bodies that stop short give way to a later one, the largest and oldest first
     Given a host with 160 MiB and 3075 descriptors, of which an idle process takes 38 MiB
     When 17 bodies of 4000000 bytes stop short
-    And 5 s pass
+    And 5 s pass at the account
     And 40 bodies of 1000 bytes stop short
     And a body of 4000000 bytes is announced
     And a body of 4000000 bytes is announced
--- a/features/steps/intake_account_steps.py
+++ b/features/steps/intake_account_steps.py
@@ -87,7 +87,7 @@
         one.holder.enter(Phase.BODY)
 
 
-@when("{seconds:d} s pass")
+@when("{seconds:d} s pass at the account")
 def passes(context, seconds):
     context.now += timedelta(seconds=seconds)
 
--- a/zinniaramp/placement/core.py
+++ b/zinniaramp/placement/core.py
@@ -4,15 +4,11 @@
 from dataclasses import dataclass
 from datetime import datetime, timedelta
 
-from ..observability import emit
 from ..routing.rendezvous import rank
 from .engine import MILLISECOND, EngineModel, stream_targets
-from .events import ENGINE_SPEED_CHANGED
 from .law import EngineTraits
 from .learning import LawEstimator
-from .metrics import SPEED_CHANGES
 from .prompts import Demand, PromptSegment
-from .speed import EngineSpeed, ServiceSpeed
 from .split import EngineSplit, SplitSizer
 from .view import CostTerm, EndpointView, Prediction
 
@@ -29,11 +25,6 @@
 the request with the tightest limit: a further long prompt makes about as large a share
 of such requests late."""
 
-CAUTION = 0.5
-"""Standard deviations by which the backlog of an engine of uncertain speed is taken to
-last longer than expected, so that none gets a pile of work before it has shown its
-speed.  Only uncertainty beyond that of the service's other engines counts."""
-
 LONG_ON_SHORT_SHARE = 0.8
 """Cost added for a long prompt on an engine for short prompts, in the same unit.  It is
 larger than `SHORT_ON_LONG_SHARE` because a misplaced short prompt delays only its own
@@ -76,8 +67,6 @@
         Model of each engine by name.
     estimators : dict of LawEstimator
         Law of the engines by service.
-    speeds : dict of ServiceSpeed
-        Reference of the speeds of the engines by service.
     engine_by_send : dict of str
         Engine of each send in flight by the send's key, including the sends of
         other gateway processes.
@@ -85,20 +74,12 @@
         Divides the engines between short and long prompts, by service.
     """
 
-    __slots__ = (
-        "cost_terms",
-        "engines",
-        "estimators",
-        "speeds",
-        "engine_by_send",
-        "sizers",
-    )
+    __slots__ = ("cost_terms", "engines", "estimators", "engine_by_send", "sizers")
 
     def __init__(self, *, cost_terms: Sequence[CostTerm] = ()):
         self.cost_terms = tuple(cost_terms)
         self.engines: dict[str, EngineModel] = {}
         self.estimators: dict[str, LawEstimator] = {}
-        self.speeds: dict[str, ServiceSpeed] = {}
         self.engine_by_send: dict[object, str] = {}
         self.sizers: dict[str, SplitSizer] = {}
 
@@ -107,8 +88,6 @@
         listed = set(names)
         for name in [engine for engine in self.engines if engine not in listed]:
             del self.engines[name]
-        for speed in self.speeds.values():
-            speed.keep(listed)
 
     def estimator(self, service: str) -> LawEstimator:
         """Return the estimated law of a service's engines."""
@@ -116,10 +95,6 @@
             self.estimators[service] = LawEstimator(service=service)
         return self.estimators[service]
 
-    def speed(self, service: str) -> ServiceSpeed:
-        """Return the reference of the speeds of a service's engines."""
-        return self.speeds.setdefault(service, ServiceSpeed())
-
     def sizer(self, service: str) -> SplitSizer:
         """Return what divides a service's engines."""
         return self.sizers.setdefault(service, SplitSizer())
@@ -149,32 +124,16 @@
         """
         estimator = self.estimator(traits.service)
         estimator.update(now)
-        self.speed(traits.service).update(now)
+        by_name = {one.name: one for one in candidates}
         limit_ms = self._limit_ms(demand, traits)
         prompt_ms = self._prompt_ms(demand, traits)
         is_short = self.sizer(traits.service).is_short(prompt_ms, limit_ms)
-        models = {one.name: self._model(one.name, traits) for one in candidates}
-        factors = {name: model.speed.factor(now) for name, model in models.items()}
-        preferred, mismatch_ms = self._preferred(is_short, factors, traits, now)
-        costs = {}
-        for view in candidates:
-            name = view.name
-            predicted, cost_ms = self._evaluate(
-                demand, view, models[name], factors[name], now
-            )
-            if name not in preferred:
-                cost_ms += mismatch_ms
-            costs[name] = (cost_ms, predicted)
-        least_ms = min(cost_ms for cost_ms, _ in costs.values())
-        tied = [name for name, (cost_ms, _) in costs.items() if cost_ms == least_ms]
-        name = tied[0] if len(tied) == 1 else rank(demand.affinity_key(), tied)[0]
-        predicted = costs[name][1]
-        return EngineChoice(
-            engine=name,
-            predicted_ttft=predicted.ttft_ms * MILLISECOND,
-            prefill_tokens=predicted.prefill_tokens,
-            cost_ms=least_ms,
-        )
+        mismatch_ms = self._mismatch_costs(is_short, tuple(by_name), traits, now)
+        choices = [
+            self._evaluate(demand, by_name[name], traits, now, mismatch_ms[name])
+            for name in rank(demand.affinity_key(), tuple(by_name))
+        ]
+        return min(choices, key=lambda choice: choice.cost_ms)
 
     def add(
         self,
@@ -205,18 +164,16 @@
         timedelta
             Predicted time of its prefill.
         """
-        model = self._model(engine, traits)
-        sent = model.add(key, demand, now)
+        sent = self._model(engine, traits).add(key, demand, now)
         self.sizer(traits.service).record(
             work_ms=sent.prefill_ms,
             prompt_ms=self._prompt_ms(demand, traits),
             limit_ms=self._limit_ms(demand, traits),
             target_ms=stream_targets(demand).first_ms,
             now=now,
-            stream_ms=self._stream_ms(demand, traits),
         )
         self.engine_by_send[key] = engine
-        return sent.prefill_ms * model.speed.factor(now) * MILLISECOND
+        return sent.prefill_ms * MILLISECOND
 
     def record_cached(
         self, engine: str, parts: Iterable[PromptSegment], *, traits: EngineTraits
@@ -229,14 +186,12 @@
         model = self.engines.get(self.engine_by_send.get(key, ""))
         if model is not None:
             model.record_first_event(key, now)
-            self._log_speed(model, now)
 
     def record_event(self, key: object, gap: timedelta, now: datetime) -> None:
         """Record a further event of a send, and the time since the one before."""
         model = self.engines.get(self.engine_by_send.get(key, ""))
         if model is not None:
             model.record_event(key, gap / MILLISECOND, now)
-            self._log_speed(model, now)
 
     def remove(self, key: object) -> None:
         """Remove a send that has ended; unknown keys are ignored."""
@@ -247,37 +202,14 @@
     def _model(self, name: str, traits: EngineTraits) -> EngineModel:
         if name not in self.engines:
             estimator = self.estimator(traits.service)
-            speed = EngineSpeed(name=name, service=self.speed(traits.service))
-            self.engines[name] = EngineModel(
-                traits=traits, estimator=estimator, speed=speed
-            )
+            self.engines[name] = EngineModel(traits=traits, estimator=estimator)
         return self.engines[name]
 
-    def _log_speed(self, model: EngineModel, now: datetime) -> None:
-        change = model.speed.take_change(now)
-        if change is not None:
-            SPEED_CHANGES.labels(model.traits.service).inc()
-            emit(
-                ENGINE_SPEED_CHANGED,
-                service=model.traits.service,
-                engine=model.speed.name,
-                factor=round(change.factor, 3),
-                lasting=round(change.lasting, 3),
-                deviation=round(change.deviation, 3),
-            )
-
     def _prompt_ms(self, demand: Demand, traits: EngineTraits) -> float:
         """Return the time to prefill a whole prompt."""
         law = self.estimator(traits.service).law
         return law.prefill_ms(demand.prompt_tokens)
 
-    def _stream_ms(self, demand: Demand, traits: EngineTraits) -> float:
-        """Return the time of a stream's steps in a half-full batch, for each slot."""
-        if not traits.slots:
-            return 0.0
-        law = self.estimator(traits.service).law
-        return demand.output_estimate * law.step_ms(traits.slots // 2) / traits.slots
-
     def _limit_ms(self, demand: Demand, traits: EngineTraits) -> float:
         """Return how long prefill may take until a request or its stream is late."""
         law = self.estimator(traits.service).law
@@ -286,40 +218,43 @@
         limits = [ms for ms in (stall_ms, targets.first_ms) if ms]
         return min(limits, default=float("inf"))
 
-    def _preferred(
+    def _mismatch_costs(
         self,
         is_short: bool,
-        factors: dict[str, float],
+        names: tuple[str, ...],
         traits: EngineTraits,
         now: datetime,
-    ) -> tuple[frozenset[str], float]:
-        """Return the engines on a prompt's side of the split, and the others' cost."""
+    ) -> dict[str, float]:
+        """Return the cost of each engine for the side of the split that it is on."""
         sizer = self.sizer(traits.service)
-        split: EngineSplit = sizer.split(tuple(factors), now, factors)
-        preferred = frozenset(split.short if is_short else split.long)
+        split: EngineSplit = sizer.split(names, now)
+        preferred = set(split.short if is_short else split.long)
         share = SHORT_ON_LONG_SHARE if is_short else LONG_ON_SHORT_SHARE
-        return preferred, share * sizer.tightest_target_ms
+        cost_ms = share * sizer.tightest_target_ms
+        return {name: 0.0 if name in preferred else cost_ms for name in names}
 
     def _evaluate(
         self,
         demand: Demand,
         candidate: EndpointView,
-        model: EngineModel,
-        factor: float,
+        traits: EngineTraits,
         now: datetime,
-    ) -> tuple[Prediction, float]:
-        """Return the predicted course, and the cost without that of the split."""
-        tokens = model.uncached_tokens(demand)
-        law_ms = model.estimator.law.prefill_ms(tokens)
-        backlog_ms = model.backlog_ms(now, factor)
+        mismatch_ms: float,
+    ) -> EngineChoice:
+        model = self._model(candidate.name, traits)
         predicted = Prediction(
-            wait_ms=backlog_ms + model.batch_wait_ms(demand, factor),
-            prefill_ms=factor * law_ms,
-            prefill_tokens=tokens,
+            wait_ms=model.backlog_ms(now),
+            prefill_ms=model.prefill_ms(demand, now),
+            prefill_tokens=model.uncached_tokens(demand),
         )
-        cost_ms = predicted.prefill_ms + (PREFILL_WEIGHT - 1) * law_ms
-        cost_ms += predicted.wait_ms * (1 + CAUTION * model.speed.excess_deviation)
-        cost_ms += model.stall_harm_ms(demand, backlog_ms, predicted.prefill_ms, factor)
+        cost_ms = mismatch_ms + predicted.wait_ms
+        cost_ms += PREFILL_WEIGHT * predicted.prefill_ms
+        cost_ms += model.stall_harm_ms(demand, predicted.wait_ms, predicted.prefill_ms)
         for term in self.cost_terms:
             cost_ms += term(demand, candidate, predicted, now)
-        return predicted, cost_ms
+        return EngineChoice(
+            engine=candidate.name,
+            predicted_ttft=predicted.ttft_ms * MILLISECOND,
+            prefill_tokens=predicted.prefill_tokens,
+            cost_ms=cost_ms,
+        )
--- a/zinniaramp/placement/events.py
+++ b/zinniaramp/placement/events.py
@@ -2,7 +2,7 @@
 
 from ..observability import declare_event
 
-__all__ = ["ENGINE_LAW_CHANGED", "ENGINE_SPEED_CHANGED"]
+__all__ = ["ENGINE_LAW_CHANGED"]
 
 ENGINE_LAW_CHANGED = declare_event(
     number=2200,
@@ -22,12 +22,3 @@
         "chunks",
     ),
 )
-ENGINE_SPEED_CHANGED = declare_event(
-    number=2201,
-    name="engine-speed-changed",
-    level="INFO",
-    meaning="The estimated speed of an engine changed.  `factor` is its time relative "
-    "to the median engine of its service, `lasting` the same without a present "
-    "disturbance, and `deviation` the uncertainty of its logarithm.",
-    fields=("service", "engine", "factor", "lasting", "deviation"),
-)
--- a/zinniaramp/placement/law.py
+++ b/zinniaramp/placement/law.py
@@ -69,7 +69,7 @@
         return self.decode_ms + self.decode_ms_per_stream * streams
 
     def stall_limit_ms(
-        self, gap_target_ms: float, tokens_per_event: int, factor: float = 1.0
+        self, gap_target_ms: float, tokens_per_event: int
     ) -> float | None:
         """Return how much prefill may run without a pause beside a stream.
 
@@ -80,8 +80,6 @@
             target.
         tokens_per_event : int
             Tokens in one event; 0 if unknown.
-        factor : float
-            Times of the engine relative to the law's.
 
         Returns
         -------
@@ -92,7 +90,7 @@
         step_ms = self.prefill_ms(self.chunk_tokens) + self.decode_ms
         if (
             not gap_target_ms
-            or factor * tokens_per_event * step_ms <= SAFE_SHARE * gap_target_ms
+            or tokens_per_event * step_ms <= SAFE_SHARE * gap_target_ms
         ):
             return None
         return GAP_SHARE * gap_target_ms
--- a/zinniaramp/placement/learning.py
+++ b/zinniaramp/placement/learning.py
@@ -32,15 +32,6 @@
 LOGGED_CHANGE = 1.1
 """Factor by which a parameter has to differ from the last logged one to be logged."""
 
-USUAL_STREAMS, MANY_STREAMS = 10, 50
-"""Streams for which the steps of two laws are compared."""
-
-MIN_STEP_MS = 0.01
-"""Shortest time of a step in comparisons."""
-
-SETTLED_CHANGE = 1.02
-"""Factor between the law in use and its estimate below which it has settled."""
-
 RESIDUAL_MS = 4.0
 """Residual below which a sample of the time to first event has its full weight."""
 
@@ -115,8 +106,6 @@
         Time of the last update.
     has_news : bool
         Whether there are samples since the last update.
-    are_steps_settled : bool
-        Whether the law of the decode steps has reached its estimate.
     """
 
     __slots__ = (
@@ -129,7 +118,6 @@
         "chunks",
         "updated_at",
         "has_news",
-        "are_steps_settled",
     )
 
     def __init__(self, *, service: str, law: EngineLaw = DEFAULT_LAW):
@@ -142,7 +130,6 @@
         self.chunks: deque[float] = deque(maxlen=MAX_SAMPLES)
         self.updated_at: datetime | None = None
         self.has_news = False
-        self.are_steps_settled = False
 
     def record_prefill(self, *, tokens: float, ms: float) -> None:
         """Record the time to first event of a request without others before it."""
@@ -169,11 +156,6 @@
         estimate = self._estimate_steps(self._estimate_prefill(self.law))
         estimate = replace(estimate, chunk_tokens=self._estimate_chunk())
         self.law = _limit_change(self.law, estimate, self.default)
-        self.are_steps_settled = (
-            _factor(self.law.decode_ms, estimate.decode_ms) < SETTLED_CHANGE
-            and _factor(self.law.step_ms(MANY_STREAMS), estimate.step_ms(MANY_STREAMS))
-            < SETTLED_CHANGE
-        )
         self._log_change()
 
     def _estimate_prefill(self, law: EngineLaw) -> EngineLaw:
@@ -214,28 +196,6 @@
         """Whether the law of the prefill is based on samples."""
         return len(self.prefills) >= MIN_SAMPLES
 
-    @property
-    def has_step_law(self) -> bool:
-        """Whether the law of the decode steps is based on samples.
-
-        While it approaches its estimate, engines with many streams differ from it more
-        than the others, whatever their speed.
-        """
-        return self.are_steps_settled and len(self.steps) >= MIN_SAMPLES
-
-    @property
-    def prefill_level(self) -> float:
-        """Logarithm of the law's prefill time relative to the default law's."""
-        default = self.default.prefill_tokens_per_ms
-        return math.log(default / self.law.prefill_tokens_per_ms)
-
-    @property
-    def step_level(self) -> float:
-        """Logarithm of the law's time of a step relative to the default law's."""
-        default = self.default.step_ms(USUAL_STREAMS)
-        # Events that are read together have no gap between them.
-        return math.log(max(MIN_STEP_MS, self.law.step_ms(USUAL_STREAMS)) / default)
-
     def _log_change(self) -> None:
         has_changed = any(
             _factor(getattr(self.law, one.name), getattr(self.logged, one.name))
