--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -2,18 +2,21 @@
 
 import asyncio
 import socket
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
 from tornado.netutil import bind_sockets
 
 from ..clock import Clock
+from ..intake import Kind
+from ..locality import DEFAULT_PRICE
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
 from ..sockets import Address
+from ..warmup import ColdBounds
 from .cached_segments import CachedSegmentLoader
 from .events import (
     CONFIGURATION_AWAITED,
@@ -21,9 +24,13 @@
     GATEWAY_STOPPED,
     GATEWAY_STOPPING,
 )
+from .intake import Intake, serve_application
 from .messages import HeaderCodec
 from .metrics import (
+    COLD,
     CONFIGURATION,
+    EVACUATED,
+    HELD,
     IN_FLIGHT,
     LIMITED,
     QUARANTINED,
@@ -83,6 +90,16 @@
         `retry_share` retries per request plus `retry_slack` retries.
     retry_window : timedelta
         Length of the retry budget's window.
+    cold_bounds : ColdBounds
+        Bounds on the requests to a cold endpoint, from all gateway processes together.
+    regions : mapping of str
+        Region of each data centre.
+    memory_mb, max_fds : float or None
+        Memory in MiB and descriptors of the host; None if they are not limited.
+    transfer_price : float
+        Price of 1,000 bytes between data centres, in milliseconds of waiting.
+    holds_prompts : bool
+        Whether prompts wait in the gateway while engines lack room for them.
     """
 
     host: str
@@ -96,6 +113,12 @@
     retry_share: float
     retry_slack: float
     retry_window: timedelta
+    cold_bounds: ColdBounds = ColdBounds()
+    regions: Mapping[str, str] = field(default_factory=dict)
+    memory_mb: float | None = None
+    max_fds: float | None = None
+    transfer_price: float = DEFAULT_PRICE
+    holds_prompts: bool = False
 
 
 class Gateway:
@@ -135,6 +158,8 @@
         Listener for callers' requests.
     mesh : PeerMesh
         Connections to the other gateway processes.
+    intake : Intake
+        Account of the memory and descriptors that connections hold.
     segment_loader : CachedSegmentLoader
         Reads the contents of the engines' KV caches after the start.
     is_stopping : bool
@@ -148,6 +173,7 @@
         "pool",
         "callers",
         "mesh",
+        "intake",
         "segment_loader",
         "is_stopping",
         "settings_problem",
@@ -180,10 +206,21 @@
             limits=self._retry_limits,
             visible_share=lambda: self.mesh.visible_share,
             data_center=settings.data_center,
+            own_address=str(settings.peers),
+            members=lambda: self.mesh.members(),
+            cold_bounds=lambda: self.settings.cold_bounds,
+            regions=lambda: self.settings.regions,
+            transfer_price=lambda: self.settings.transfer_price,
+            holds_prompts=lambda: self.settings.holds_prompts,
             clock=clock,
             random=random,
         )
-        self.callers = CallerServer(pool=self.pool, clock=clock)
+        self.intake = Intake(
+            clock=clock, memory_mb=settings.memory_mb, max_fds=settings.max_fds
+        )
+        self.callers = CallerServer(
+            pool=self.pool, account=self.intake.account, clock=clock
+        )
         peer_events = PeerEvents(pool=self.pool)
         self.mesh = PeerMesh(
             own_address=settings.peers,
@@ -195,6 +232,7 @@
             find_origin=lambda key: self.pool.resumption.find_known(key),
             random=random,
         )
+        self.mesh.server.account = self.intake.account
         self.pool.resumption = StreamResumption(
             registry=registry,
             clock=clock,
@@ -227,14 +265,31 @@
         opened = [listener] if listener else bind_sockets(callers.port, callers.ip)
         self.serving = asyncio.create_task(self._serve(opened))
         readiness_app = make_readiness(self.unready_reason, self.list_problems)
-        readiness_app.listen(readiness.port, readiness.ip)
+        account = self.intake.account
+        serve_application(
+            readiness_app,
+            account=account,
+            kind=Kind.READINESS,
+            port=readiness.port,
+            ip=readiness.ip,
+        )
         metrics = self.settings.metrics
-        make_metrics().listen(metrics.port, metrics.ip)
+        serve_application(
+            make_metrics(),
+            account=account,
+            kind=Kind.METRICS,
+            port=metrics.port,
+            ip=metrics.ip,
+        )
+        self.intake.start()
         IN_FLIGHT.set_function(lambda: len(self.callers.tasks))
+        HELD.set_function(lambda: len(self.pool.holder.waiting))
         quarantine = self.pool.crash_watch.quarantine
         QUARANTINED.set_function(lambda: len(quarantine.active()))
         shared_limits = self.pool.restrictions.shared_limits
         LIMITED.set_function(lambda: len(shared_limits.limits))
+        COLD.set_function(lambda: len(self.pool.restrictions.cold_names()))
+        EVACUATED.set_function(lambda: len(self.registry.evacuations.data_centers))
         self.mesh.start()
         emit(
             GATEWAY_STARTED,
@@ -243,6 +298,11 @@
             callers=str(callers),
         )
 
+    def apply_host_limits(self) -> None:
+        """Apply the limits of the host after the settings have changed."""
+        settings = self.settings
+        self.intake.apply(memory_mb=settings.memory_mb, max_fds=settings.max_fds)
+
     async def _serve(self, listeners: list[socket.socket]) -> None:
         """Accept requests once a configuration is known or the wait times out."""
         try:
@@ -279,6 +339,7 @@
         self.callers.close_idle()
         await asyncio.sleep(REFUSAL_DELAY.total_seconds())
         self.callers.refuse_new_requests()
+        self.pool.holder.refuse_all()
         self.callers.close_idle()
         left = self.settings.grace - EXIT_MARGIN - (self.clock() - stop_began_at)
         remaining = await self.callers.finish(left)
@@ -287,11 +348,15 @@
         after = (self.clock() - stop_began_at).total_seconds()
         emit(GATEWAY_STOPPED, left=remaining, after_s=after)
         self.mesh.stop()
+        self.intake.stop()
         await self.callers.close()
 
     def _apply_registry_change(self) -> None:
         self.pool.placement.keep(self.registry.incarnations)
-        self.pool.restrictions.shared_limits.keep(tuple(self.registry.incarnations))
+        self.pool.locality.keep(self.registry.incarnations)
+        self.pool.holder.apply_endpoints(self.registry.incarnations)
+        self.pool.restrictions.keep(tuple(self.registry.incarnations))
+        self.pool.gone_watch.apply_endpoints()
         self.pool.resumption.update_mixed_services()
         self.mesh.announce_revision()
         if self.registry.configuration is not None:
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -80,6 +80,21 @@
             if self.sender is not None:
                 self.sender.end_send()
 
+    def find_refusal(self) -> RefusalError | None:
+        """Return why the request will be refused whatever its body is, or None."""
+        try:
+            self._match()
+        except RefusalError as refusal:
+            return refusal
+        return None
+
+    async def refuse(self, refusal: RefusalError) -> None:
+        """Refuse the request without handling it."""
+        try:
+            await self._end_without_answer(refusal)
+        except asyncio.CancelledError:
+            self.caller.abort()
+
     def _match(self) -> MatchedRequest:
         if self.pool.is_refusing:
             raise RefusalError(503, "stopping")
@@ -103,7 +118,9 @@
         connect_failures = 0
         while True:
             self._check_quarantine(matched)
-            result = await self.sender.send_once()
+            result = await self.sender.send_once(
+                lambda: self._check_quarantine(matched)
+            )
             if self.caller.is_done:
                 self._log_answer(result.status, is_complete=True)
                 return
@@ -213,8 +230,7 @@
         if status == 503 and wait is None:
             matched = self.matched
             left = matched.deadline - self.pool.clock() if matched else None
-            service = matched.service if matched else None
-            retry_after = self.pool.retry_after(service, left)
+            retry_after = self.pool.retry_after(matched, left)
         route = self.matched.route.name if self.matched else ""
         ANSWERS.labels(route, status, "gateway").inc()
         emit(
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -8,11 +8,22 @@
 __all__ = [
     "ADDED_SECONDS",
     "ANSWERS",
+    "BUDGET_BYTES",
+    "COLD",
+    "COLD_SENDS",
     "CONFIGURATION",
+    "CONNECTIONS",
     "CUT_ANSWERS",
+    "EVACUATED",
+    "EVICTIONS",
     "FIRST_EVENT_SECONDS",
+    "HELD",
+    "HELD_BYTES",
+    "HELD_SECONDS",
+    "HOLDS",
     "IN_FLIGHT",
     "LIMITED",
+    "PROMPT_REFUSALS",
     "QUARANTINED",
     "RESUMPTIONS",
     "RETRIES",
@@ -55,6 +66,20 @@
     "Time from a request's headers to its first send to an endpoint.",
     buckets=(0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.3, 1),
 )
+HELD = Gauge("zinniaramp_gateway_held", "Prompts that wait for room at an engine.")
+HOLDS = Counter(
+    "zinniaramp_gateway_holds", "Prompts that have waited, by outcome.", ["outcome"]
+)
+HELD_SECONDS = Histogram(
+    "zinniaramp_gateway_held_seconds",
+    "Time for which a prompt has waited for room at an engine.",
+    buckets=(0.01, 0.03, 0.1, 0.2, 0.4, 0.8, 2, 4, 8),
+)
+PROMPT_REFUSALS = Counter(
+    "zinniaramp_gateway_prompt_refusals",
+    "Prompts that were refused because engines are short, by reason.",
+    ["reason"],
+)
 IN_FLIGHT = Gauge("zinniaramp_gateway_in_flight", "Requests in flight.")
 CONFIGURATION = Gauge(
     "zinniaramp_gateway_configuration_version", "Version of the configuration in force."
@@ -67,6 +92,17 @@
     "zinniaramp_gateway_limited_endpoints",
     "Endpoints that take a limited number of requests per second.",
 )
+COLD = Gauge(
+    "zinniaramp_gateway_cold_endpoints",
+    "Endpoints that have started recently and get few requests.",
+)
+COLD_SENDS = Counter(
+    "zinniaramp_gateway_cold_sends", "Sends of this process to cold endpoints."
+)
+EVACUATED = Gauge(
+    "zinniaramp_gateway_evacuated_data_centers",
+    "Data centres to whose endpoints nothing is sent.",
+)
 STORE_AGE = Gauge(
     "zinniaramp_gateway_store_confirmed_seconds",
     "Time since the store was last known to have no later change.",
@@ -75,6 +111,24 @@
     "zinniaramp_gateway_store_lost", "1 while the store gives no valid response."
 )
 
+HELD_BYTES = Gauge(
+    "zinniaramp_gateway_held_bytes",
+    "Memory charged for the connections of callers and peers and for their requests.",
+)
+BUDGET_BYTES = Gauge(
+    "zinniaramp_gateway_held_limit_bytes",
+    "Memory that may be charged now; less than usual while the process is large.",
+)
+CONNECTIONS = Gauge(
+    "zinniaramp_gateway_connections", "Accepted connections, by listener.", ["kind"]
+)
+EVICTIONS = Counter(
+    "zinniaramp_gateway_evictions",
+    "Connections closed because memory or descriptors ran short, by listener, phase "
+    "and cause.",
+    ["kind", "phase", "cause"],
+)
+
 
 def make_metrics() -> Application:
     """Return the application that serves ``/metrics``."""
--- a/zinniaramp/gateway/pool.py
+++ b/zinniaramp/gateway/pool.py
@@ -1,12 +1,13 @@
 """Endpoint selection, load, ejection and retry budgets, shared by all requests."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
-from datetime import datetime, timedelta
+from datetime import timedelta
 from itertools import count
 from random import Random
 
 from ..clock import Clock
+from ..locality import Locality
 from ..observability import emit
 from ..peers import LoadEvent, SendEnded, SendFirstEvent, SendStarted
 from ..placement import (
@@ -15,14 +16,16 @@
     EngineChoice,
     EngineTraits,
     Placement,
-    Prediction,
 )
 from ..quarantine import Quarantine
 from ..registry import Endpoint, Registry
 from ..routing.budget import WindowRetryBudget
 from ..routing.ejection import Ejections
+from ..warmup import ColdBounds
 from .crashes import CrashWatch
 from .events import ENDPOINT_LEFT_OUT
+from .gone import GoneWatch
+from .holding import RequestHolder
 from .matching import MatchedRequest
 from .messages import AnswerMetadata, HeaderCodec, RequestMetadata
 from .metrics import RETRIES
@@ -44,15 +47,14 @@
 """Largest ``Retry-After`` as a share of the caller's remaining time.  Callers honour
 values up to a third of that time."""
 
-REMOTE_MS = 40.0
-"""Cost of an engine in another data centre, in milliseconds.
-
-Traffic between data centres is billed: about 17 KB for a long prompt."""
-
 COOLDOWN_SPREAD = 0.3
 """Share by which the ``Retry-After`` of callers is spread beyond the end of the first
 endpoint's cooldown, so that they don't all return at that moment."""
 
+COLD_RETURN_SECONDS = 0.5
+"""Shortest ``Retry-After`` of callers that have no time to wait until an endpoint is
+warm: half of the time in which each gateway that may send to a cold one does so."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class RetryLimits:
@@ -101,13 +103,6 @@
     prefill_tokens: int = 0
 
 
-def _remote_cost_ms(
-    demand: Demand, view: EndpointView, predicted: Prediction, now: datetime
-) -> float:
-    """Return the cost of leaving the data centre; a `CostTerm`."""
-    return REMOTE_MS if view.is_remote else 0.0
-
-
 def _discard_event(event: LoadEvent) -> None:
     """Discard an event; used until a peer mesh is connected."""
 
@@ -127,6 +122,19 @@
         Returns the share of the gateways whose load events arrive here.
     data_center : str
         The process's data centre; its endpoints are preferred.
+    own_address : str
+        Address at which peers know this process.
+    members : callable
+        Returns the addresses of the known gateways; None if too few may be known.
+    cold_bounds : callable
+        Returns the bounds on the requests to a cold endpoint.
+    regions : callable
+        Returns the region of each data centre.
+    transfer_price : callable
+        Returns the price of 1,000 bytes between data centres, in milliseconds of
+        waiting.
+    holds_prompts : callable
+        Returns whether prompts wait in the gateway while engines lack room for them.
     clock : Clock
         The process's clock.
     random : Random
@@ -136,6 +144,8 @@
     ----------
     placement : Placement
         Model of the engines' load and KV caches, which places prompts.
+    locality : Locality
+        Cost of leaving the data centre, and selection among plain endpoints.
     ejections : Ejections
         Outlier ejection of endpoints whose sends fail.
     restrictions : EndpointRestrictions
@@ -154,6 +164,10 @@
         Crashes of endpoints, and the prompt segments and requests that cause them.
     resumption : StreamResumption
         Origins of the streams that callers resume; set before the first request.
+    holder : RequestHolder
+        Prompts that wait for room at an engine.
+    gone_watch : GoneWatch
+        Endpoints that are gone while requests wait for the first part of an answer.
     """
 
     __slots__ = (
@@ -161,9 +175,11 @@
         "codec",
         "limits",
         "data_center",
+        "regions",
         "clock",
         "random",
         "placement",
+        "locality",
         "ejections",
         "restrictions",
         "budgets",
@@ -174,6 +190,8 @@
         "broadcast",
         "crash_watch",
         "resumption",
+        "holder",
+        "gone_watch",
     )
 
     def __init__(
@@ -184,6 +202,12 @@
         limits: Callable[[], RetryLimits],
         visible_share: Callable[[], float],
         data_center: str,
+        own_address: str,
+        members: Callable[[], frozenset[str] | None],
+        cold_bounds: Callable[[], ColdBounds],
+        regions: Callable[[], Mapping[str, str]],
+        transfer_price: Callable[[], float],
+        holds_prompts: Callable[[], bool],
         clock: Clock,
         random: Random,
     ):
@@ -191,9 +215,13 @@
         self.codec = codec
         self.limits = limits
         self.data_center = data_center
+        self.regions = regions
         self.clock = clock
         self.random = random
-        self.placement = Placement(cost_terms=(_remote_cost_ms,))
+        self.locality = Locality(
+            data_center=data_center, price=transfer_price, random=random
+        )
+        self.placement = Placement(cost_terms=(self.locality.cost_ms,))
         self.ejections = Ejections(clock=clock, random_source=random)
         self.restrictions = EndpointRestrictions(
             registry=registry,
@@ -201,6 +229,9 @@
             random=random,
             visible_share=visible_share,
             broadcast=self._broadcast,
+            own_address=own_address,
+            members=members,
+            cold_bounds=cold_bounds,
         )
         self.crash_watch = CrashWatch(
             registry=registry, clock=clock, broadcast=self._broadcast
@@ -212,6 +243,8 @@
         self.is_refusing = False
         self.broadcast: Callable[[LoadEvent], None] = _discard_event
         self.resumption: StreamResumption
+        self.holder = RequestHolder(pool=self, random=random, is_enabled=holds_prompts)
+        self.gone_watch = GoneWatch(registry=registry)
 
     def _broadcast(self, event: LoadEvent) -> None:
         self.broadcast(event)
@@ -236,23 +269,66 @@
             None if no endpoint is ready, or none of them takes a request now.
         """
         service, metadata = matched.service, matched.metadata
-        usable = self._usable_endpoints(service, version)
-        ready = [one for one in usable if one.incarnation not in tried] or usable
+        ready = self.candidates(matched, tried, version)
         if not ready:
             return None
         traits = self.engine_traits(service)
-        is_prompt = metadata.demand is not None and traits is not None
-        if is_prompt:
-            choice = self._choose_engine(traits, metadata.demand, ready)
-            selection = self._start_send(traits, metadata, choice, len(ready))
-        else:
-            selection = self._select_least_loaded(metadata, ready)
+        if metadata.demand is not None and traits is not None:
+            choice = self.choose_engine(traits, metadata.demand, ready)
+            return self.select_chosen(matched, traits, choice, len(ready))
+        selection = self._select_plain(matched, ready)
+        return self._record_selection(matched, selection, is_prompt=False)
+
+    def candidates(
+        self, matched: MatchedRequest, tried: set[str], version: str | None
+    ) -> list[Endpoint]:
+        """Return the endpoints that a request may be sent to now; see `select`."""
+        usable = self._usable_endpoints(matched, version)
+        untried = [one for one in usable if one.incarnation not in tried] or usable
+        return self._without_needless_cold(matched, untried)
+
+    def select_chosen(
+        self,
+        matched: MatchedRequest,
+        traits: EngineTraits,
+        choice: EngineChoice,
+        ready: int,
+    ) -> Selection:
+        """Count a send to a chosen engine as in flight.
+
+        Parameters
+        ----------
+        matched : MatchedRequest
+            The request.
+        traits : EngineTraits
+            Properties of the engines of its service.
+        choice : EngineChoice
+            The engine.
+        ready : int
+            Number of engines that could be selected.
+        """
+        selection = self._start_send(traits, matched.metadata, choice, ready)
+        (view,) = self._views([selection.endpoint])
+        sent_bytes = matched.metadata.demand.transfer_bytes
+        self.locality.finish(traits.service, view, sent_bytes, self.clock())
+        return self._record_selection(matched, selection, is_prompt=True)
+
+    def withdraw(self, selection: Selection | None) -> None:
+        """Undo a selection for which nothing was sent."""
+        if selection is not None:
+            self.crash_watch.quarantine.discard(selection.number)
+            self.record_end(selection)
+
+    def _record_selection(
+        self, matched: MatchedRequest, selection: Selection, *, is_prompt: bool
+    ) -> Selection:
+        metadata = matched.metadata
         name = selection.endpoint.incarnation
         segments = metadata.demand.shared_names if is_prompt else ()
         self.crash_watch.quarantine.add(
             selection.number, name, segments, matched.fingerprint
         )
-        self.restrictions.record_send(name, is_announced=is_prompt)
+        self.restrictions.record_send(selection.number, name, is_announced=is_prompt)
         self.in_flight[name] = self.in_flight.get(name, 0) + 1
         return selection
 
@@ -263,17 +339,56 @@
         """
         if self.find_quarantine(matched) is not None:
             return False
-        return bool(self._usable_endpoints(matched.service, version))
+        return bool(self._usable_endpoints(matched, version))
 
-    def _usable_endpoints(self, service: str, version: str | None) -> list[Endpoint]:
+    def _usable_endpoints(
+        self, matched: MatchedRequest, version: str | None
+    ) -> list[Endpoint]:
         by_name = {
             one.incarnation: one
-            for one in self.registry.ready(service)
+            for one in self._permitted_endpoints(matched)
             if version is None or one.version == version
         }
-        usable = self.ejections.usable(self.restrictions.usable(list(by_name)))
+        usable = self.restrictions.usable(list(by_name))
+        cold = [name for name in usable if self.restrictions.cold_time(name)]
+        if cold:
+            # Endpoints that may be replaced by cold ones are not left out in greater
+            # number than without these.
+            warm = [name for name in usable if name not in cold]
+            usable = self.ejections.usable(warm) + self.ejections.usable(cold)
+        else:
+            usable = self.ejections.usable(usable)
         return [by_name[name] for name in usable]
 
+    def _permitted_endpoints(self, matched: MatchedRequest) -> list[Endpoint]:
+        """Return the endpoints in the regions that a route and a workspace allow.
+
+        An endpoint whose region is not known is in none.
+        """
+        ready = self.registry.ready(matched.service)
+        bindings = [
+            owner.allowed_regions
+            for owner in (matched.route, matched.workspace)
+            if owner is not None and owner.allowed_regions is not None
+        ]
+        if not bindings:
+            return ready
+        regions, allowed = self.regions(), frozenset.intersection(*bindings)
+        return [one for one in ready if regions.get(one.data_center) in allowed]
+
+    def _without_needless_cold(
+        self, matched: MatchedRequest, usable: list[Endpoint]
+    ) -> list[Endpoint]:
+        """Leave out the cold endpoints if there are warm ones.
+
+        A prompt that others take precedence over may also use a cold one, whose
+        capacity is idle; the most urgent prompts leave it to those.
+        """
+        time = self.restrictions.cold_time
+        warm = [one for one in usable if not time(one.incarnation)]
+        may_use_cold = matched.metadata.demand is not None and matched.urgency > 0
+        return usable if may_use_cold or not warm else warm
+
     def apply_hints(
         self, endpoint: Endpoint, metadata: AnswerMetadata, request_id: str
     ) -> None:
@@ -296,20 +411,24 @@
             tokens_per_event=definition.tokens_per_event,
         )
 
-    def _choose_engine(
+    def choose_engine(
         self, traits: EngineTraits, demand: Demand, ready: list[Endpoint]
     ) -> EngineChoice:
-        candidates = [
+        """Return the engine with the lowest cost for a prompt, among some."""
+        now = self.clock()
+        self.locality.begin(traits.service, demand, now)
+        return self.placement.choose(demand, self._views(ready), traits=traits, now=now)
+
+    def _views(self, endpoints: list[Endpoint]) -> list[EndpointView]:
+        return [
             EndpointView(
                 name=one.incarnation,
                 data_center=one.data_center,
                 is_remote=self._is_remote(one),
+                is_cold=bool(self.restrictions.cold_time(one.incarnation)),
             )
-            for one in ready
+            for one in endpoints
         ]
-        return self.placement.choose(
-            demand, candidates, traits=traits, now=self.clock()
-        )
 
     def _start_send(
         self,
@@ -319,10 +438,11 @@
         ready: int,
     ) -> Selection:
         demand = metadata.demand
-        number = next(self.send_numbers)
-        self.placement.add(
-            number, choice.engine, demand, traits=traits, now=self.clock()
+        number, now = next(self.send_numbers), self.clock()
+        prefill = self.placement.add(
+            number, choice.engine, demand, traits=traits, now=now
         )
+        self.holder.record_start(number, traits.service, choice.engine, demand, prefill)
         self.broadcast(
             SendStarted(
                 number=number,
@@ -332,6 +452,8 @@
                 parts=demand.parts,
                 target=demand.target,
                 gap_target=demand.gap_target,
+                workspace=demand.workspace,
+                urgency=demand.urgency,
             )
         )
         return Selection(
@@ -350,7 +472,9 @@
 
         The parameters are those of `Placement.add`.
         """
-        self.placement.add(key, engine, demand, traits=traits, now=self.clock())
+        now = self.clock()
+        prefill = self.placement.add(key, engine, demand, traits=traits, now=now)
+        self.holder.record_start(key, traits.service, engine, demand, prefill)
         self.crash_watch.quarantine.add(key, engine, demand.shared_names)
 
     def record_first_event_of(self, key: object) -> None:
@@ -358,30 +482,48 @@
         self.placement.record_first_event(key, self.clock())
         self.crash_watch.quarantine.record_first_event(key)
 
-    def remove_send(self, key: object) -> None:
+    def remove_send(self, key: object, *, is_own: bool = False) -> None:
         """Record the end of a send; unknown keys are ignored."""
         self.placement.remove(key)
+        self.holder.record_end(key, is_own=is_own)
         self.crash_watch.quarantine.record_end(key)
 
-    def _select_least_loaded(
-        self, metadata: RequestMetadata, ready: list[Endpoint]
+    def _select_plain(
+        self, matched: MatchedRequest, ready: list[Endpoint]
     ) -> Selection:
-        def load(endpoint: Endpoint) -> float:
-            in_flight = self.in_flight.get(endpoint.incarnation, 0)
-            # The random part is below 0.5, so that it only breaks ties.
-            return in_flight + self._is_remote(endpoint) + self.random.random() / 2
-
-        endpoint = min(ready, key=load)
+        number, now = next(self.send_numbers), self.clock()
+        selected = self.locality.choose_plain(
+            matched.service,
+            self._views(ready),
+            slots={one.incarnation: one.slots for one in ready},
+            target=matched.route.target,
+            sent_bytes=matched.body_bytes,
+            now=now,
+        )
+        responses = self.locality.service(matched.service).responses
+        responses.record_start(selected.name, number, now)
         return Selection(
-            endpoint=endpoint,
-            number=next(self.send_numbers),
-            metadata=metadata,
+            endpoint=self.registry.incarnations[selected.name],
+            number=number,
+            metadata=matched.metadata,
             ready=len(ready),
         )
 
     def _is_remote(self, endpoint: Endpoint) -> bool:
         return endpoint.data_center != self.data_center
 
+    def record_connect(self, endpoint: Endpoint, took: timedelta) -> None:
+        """Record how long a connection attempt took, or after what time it failed."""
+        self.locality.paths.record(
+            endpoint.data_center, took / timedelta(milliseconds=1), self.clock()
+        )
+
+    def record_head(self, selection: Selection) -> None:
+        """Record that the headers of a successful answer were received."""
+        endpoint = selection.endpoint
+        responses = self.locality.service(endpoint.service).responses
+        responses.record_response(endpoint.incarnation, selection.number, self.clock())
+
     def record_first_event(self, selection: Selection) -> None:
         """Record that a send's first event was received."""
         if selection.number in self.placement.engine_by_send:
@@ -392,8 +534,13 @@
         """Record a further event of a send and the time since the one before."""
         self.placement.record_event(selection.number, gap, self.clock())
 
+    def record_written(self, selection: Selection) -> None:
+        """Record that a send was written to its connection, or could not be."""
+        self.restrictions.cold_allowance.finish(selection.number)
+
     def record_end(self, selection: Selection) -> None:
         """Record that a send has ended, with any outcome."""
+        self.record_written(selection)
         name = selection.endpoint.incarnation
         left = self.in_flight.get(name, 1) - 1
         if left:
@@ -401,7 +548,9 @@
         else:
             self.in_flight.pop(name, None)
         is_prompt = selection.number in self.placement.engine_by_send
-        self.remove_send(selection.number)
+        responses = self.locality.service(selection.endpoint.service).responses
+        responses.record_end(name, selection.number)
+        self.remove_send(selection.number, is_own=True)
         if is_prompt:
             self.broadcast(SendEnded(number=selection.number))
 
@@ -413,13 +562,36 @@
             quarantine.discard(selection.number)
         elif result.outcome is not SendOutcome.UNKNOWN and not result.is_closed:
             quarantine.record_answer(selection.number)
+        if result.outcome is SendOutcome.NOT_SENT:
+            self.gone_watch.check(selection.endpoint)
         in_cooldown = self.restrictions.cooldowns.is_active(name)
         if result.is_closed and not in_cooldown:
+            self.restrictions.record_probe(name)
             self.crash_watch.check(selection.endpoint)
         if result.outcome in (SendOutcome.NOT_SENT, SendOutcome.UNKNOWN):
             self._eject(name, result.problem)
         elif result.outcome is SendOutcome.ANSWERED:
             self.ejections.record_success(name)
+        self._record_traffic(selection, result)
+
+    def _record_traffic(self, selection: Selection, result: SendResult) -> None:
+        """Update what is known of the traffic between data centres."""
+        endpoint, demand = selection.endpoint, selection.metadata.demand
+        has_engine = self.engine_traits(endpoint.service) is not None
+        is_prompt = demand is not None and has_engine
+        if result.outcome is SendOutcome.ANSWERED:
+            # A request without token counts says nothing of an engine's answers.
+            plain_tokens = None if has_engine else 1
+            self.locality.record_answer_size(
+                endpoint.service,
+                result.answer_bytes,
+                is_remote=self._is_remote(endpoint),
+                output_tokens=demand.output_estimate if is_prompt else plain_tokens,
+            )
+        elif result.outcome is not SendOutcome.FAILED and not is_prompt:
+            self.locality.record_rejection(
+                endpoint.service, endpoint.incarnation, self.clock()
+            )
 
     def _eject(self, name: str, problem: str) -> None:
         time = self.ejections.record_failure(name)
@@ -446,19 +618,26 @@
         RETRIES.labels("yes" if is_allowed else "no").inc()
         return is_allowed
 
-    def retry_after(self, service: str | None, left: timedelta | None) -> float:
+    def retry_after(
+        self, matched: MatchedRequest | None, left: timedelta | None
+    ) -> float:
         """Return the ``Retry-After`` of a refused request, in seconds.
 
         Parameters
         ----------
-        service : str or None
-            Service of the request.  If none of its endpoints takes a request now, the
-            caller learns when the first one does, whatever time the caller has left.
+        matched : MatchedRequest or None
+            The request.  If none of its endpoints takes a request now, the caller
+            learns when the first one does, whatever time the caller has left.
         left : timedelta or None
             Time until the request's deadline; None if it is not known.
         """
-        ready = [one.incarnation for one in self.registry.ready(service or "")]
+        permitted = self._permitted_endpoints(matched) if matched else []
+        ready = [one.incarnation for one in permitted]
         closed = self.restrictions.time_closed(ready)
+        cold_times = [self.restrictions.cold_time(name) for name in ready]
+        warm_in = min(cold_times, default=timedelta()).total_seconds()
+        if warm_in:
+            return self._cold_retry_after(warm_in, left)
         if closed:
             spread = self.random.uniform(1, 1 + COOLDOWN_SPREAD)
             return closed.total_seconds() * spread
@@ -467,6 +646,20 @@
             return wait
         return max(0.0, min(wait, left.total_seconds() * MAX_RETRY_AFTER_SHARE))
 
+    def _cold_retry_after(self, warm_in: float, left: timedelta | None) -> float:
+        """Return the ``Retry-After`` if only cold endpoints are left, in seconds.
+
+        Callers that can wait for a warm one come back then, a little apart.  The others
+        try again within the time that they honour: the allowance opens every second.
+        """
+        latest = warm_in * (1 + COOLDOWN_SPREAD)
+        if left is None:
+            return self.random.uniform(warm_in, latest)
+        reach = max(0.0, left.total_seconds() * MAX_RETRY_AFTER_SHARE)
+        if warm_in <= reach:
+            return self.random.uniform(warm_in, min(latest, reach))
+        return self.random.uniform(min(COLD_RETURN_SECONDS, reach), reach)
+
     def _budget(self, service: str) -> WindowRetryBudget:
         if service not in self.budgets:
             self.budgets[service] = WindowRetryBudget(
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -4,9 +4,10 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
-from result import Err
+from result import Err, Ok
 
 from ..observability import emit
 from ..registry import Endpoint
@@ -94,6 +95,8 @@
         Whether the endpoint closed the connection of the latest send.
     events : int
         Reads of the latest send that completed events of its stream.
+    answer_bytes : int
+        Bytes of the latest send's answer so far.
     """
 
     __slots__ = (
@@ -111,6 +114,7 @@
         "last_at",
         "longest_gap",
         "events",
+        "answer_bytes",
         "is_closed",
         "answer",
         "selection",
@@ -141,31 +145,42 @@
         self.last_at: datetime | None = None
         self.longest_gap = timedelta()
         self.events = 0
+        self.answer_bytes = 0
         self.is_closed = False
         self.answer: Answer | None = None
         self.selection: Selection | None = None
 
-    async def send_once(self) -> SendResult:
+    async def send_once(self, check: Callable[[], None]) -> SendResult:
         """Send the request to the next endpoint and return the result.
 
+        Parameters
+        ----------
+        check : callable
+            Raises a `RefusalError` if the request may not be sent any more; called
+            again after it was held until an engine has room.
+
         Raises
         ------
         TimeoutError
             Too little time is left for an answer.
+        RefusalError
+            The request is refused, and has not been sent.
         """
         if self.matched.deadline - self.pool.clock() < MIN_TIME_LEFT:
             raise TimeoutError
-        selection = self._select_endpoint()
+        selection = await self._select_endpoint(check)
         if selection is None:
             return SendResult(outcome=SendOutcome.NOT_SENT, problem="no endpoint")
         self.selection = selection
         self.tried.add(selection.endpoint.incarnation)
         self.events = 0
+        self.answer_bytes = 0
         self.is_closed = False
         began = self.pool.clock()
         try:
             result = await self._send(selection.endpoint)
             result.is_closed = self.is_closed
+            result.answer_bytes = self.answer_bytes
         finally:
             self.end_send()
         self.pool.record_result(selection, result)
@@ -183,9 +198,15 @@
         )
         return result
 
-    def _select_endpoint(self) -> Selection | None:
+    async def _select_endpoint(self, check: Callable[[], None]) -> Selection | None:
         matched = self.matched
-        selection = self.pool.select(matched, self.tried, self.version)
+        if self.sends or matched.is_resumed:
+            # It may have run, or its caller has a part of the answer.
+            selection = self.pool.select(matched, self.tried, self.version)
+        else:
+            selection = await self.pool.holder.select(
+                matched, self.tried, self.version, check
+            )
         if selection is None:
             return None
         demand = matched.metadata.demand
@@ -214,12 +235,17 @@
         return selection
 
     async def _send(self, endpoint: Endpoint) -> SendResult:
-        left = self.matched.deadline - self.pool.clock()
+        began = self.pool.clock()
+        left = self.matched.deadline - began
         sent = await send_request(
             endpoint.address,
             self._build_request(endpoint, left),
             connect_timeout=min(CONNECT_TIMEOUT, left),
         )
+        self.pool.record_written(self.selection)
+        # A refusal is about the endpoint, and says nothing about the path to it.
+        if isinstance(sent, Ok) or not sent.err_value.is_refused:
+            self.pool.record_connect(endpoint, self.pool.clock() - began)
         if isinstance(sent, Err):
             return SendResult(outcome=SendOutcome.NOT_SENT, problem=str(sent.err_value))
         self.answer = sent.ok_value
@@ -257,7 +283,13 @@
         )
 
     async def _receive(self, answer: Answer) -> SendResult:
-        message = await self._next_message(answer)
+        may_repeat = self.matched.route.repeat is not RetryPolicy.NEVER
+        gone_watch, endpoint = self.pool.gone_watch, self.selection.endpoint
+        gone_watch.add(answer, endpoint, may_repeat=may_repeat)
+        try:
+            message = await self._next_message(answer)
+        finally:
+            gone_watch.remove(answer)
         if not isinstance(message, AnswerHead):
             problem = getattr(message, "problem", "body before headers")
             return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
@@ -265,6 +297,8 @@
         request_id = self.matched.metadata.id
         self.pool.apply_hints(self.selection.endpoint, metadata, request_id)
         result = classify_answer(message, metadata, request_id)
+        if result.outcome is SendOutcome.ANSWERED:
+            self.pool.record_head(self.selection)
         if result.outcome is SendOutcome.ANSWERED and self.relay is not None:
             return await self._relay_stream(answer, result)
         if result.head is None:
@@ -282,6 +316,8 @@
         message = await self._next_or_silence(answer)
         if isinstance(message, AnswerEnd):
             self.is_closed = message.is_closed
+        elif isinstance(message, AnswerChunk):
+            self.answer_bytes += len(message.data)
         return message
 
     async def _next_or_silence(
@@ -318,11 +354,17 @@
 
     async def _read_body(self, answer: Answer, result: SendResult) -> SendResult:
         parts, size = [], 0
+        held = _announced_length(result.head)
+        if held:
+            await self.caller.hold(held)
         while True:
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 parts.append(message.data)
                 size += len(message.data)
+                if size > held:
+                    await self.caller.hold(size - held)
+                    held = size
                 if size > MAX_BUFFERED_BYTES:
                     problem = f"body with more than {MAX_BUFFERED_BYTES} bytes"
                     return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
@@ -421,3 +463,10 @@
         if self.selection is not None:
             self.pool.record_end(self.selection)
             self.selection = None
+
+
+def _announced_length(head: AnswerHead) -> int:
+    """Return the length of a body that is kept until it is complete; 0 if unknown."""
+    value = head.headers.get("Content-Length", "")
+    length = int(value) if value.isascii() and value.isdigit() else 0
+    return min(length, MAX_BUFFERED_BYTES)
--- a/zinniaramp/peers/codec.py
+++ b/zinniaramp/peers/codec.py
@@ -103,6 +103,8 @@
                 parts,
                 message.target // MILLISECOND,
                 message.gap_target // MILLISECOND,
+                message.workspace,
+                message.urgency,
             ]
         case SendFirstEvent():
             return [_SEND_FIRST_EVENT, message.number]
@@ -157,8 +159,17 @@
 
 
 def _decode_send_started(
-    number, engine, prompt_tokens, output_estimate, parts, target_ms, gap_target_ms
+    number,
+    engine,
+    prompt_tokens,
+    output_estimate,
+    parts,
+    target_ms,
+    gap_target_ms,
+    workspace="",
+    urgency=0,
 ) -> SendStarted:
+    # A gateway of an earlier version doesn't send the last two fields.
     pairs = zip(parts[::2], parts[1::2], strict=True)
     return SendStarted(
         number=int(number),
@@ -170,6 +181,8 @@
         ),
         target=int(target_ms) * MILLISECOND,
         gap_target=int(gap_target_ms) * MILLISECOND,
+        workspace=str(workspace),
+        urgency=int(urgency),
     )
 
 
@@ -235,13 +248,19 @@
 
 
 class MessageDecoder:
-    """Incremental decoder of the messages on one connection."""
+    """Incremental decoder of the messages on one connection.
+
+    Parameters
+    ----------
+    max_bytes : int, optional
+        Largest size of received bytes that are not decoded yet.
+    """
 
     __slots__ = ("unpacker",)
 
-    def __init__(self):
+    def __init__(self, *, max_bytes: int = MAX_MESSAGE_BYTES):
         self.unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_MESSAGE_BYTES, unicode_errors=TEXT_ERRORS
+            max_buffer_size=max_bytes, unicode_errors=TEXT_ERRORS
         )
 
     def feed(self, data: bytes) -> list[Message]:
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -2,10 +2,12 @@
 
 import json
 from datetime import timedelta
+from math import isfinite
 
 from result import Err, Ok, Result
 
 from ..registry.core import DecodedItem, Endpoint, EndpointState, ItemError
+from ..registry.evacuations import Evacuation
 from ..registry.items import Item
 from ..routes import (
     ClientLimits,
@@ -27,6 +29,9 @@
 ENDPOINT_PREFIX = "servers/"
 """Prefix of the keys of endpoint entries; the endpoint's id follows it."""
 
+EVACUATION_PREFIX = "op/evacuate/"
+"""Prefix of the keys of evacuations; the name of the data centre follows it."""
+
 ENDPOINT_STATES = {"ready": EndpointState.READY, "draining": EndpointState.LEAVING}
 """State of an endpoint, by the value of ``state`` in its entry."""
 
@@ -37,6 +42,9 @@
 MAX_NAME_CHARACTERS = 200
 """Largest number of characters in a name; the store's keys have at most 200 bytes."""
 
+MAX_COLD = timedelta(hours=1)
+"""Longest warm-up that is believed; engines are warm within seconds or minutes."""
+
 MAX_WHOLE = 2**63 - 1
 """Largest whole number: the one of a signed integer with 64 bits."""
 
@@ -90,6 +98,15 @@
             raise self.wrong(name, "a number >= 0")
         return value
 
+    def optional(self, name: str) -> float:
+        """Return a finite number; 0 if it is absent or null."""
+        if self.fields.get(name) is None:
+            return 0.0
+        value = self.number(name)
+        if not isfinite(value):
+            raise self.wrong(name, "a finite number")
+        return value
+
     def whole(self, name: str, default: int | None = None) -> int:
         value = self.fields.get(name, default)
         if type(value) is not int or not 0 <= value <= MAX_WHOLE:
@@ -126,6 +143,12 @@
             raise self.wrong(name, "a list of strings")
         return values
 
+    def regions(self, name: str) -> frozenset[str] | None:
+        """Return a list of regions; None if it is absent or empty."""
+        if self.fields.get(name) is None:
+            return None
+        return frozenset(self.strings(name)) or None
+
     def wrong(self, name: str, expected: str) -> ItemError:
         value = _shorten(self.fields.get(name))
         return ItemError(
@@ -170,6 +193,7 @@
         max_attempts=max(1, route.whole("max_attempts", 1)),
         priority=route.whole("priority", 0),
         public=route.boolean("public"),
+        allowed_regions=route.regions("allowed_regions"),
     )
 
 
@@ -186,14 +210,19 @@
 
 def _parse_service(service: _Document) -> Service:
     name = service.text("name")
+    cold_start = min(service.optional("cold_start_s"), MAX_COLD.total_seconds())
+    cold_start = timedelta(seconds=cold_start)
+    cold_rate = service.optional("cold_per_s")
     if service.fields.get("engine") is None:
-        return Service(name=name)
+        return Service(name=name, cold_start=cold_start, cold_rate=cold_rate)
     engine = _Document(fields=service.fields["engine"], path=f"{service.path}.engine")
     return Service(
         name=name,
         kv_capacity_tokens=engine.whole("kv_capacity_tokens"),
         slots=engine.whole("slots", 0),
         tokens_per_event=engine.whole("stride", 0),
+        cold_start=cold_start,
+        cold_rate=cold_rate,
     )
 
 
@@ -204,6 +233,7 @@
         workspace = Workspace(
             name=tenant.text("name"),
             priority=None if priority is None else tenant.whole("priority"),
+            allowed_regions=tenant.regions("allowed_regions"),
         )
         workspaces.update(dict.fromkeys(tenant.strings("api_keys"), workspace))
     return workspaces
@@ -234,6 +264,17 @@
     )
 
 
+def _parse_cold_remaining(entry: _Document) -> timedelta:
+    """Return how much longer an endpoint is cold; 0 if the entry does not say so.
+
+    An odd value must not take the endpoint out of use.
+    """
+    value = entry.fields.get("cold_remaining_ms")
+    if isinstance(value, bool) or not isinstance(value, int | float) or not value > 0:
+        return timedelta()
+    return timedelta(milliseconds=min(value, MAX_COLD / timedelta(milliseconds=1)))
+
+
 def _parse_endpoint(name: str, entry: _Document) -> Endpoint:
     # The id is sent in a header.
     if not (name.isascii() and name.isprintable()) or " " in name:
@@ -256,6 +297,7 @@
         address=address,
         slots=entry.whole("slots"),
         state=state,
+        cold_remaining=_parse_cold_remaining(entry),
     )
 
 
@@ -265,9 +307,13 @@
     Returns
     -------
     Result
-        A `Configuration` or an `Endpoint`; None if the key belongs to neither; or an
-        `ItemError` if the document is not valid.
+        A `Configuration`, an `Endpoint` or an `Evacuation`; None if the key belongs to
+        none of them; or an `ItemError` if the document is not valid.
     """
+    if item.key.startswith(EVACUATION_PREFIX):
+        # Its existence counts, whatever its value is.
+        data_center = item.key.removeprefix(EVACUATION_PREFIX)
+        return Ok(Evacuation(data_center=data_center) if data_center else None)
     is_configuration = item.key == CONFIGURATION_KEY
     name = item.key.removeprefix(ENDPOINT_PREFIX)
     if not is_configuration and (name == item.key or not name):
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -1,16 +1,24 @@
 """Settings file that the platform writes for each process, in TOML."""
 
 import tomllib
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from datetime import timedelta
 from pathlib import Path
 
 from result import Err, Ok, Result
 
+from ..locality import DEFAULT_PRICE
 from ..sockets import Address, parse_address
 from .listening import settings_path
 
-__all__ = ["HostBounds", "HostSettings", "SettingsError", "read_host_settings"]
+__all__ = [
+    "HostBounds",
+    "HostLimits",
+    "HostSettings",
+    "SettingsError",
+    "read_host_settings",
+]
 
 
 class SettingsError(Exception):
@@ -32,6 +40,9 @@
         per request of the service, and a number of retries that is added to them.
     retry_window : timedelta
         Time window over which retries are counted.
+    cold_overshoot, cold_slack : float
+        Requests that a cold endpoint gets at most in any second: `cold_overshoot` times
+        the rate that it bears, and a number that is added.
     """
 
     grace: timedelta
@@ -39,6 +50,24 @@
     retry_share: float
     retry_slack: float
     retry_window: timedelta
+    cold_overshoot: float = 1.0
+    cold_slack: float = 0.0
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class HostLimits:
+    """Limits of the host that the process must not exceed.
+
+    Parameters
+    ----------
+    memory_mb : float or None
+        Resident memory in MiB; None if it is not limited.
+    max_fds : float or None
+        Open descriptors; None if they are not limited.
+    """
+
+    memory_mb: float | None = None
+    max_fds: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -66,6 +95,15 @@
         Other gateway processes to connect to at startup.
     bounds : HostBounds
         Limits that the platform sets for the process.
+    regions : mapping of str
+        Region of each data centre; empty if the platform names none.
+    limits : HostLimits
+        Limits of the host.
+    transfer_price : float
+        Price of 1,000 bytes between data centres, in milliseconds of waiting that are
+        worth the same.
+    holds_prompts : bool
+        Whether prompts wait in the gateway while engines lack room for them.
     """
 
     name: str
@@ -80,6 +118,10 @@
     heartbeat: timedelta
     seeds: tuple[Address, ...]
     bounds: HostBounds
+    regions: Mapping[str, str] = field(default_factory=dict)
+    limits: HostLimits = HostLimits()
+    transfer_price: float = DEFAULT_PRICE
+    holds_prompts: bool = False
 
 
 class _Table:
@@ -118,6 +160,9 @@
             raise self._field_error(name, value, "a number >= 0")
         return float(value)
 
+    def optional_number(self, name: str) -> float | None:
+        return self.number(name) if name in self.table else None
+
     def address(self, name: str) -> Address:
         return self._parse_address(name, self.table.get(name))
 
@@ -154,9 +199,50 @@
         retry_share=fields.number("retry_budget_ratio"),
         retry_slack=fields.number("retry_budget_slack"),
         retry_window=timedelta(seconds=fields.number("budget_window_s")),
+        cold_overshoot=fields.number("cold_overshoot", 1),
+        cold_slack=fields.number("cold_slack", 0),
+    )
+
+
+def _parse_regions(top: _Table) -> dict[str, str]:
+    """Return the region of each data centre for which the settings name one.
+
+    Other values are left out: no request that is bound to a region is sent to a data
+    centre without one, and the process serves the others.
+    """
+    zones = top.table.get("zones")
+    own = {top.text("zone"): top.table.get("region")}
+    regions = own | (zones if isinstance(zones, dict) else {})
+    return {zone: one for zone, one in regions.items() if isinstance(one, str) and one}
+
+
+def _parse_limits(document: dict) -> HostLimits:
+    fields = _Table(table=document.get("limits", {}), path="limits")
+    return HostLimits(
+        memory_mb=fields.optional_number("memory_mb"),
+        max_fds=fields.optional_number("max_fds"),
     )
 
 
+def _parse_transfer_price(top: _Table) -> float:
+    """Return the operator's price; the table is optional."""
+    if "locality" not in top.table:
+        return DEFAULT_PRICE
+    return top.subtable("locality").number("transfer_ms_per_kb", DEFAULT_PRICE)
+
+
+def _parse_holds_prompts(top: _Table) -> bool:
+    """Return whether the operator has switched holding on; the table is optional."""
+    if "admission" not in top.table:
+        return False
+    value = top.subtable("admission").table.get("hold_prompts", False)
+    if not isinstance(value, bool):
+        raise SettingsError(
+            f"admission.hold_prompts = {value!r} is not true or false; correct it"
+        )
+    return value
+
+
 def _parse_settings(document: dict) -> HostSettings:
     top = _Table(table=document, path="")
     listen, platform = top.subtable("listen"), top.subtable("platform")
@@ -173,6 +259,10 @@
         heartbeat=timedelta(milliseconds=top.number("heartbeat_ms")),
         seeds=top.addresses("seeds"),
         bounds=_parse_bounds(top.subtable("bounds")),
+        regions=_parse_regions(top),
+        limits=_parse_limits(document),
+        transfer_price=_parse_transfer_price(top),
+        holds_prompts=_parse_holds_prompts(top),
     )
 
 
--- a/zinniaramp/standins/platform/server.py
+++ b/zinniaramp/standins/platform/server.py
@@ -55,10 +55,15 @@
         Bytes in answers without an end so far, and how many of these were closed.
     limit : str
         Value of ``Server-Limit`` in all answers; empty omits it.
+    cold_ms : int
+        Value of ``Zinniaramp-Cold-Ms`` in all answers; 0 omits it.
     refuses_reads : bool
         Whether a model server sheds the calls that read its cached segments.
     reads : int
         Number of calls that read the cached segments.
+    padding_bytes : int
+        Bytes that are appended to each plain answer, and comments of about so many to
+        each complete stream.
     events : int
         Number of events in a complete stream.
     event_seconds : float
@@ -99,8 +104,10 @@
     endless_bytes: int = 0
     endless_answers: int = 0
     limit: str = ""
+    cold_ms: int = 0
     refuses_reads: bool = False
     reads: int = 0
+    padding_bytes: int = 0
     events: int = 4
     event_seconds: float = 0
     events_before_tear: int = 2
