Log when an overdue watch was sent, and how old the last confirmation is when the store is lost

Cause: the logs of the incident could not tell a watch that was sent into an outage from one that waited when it began: event 1913 had no time of the watch, and event 1906 no bound for the outage's beginning.

Change: waited_ms in event 1913 and confirmed_ms in event 1906. The watch was sent into the outage if it was sent later than the last confirmation.

--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -10,6 +10,12 @@
     And "GET /read/x" is sent
     Then the log of the send says that the store confirmed it over 3 s ago
 
+  Scenario: The log tells whether a watch was sent before or into an outage
+    Given a gateway that is ready
+    When its watch waits while the store is silent for 3 s by the gateway's clock
+    And the store is lost, and a change after its return ends the watch
+    Then the log has the age of the watch and of the last confirmation
+
   Scenario Outline: Changes are in force although watches are never answered
     Given <gateways> connected gateways
     When <unanswered>
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -23,6 +23,30 @@
     assert chosen["confirmed_ms"] >= seconds * 1000, chosen
 
 
+@when(
+    "its watch waits while the store is silent for {seconds:d} s by the gateway's clock"
+)
+def silence_store_after_watch(context, seconds):
+    wait_for_watches(context.rig)
+    pass_time_in_silence(context, seconds)
+
+
+@when("the store is lost, and a change after its return ends the watch")
+def lose_and_regain_store(context):
+    rig = context.rig
+    rig.run(rig.wait_until(lambda: rig.logged_events("store-lost")))
+    lose_watches_in_outage(context)
+    rig.run(rig.wait_until(lambda: rig.logged_events("watch-overdue")))
+
+
+@then("the log has the age of the watch and of the last confirmation")
+def check_logged_ages(context):
+    (lost,) = context.rig.logged_events("store-lost")
+    (overdue,) = context.rig.logged_events("watch-overdue")
+    assert lost["confirmed_ms"] >= 3000, lost
+    assert overdue["waited_ms"] >= lost["confirmed_ms"], (lost, overdue)
+
+
 def wait_for_watches(rig):
     """Wait until the watch of every gateway waits at the store."""
     count = len(rig.daemons)
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -72,8 +72,9 @@
     name="store-lost",
     level="WARNING",
     meaning="A call to the store failed; the process continues with its last known "
-    "state and requests changes from its peers.",
-    fields=("era", "revision", "problem"),
+    "state and requests changes from its peers.  The store was last known to have no "
+    "later revision `confirmed_ms` ago.",
+    fields=("era", "revision", "confirmed_ms", "problem"),
 )
 STORE_REGAINED = declare_event(
     number=1907,
@@ -128,8 +129,9 @@
     name="watch-overdue",
     level="WARNING",
     meaning="The store has a later revision than the process knows, and the watch that "
-    "waits has not delivered it; the watch is ended and all items are read.",
-    fields=("era", "revision", "store_era", "store_revision"),
+    "was sent `waited_ms` ago has not delivered it; the watch is ended and all items "
+    "are read.",
+    fields=("era", "revision", "store_era", "store_revision", "waited_ms"),
 )
 HISTORY_READ = declare_event(
     number=1914,
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -41,6 +41,9 @@
 """Time to which a history reaches back that begins with the store; longer than streams
 last."""
 
+MILLISECOND = timedelta(milliseconds=1)
+"""Unit of durations in the log."""
+
 MIN_OUTAGE = timedelta(seconds=2)
 """Time without a successful call above which entries may have expired in the outage.
 
@@ -98,6 +101,8 @@
         last call succeeded.
     watch : asyncio.Task or None
         The watch that waits for an answer; None between two watches.
+    watch_sent_at : datetime or None
+        Time at which the latest watch was sent; None before the first one.
     """
 
     __slots__ = (
@@ -109,6 +114,7 @@
         "revision",
         "unreachable_since",
         "watch",
+        "watch_sent_at",
     )
 
     def __init__(
@@ -128,6 +134,7 @@
         self.revision: StoreRevision | None = None
         self.unreachable_since: datetime | None = None
         self.watch: asyncio.Task | None = None
+        self.watch_sent_at: datetime | None = None
 
     async def run(self) -> None:
         """Replicate the store until cancelled."""
@@ -156,6 +163,7 @@
         if self.revision is None:
             return await self.source.read_all()
         watching = self.source.watch(self.revision, WATCH_TIMEOUT)
+        self.watch_sent_at = self.clock()
         self.watch = asyncio.ensure_future(watching)
         try:
             await asyncio.wait([self.watch])
@@ -211,6 +219,7 @@
             revision=self._last_revision.number,
             store_era=revision.era,
             store_revision=revision.number,
+            waited_ms=(self.clock() - self.watch_sent_at) // MILLISECOND,
         )
         self.watch.cancel()
 
@@ -252,10 +261,12 @@
     def _record_failure(self, error: ReadError) -> None:
         if self.unreachable_since is None:
             self.unreachable_since = self.clock()
+            confirmed = self.registry.freshness.age()
             emit(
                 STORE_LOST,
                 era=self._last_revision.era,
                 revision=self._last_revision.number,
+                confirmed_ms=None if confirmed is None else confirmed // MILLISECOND,
                 problem=str(error),
             )
 
