Send watches again after an outage of the store, and read the revision where packets wait

Cause: one change ends the watches of all gateways, and all send the next one 250 ms later. The class: absence of an answer taken for an answer, of many processes in step.

Change: a call that the store leaves unanswered makes the waiting watch doubtful; when the store is known to answer again, by an own call or a peer's report, another watch is sent from the known revision. A report of a revision that the watch doesn't deliver ends it too. A read that isn't answered within 0.5 s doesn't delay the next one, and is given up after 1.5 s.

--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -16,6 +16,11 @@
     And the store is lost, and a change after its return ends the watch
     Then the log has the age of the watch and of the last confirmation
 
+  Scenario: Every gateway watches again after an outage that took its watch
+    Given 3 connected gateways
+    When the store is silent for 3 s and answers no earlier watch after it
+    Then the watches of 3 gateways wait at the store without a change, and none has timed out
+
   Scenario Outline: Changes are in force although watches are never answered
     Given <gateways> connected gateways
     When <unanswered>
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -1,5 +1,6 @@
 """Steps for the time since the store confirmed what a gateway knows."""
 
+import asyncio
 from datetime import timedelta
 
 from behave import then, when
@@ -76,6 +77,29 @@
     store.wake_watches()
 
 
+@when("the store is silent for {seconds:d} s and answers no earlier watch after it")
+def lose_watches_in_long_outage(context, seconds):
+    rig = context.rig
+    wait_for_watches(rig)
+    context.revision = store_revision(rig.store)
+    rig.store.is_silent = True
+    rig.store.abandon_watches(len(rig.daemons))
+    rig.run(asyncio.sleep(seconds))
+    rig.store.is_silent = False
+    rig.store.wake_watches()
+
+
+@then(
+    "the watches of {count:d} gateways wait at the store without a change, and none "
+    "has timed out"
+)
+def check_watches_wait(context, count):
+    store = context.rig.store
+    context.rig.run(context.rig.wait_until(lambda: len(store.waiting) == count))
+    assert store_revision(store) == context.revision
+    assert len(context.rig.logged_events("watch-renewed")) == count
+
+
 @when("{count:d} values of {size:d} bytes are published while the store is silent")
 def publish_in_silence(context, count, size):
     wait_for_watches(context.rig)
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -34,8 +34,9 @@
 RANGE_TIMEOUT = timedelta(seconds=2)
 """Timeout of one page; a slow store takes about 400 ms, 100 times the usual time."""
 
-REVISION_TIMEOUT = timedelta(seconds=1)
-"""Timeout of a read of the revision; a slow store takes about 400 ms."""
+REVISION_TIMEOUT = timedelta(seconds=1.5)
+"""Timeout of a read of the revision.  A slow store takes about 400 ms; on the link of a
+machine that counts as reachable, packets wait up to 500 ms each way."""
 
 WATCH_MARGIN = timedelta(seconds=1.5)
 """Time added to the requested wait of a watch to get its timeout."""
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -20,6 +20,7 @@
     "STORE_LOST",
     "STORE_REGAINED",
     "WATCH_OVERDUE",
+    "WATCH_RENEWED",
     "STORE_RESTORED",
 ]
 
@@ -128,9 +129,9 @@
     number=1913,
     name="watch-overdue",
     level="WARNING",
-    meaning="The store has a later revision than the process knows, and the watch that "
-    "was sent `waited_ms` ago has not delivered it; the watch is ended and all items "
-    "are read.",
+    meaning="The store has a later revision than the watch that was sent `waited_ms` "
+    "ago has delivered; the watch is ended.  Another one follows, after a read of all "
+    "items unless a peer has sent those that were missing.",
     fields=("era", "revision", "store_era", "store_revision", "waited_ms"),
 )
 HISTORY_READ = declare_event(
@@ -141,6 +142,14 @@
     "versions served before it started; `is_known` is whether these are all.",
     fields=("changes", "is_known", "problem"),
 )
+WATCH_RENEWED = declare_event(
+    number=1918,
+    name="watch-renewed",
+    level="INFO",
+    meaning="The store answers again after an outage that may have taken the watch "
+    "that was sent `waited_ms` ago; another one is sent.",
+    fields=("era", "revision", "waited_ms"),
+)
 EVACUATION_IN_FORCE = declare_event(
     number=1915,
     name="evacuation-in-force",
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -12,7 +12,13 @@
 from ..observability import emit
 from ..reads import Backoff, ReadError
 from .core import Registry
-from .events import HISTORY_READ, STORE_LOST, STORE_REGAINED, WATCH_OVERDUE
+from .events import (
+    HISTORY_READ,
+    STORE_LOST,
+    STORE_REGAINED,
+    WATCH_OVERDUE,
+    WATCH_RENEWED,
+)
 from .items import NO_REVISION, History, Snapshot, StoreRevision
 
 __all__ = ["Source", "StoreFollower"]
@@ -21,7 +27,16 @@
 """Long-poll timeout of one watch.
 
 Each call is billed, so the timeout is long.  A watch that the store doesn't answer is
-ended earlier, when a read of the revision shows a change."""
+ended earlier: after an outage, or when a report of a change shows it."""
+
+WATCH_GRACE = timedelta(milliseconds=150)
+"""Time that a watch has for a revision of which a report has already arrived."""
+
+MAX_ROUND_TRIP = timedelta(seconds=1.2)
+"""Longest time from a call of the store to its answer.
+
+On the link of a machine that counts as reachable, packets wait up to 500 ms each way;
+the store takes some milliseconds."""
 
 WATCH_PAUSE = timedelta(milliseconds=250)
 """Pause before the next watch after one that returned changes.
@@ -41,6 +56,9 @@
 """Time to which a history reaches back that begins with the store; longer than streams
 last."""
 
+NO_ANSWER = 599
+"""Status of a `ReadError` for a call that timed out or whose connection failed."""
+
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of durations in the log."""
 
@@ -97,12 +115,19 @@
     revision : StoreRevision or None
         Revision after which the next watch continues; None if a full read is needed.
     unreachable_since : datetime or None
-        Time of the first failed call since the last successful one; None if the
-        last call succeeded.
+        Time at which the first read of the revision was sent, or another call failed,
+        since the last call that succeeded; None if the last call succeeded.
     watch : asyncio.Task or None
         The watch that waits for an answer; None between two watches.
     watch_sent_at : datetime or None
         Time at which the latest watch was sent; None before the first one.
+    lost_call_sent_at : datetime or None
+        Time at which the latest call was sent that the store has not answered; None
+        once the waiting watch was sent after the outage.
+    answered_at : datetime or None
+        Time of the latest answer to a read of the revision.
+    overdue_timer : asyncio.TimerHandle or None
+        Ends the waiting watch unless it delivers a reported revision by then.
     """
 
     __slots__ = (
@@ -115,6 +140,9 @@
         "unreachable_since",
         "watch",
         "watch_sent_at",
+        "lost_call_sent_at",
+        "answered_at",
+        "overdue_timer",
     )
 
     def __init__(
@@ -135,11 +163,17 @@
         self.unreachable_since: datetime | None = None
         self.watch: asyncio.Task | None = None
         self.watch_sent_at: datetime | None = None
+        self.lost_call_sent_at: datetime | None = None
+        self.answered_at: datetime | None = None
+        self.overdue_timer: asyncio.TimerHandle | None = None
+        registry.freshness.on_report.append(self._check_watch)
 
     async def run(self) -> None:
         """Replicate the store until cancelled."""
         while True:
             match await self._read_next():
+                case None:
+                    continue
                 case Ok(None):
                     self.revision = None
                 case Ok(snapshot) if self._is_old(snapshot):
@@ -152,36 +186,66 @@
                     self._apply(snapshot)
                     await self._pause(snapshot)
                 case Err(error):
-                    self._record_failure(error)
+                    self._record_failure(error, self.clock())
                     if error.has_begun:
                         # All changes since the last answer may be too large for one
                         # answer, and the same watch would fail again.
                         self.revision = None
                     await asyncio.sleep(self.backoff.next_wait().total_seconds())
 
-    async def _read_next(self) -> Result[Snapshot | None, ReadError]:
+    async def _read_next(self) -> Result[Snapshot | None, ReadError] | None:
+        """Return the answer to the next call; None if it was a watch that was ended."""
         if self.revision is None:
             return await self.source.read_all()
-        watching = self.source.watch(self.revision, WATCH_TIMEOUT)
         self.watch_sent_at = self.clock()
-        self.watch = asyncio.ensure_future(watching)
+        watch = asyncio.ensure_future(self.source.watch(self.revision, WATCH_TIMEOUT))
+        self.watch = watch
         try:
-            await asyncio.wait([self.watch])
-            return Ok(None) if self.watch.cancelled() else self.watch.result()
+            await asyncio.wait([watch])
+            return None if watch.cancelled() else watch.result()
         finally:
-            self.watch.cancel()
-            self.watch = None
+            watch.cancel()
+            self._forget_watch()
+
+    def _forget_watch(self) -> None:
+        self.watch = None
+        if self.overdue_timer is not None:
+            self.overdue_timer.cancel()
+            self.overdue_timer = None
 
     async def read_revision(self) -> Result[StoreRevision, ReadError]:
         """Return the store's current revision, beside a watch that may be waiting."""
+        sent_at = self.clock()
         read = await self.source.read_revision()
         match read:
             case Ok():
+                self.answered_at = self.clock()
                 self._record_success()
             case Err(error):
-                self._record_failure(error)
+                self._record_failed_read(error, sent_at)
         return read
 
+    def _record_failed_read(self, error: ReadError, sent_at: datetime) -> None:
+        if error.status == NO_ANSWER:
+            self.record_lost_call(sent_at)
+        if self.answered_at is None or self.answered_at < sent_at:
+            self._record_failure(error, sent_at)
+
+    def record_lost_call(self, sent_at: datetime) -> None:
+        """Record that the store has not answered a call.
+
+        It may have lost the waiting watch as well.  Once it is known to answer again,
+        another watch is sent.
+
+        Parameters
+        ----------
+        sent_at : datetime
+            Time at which the call was sent.
+        """
+        if self.lost_call_sent_at is None or sent_at > self.lost_call_sent_at:
+            self.lost_call_sent_at = sent_at
+        self._renew_doubtful_watch()
+
     async def read_history(self) -> None:
         """Learn which software versions have served before this process started."""
         began_at = self.clock()
@@ -205,23 +269,68 @@
         since = began_at - self.history_length
         return self.registry.add_history(history, since=since)
 
+    def _check_watch(self, revision: StoreRevision) -> None:
+        """Check whether the watch that waits is alive, as the store has a revision."""
+        self._renew_doubtful_watch()
+        if not self._is_waiting() or self.overdue_timer or revision <= self.revision:
+            return
+        earliest = self.watch_sent_at + MAX_ROUND_TRIP - self.clock()
+        wait = max(WATCH_GRACE, earliest)
+        self.overdue_timer = asyncio.get_running_loop().call_later(
+            wait.total_seconds(), self.end_watch, revision
+        )
+
+    def _renew_doubtful_watch(self) -> None:
+        """Send the watch again if it may have been lost in an outage that has ended."""
+        lost, confirmed = self.lost_call_sent_at, self.registry.freshness.confirmed_at
+        if lost is None or confirmed is None or confirmed <= lost:
+            return
+        self.lost_call_sent_at = None
+        if not self._is_waiting() or self.watch_sent_at > confirmed:
+            return
+        age = self.clock() - self.watch_sent_at
+        emit(
+            WATCH_RENEWED,
+            era=self.revision.era,
+            revision=self.revision.number,
+            waited_ms=age // MILLISECOND,
+        )
+        self._cancel_watch(self.registry.cache.revision)
+
     def end_watch(self, revision: StoreRevision) -> None:
-        """End the waiting watch, so that all items are read.
+        """End the waiting watch, because it has not delivered a revision.
+
+        If the revision is known here from a peer, another watch follows; else all items
+        are read.
 
         Parameters
         ----------
         revision : StoreRevision
-            Revision of the store that the watch has not delivered.
+            Revision that the store has.
         """
+        if not self._is_waiting():
+            return
+        age = self.clock() - self.watch_sent_at
         emit(
             WATCH_OVERDUE,
-            era=self._last_revision.era,
-            revision=self._last_revision.number,
+            era=self.revision.era,
+            revision=self.revision.number,
             store_era=revision.era,
             store_revision=revision.number,
-            waited_ms=(self.clock() - self.watch_sent_at) // MILLISECOND,
+            waited_ms=age // MILLISECOND,
         )
+        known = self.registry.cache.revision
+        self._cancel_watch(known if revision <= known else None)
+
+    def _cancel_watch(self, revision: StoreRevision | None) -> None:
+        """Cancel the waiting watch, and determine where the next call continues."""
         self.watch.cancel()
+        self._forget_watch()
+        self.revision = revision
+
+    def _is_waiting(self) -> bool:
+        """Return whether a watch waits; one whose answer is here does not."""
+        return self.watch is not None and not self.watch.done()
 
     def _is_old(self, snapshot: Snapshot) -> bool:
         return snapshot.revision.era < self.registry.cache.revision.era
@@ -258,9 +367,9 @@
             away_s=outage.total_seconds(),
         )
 
-    def _record_failure(self, error: ReadError) -> None:
+    def _record_failure(self, error: ReadError, since: datetime) -> None:
         if self.unreachable_since is None:
-            self.unreachable_since = self.clock()
+            self.unreachable_since = since
             confirmed = self.registry.freshness.age()
             emit(
                 STORE_LOST,
--- a/zinniaramp/registry/freshness.py
+++ b/zinniaramp/registry/freshness.py
@@ -1,5 +1,6 @@
 """How recently the store has confirmed what a process knows of it."""
 
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
 from ..clock import Clock
@@ -22,14 +23,18 @@
     ----------
     confirmed_at : datetime or None
         That time; None before the first answer of the store.
+    on_report : list of callable
+        Called with each revision that the store is reported to have had, known here
+        or not.
     """
 
-    __slots__ = ("cache", "clock", "confirmed_at")
+    __slots__ = ("cache", "clock", "confirmed_at", "on_report")
 
     def __init__(self, *, cache: ItemCache, clock: Clock):
         self.cache = cache
         self.clock = clock
         self.confirmed_at: datetime | None = None
+        self.on_report: list[Callable[[StoreRevision], None]] = []
 
     def confirm(self, revision: StoreRevision, *, age: timedelta) -> bool:
         """Record a revision that the store had, and return whether it is known here.
@@ -42,12 +47,13 @@
         age : timedelta
             Time since the store had it.
         """
-        if revision > self.cache.revision:
-            return False
+        is_known = revision <= self.cache.revision
         confirmed_at = self.clock() - age
-        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
+        if is_known and (self.confirmed_at is None or confirmed_at > self.confirmed_at):
             self.confirmed_at = confirmed_at
-        return True
+        for listener in self.on_report:
+            listener(revision)
+        return is_known
 
     def age(self) -> timedelta | None:
         """Return the time since the last confirmation; None before the first one."""
--- a/zinniaramp/registry/revision_checks.py
+++ b/zinniaramp/registry/revision_checks.py
@@ -2,14 +2,14 @@
 
 import asyncio
 from collections.abc import Callable
-from datetime import timedelta
+from datetime import datetime, timedelta
 from random import Random
 
 from result import Err
 
 from ..clock import Clock
 from ..reads import Backoff
-from .follower import StoreFollower
+from .follower import WATCH_GRACE, StoreFollower
 from .freshness import Freshness
 from .items import StoreRevision
 
@@ -25,8 +25,11 @@
 """Time over which gateways spread their reads, so that one read confirms the revision
 for all that hear of it."""
 
-WATCH_GRACE = timedelta(milliseconds=150)
-"""Time that a watch has for a revision that a read has already shown."""
+ANSWER_WAIT = timedelta(milliseconds=500)
+"""Time that a read may take before another one is sent beside it.
+
+The first read after an outage must not wait until those of the outage time out; on a
+link where packets wait, a read takes longer than this and is answered all the same."""
 
 BACKOFF_FIRST = timedelta(milliseconds=200)
 """Upper bound of the first delay after a read without a confirmation."""
@@ -34,8 +37,8 @@
 BACKOFF_LIMIT = timedelta(milliseconds=500)
 """Upper bound of every delay.
 
-After an outage, changes are in force within 3 s of the store's return: a read that
-times out, this delay, one that is answered, and then as without an outage."""
+After an outage, changes are in force within 3 s of the store's return: `ANSWER_WAIT`,
+this delay, a read that is answered, and then as without an outage."""
 
 
 class RevisionChecker:
@@ -56,9 +59,22 @@
         The process's clock.
     random : Random
         Source of jitter.
+
+    Attributes
+    ----------
+    unanswered : set of datetime
+        Times at which reads were sent that have no answer yet.
     """
 
-    __slots__ = ("follower", "freshness", "on_confirmed", "clock", "random", "backoff")
+    __slots__ = (
+        "follower",
+        "freshness",
+        "on_confirmed",
+        "clock",
+        "random",
+        "backoff",
+        "unanswered",
+    )
 
     def __init__(
         self,
@@ -75,15 +91,19 @@
         self.clock = clock
         self.random = random
         self.backoff = Backoff(first=BACKOFF_FIRST, limit=BACKOFF_LIMIT, random=random)
+        self.unanswered: set[datetime] = set()
 
     async def run(self) -> None:
         """Check the revision until cancelled."""
-        while True:
-            await self._wait_until_due()
-            if await self._check():
-                self.backoff.reset()
-            else:
-                await asyncio.sleep(self.backoff.next_wait().total_seconds())
+        async with asyncio.TaskGroup() as checks:
+            while True:
+                await self._wait_until_due()
+                check = checks.create_task(self._check())
+                await asyncio.wait([check], timeout=ANSWER_WAIT.total_seconds())
+                if check.done() and check.result():
+                    self.backoff.reset()
+                else:
+                    await asyncio.sleep(self.backoff.next_wait().total_seconds())
 
     async def _wait_until_due(self) -> None:
         limit = MAX_CONFIRMATION_AGE + self.random.uniform(0, 1) * READ_SPREAD
@@ -93,15 +113,19 @@
 
     async def _check(self) -> bool:
         """Read the store's revision, and return whether it is known here."""
-        began_at = self.clock()
         watch = self.follower.watch
+        sent_at = self.clock()
+        self.unanswered.add(sent_at)
         read = await self.follower.read_revision()
+        self.unanswered.discard(sent_at)
         if isinstance(read, Err):
             return False
-        if self._confirm(read.ok_value, self.clock() - began_at):
+        for earlier in [one for one in self.unanswered if one < sent_at]:
+            self.follower.record_lost_call(earlier)
+        if self._confirm(read.ok_value, self.clock() - sent_at):
             return True
         await asyncio.sleep(WATCH_GRACE.total_seconds())
-        if self._confirm(read.ok_value, self.clock() - began_at):
+        if self._confirm(read.ok_value, self.clock() - sent_at):
             return True
         if watch is not None and watch is self.follower.watch:
             self.follower.end_watch(read.ok_value)
