Bound what answers of a faulty server hold in a gateway: header fields, and events that don't end

What callers saw (reported by another operator): a server sent bytes without an end; the machine that had called it kept them, ran out of memory, and the requests of its other callers ended with it.

Cause: a head or a body without an end was given up after 64 KiB and 8 MB, but two parts were outside the account of memory. A head of 60 KB of short header fields is valid, and takes 4 to 5 MB once it is parsed. The beginning of an event of a stream, up to 1 MB, was not charged.

Change: a header block with more than 200 lines is refused before it is parsed; the beginning of an event beyond one read is charged to the caller's connection, and the answer ends if there is no room for it.

--- a/features/intake/crowds.py
+++ b/features/intake/crowds.py
@@ -166,6 +166,9 @@
     "one byte at a time": slow_request,
     "pipelined requests": lambda path, number: pipelined(path, number, 200),
     "one request each": lambda path, number: pipelined("/read/x", number, 1),
+    "one stream each": lambda path, number: pipelined(
+        "/tell/x", number, 1, EVENT_STREAM
+    ),
     "pipelined requests for streams": lambda path, number: pipelined(
         "/tell/x", number, 20, EVENT_STREAM
     ),
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -70,6 +70,12 @@
         server.behaviours.extend([ServerBehaviour.HOLD] * CROWD_REQUESTS)
 
 
+@given('servers that answer the crowd with "{behaviour}"')
+def answer_crowd(context, behaviour):
+    for server in context.rig.servers.values():
+        server.behaviours.extend([ServerBehaviour(behaviour)] * CROWD_REQUESTS)
+
+
 @given("servers whose answers have {size:d} bytes")
 def pad_answers(context, size):
     for server in context.rig.servers.values():
--- a/zinniaramp/gateway/caller.py
+++ b/zinniaramp/gateway/caller.py
@@ -46,15 +46,18 @@
         Whether the status line has been written; no other answer is possible then.
     is_done : bool
         Whether the answer was completed or aborted.
+    event_bytes : int
+        Bytes that are charged for the beginning of an event of a stream.
     """
 
-    __slots__ = ("connection", "is_closing", "has_started", "is_done")
+    __slots__ = ("connection", "is_closing", "has_started", "is_done", "event_bytes")
 
     def __init__(self, *, connection: HTTP1Connection, is_closing: Callable[[], bool]):
         self.connection = connection
         self.is_closing = is_closing
         self.has_started = False
         self.is_done = False
+        self.event_bytes = 0
 
     async def send_head(self, head: AnswerHead, length: int | None) -> None:
         """Write the status line and end-to-end headers of an endpoint's answer.
@@ -105,6 +108,28 @@
         while not holder.reserve(count):
             await asyncio.sleep(ROOM_INTERVAL_SECONDS)
 
+    def hold_event(self, count: int) -> bool:
+        """Charge the beginning of an event, which is kept until the event is complete.
+
+        Parameters
+        ----------
+        count : int
+            Bytes of it; they replace those that were charged before.
+
+        Returns
+        -------
+        bool
+            Whether there is room for it.
+        """
+        holder = self.connection.stream.holder
+        added = count - self.event_bytes
+        if added > 0 and not holder.reserve(added):
+            return False
+        if added < 0:
+            holder.charge(added)
+        self.event_bytes = count
+        return True
+
     def finish(self) -> None:
         """Mark the answer as complete."""
         self.is_done = True
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -22,6 +22,7 @@
 from .pool import EndpointPool, Selection
 from .streams import EventRelay
 from .upstream import (
+    READ_BYTES,
     Answer,
     AnswerChunk,
     AnswerEnd,
@@ -386,10 +387,9 @@
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 await self._forward_events(message.data, result.head)
-                if self.relay.problem:
-                    return SendResult(
-                        outcome=SendOutcome.UNKNOWN, problem=self.relay.problem
-                    )
+                problem = self.relay.problem or self._charge_event()
+                if problem:
+                    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
                 continue
             problem = self._end_problem(message)
             if not problem:
@@ -397,6 +397,13 @@
                 return result
             return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
+    def _charge_event(self) -> str:
+        """Charge the beginning of an event; return why it can't be kept, or nothing."""
+        size = len(self.relay.pending)
+        if self.caller.hold_event(size if size > READ_BYTES else 0):
+            return ""
+        return f"no memory for an event with over {size} bytes"
+
     def _end_problem(self, end: AnswerEnd) -> str:
         """Return why the end of a stream is not that of a complete one, or nothing."""
         if not end.is_complete:
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -12,6 +12,7 @@
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
@@ -32,6 +33,10 @@
 MAX_HEADER_BYTES = 64 * 1024
 """Limit on the header block of an answer, in bytes."""
 
+MAX_HEADER_FIELDS = 200
+"""Limit on the header fields of an answer.  Ordinary answers have a dozen; 12,000 short
+ones fit into `MAX_HEADER_BYTES` and take some 400 bytes of memory each."""
+
 MAX_BODY_BYTES = 64 * 1024 * 1024
 """Limit on the body of an answer with a length or chunks, in bytes."""
 
@@ -98,6 +103,25 @@
 AnswerMessage = AnswerHead | AnswerChunk | AnswerEnd
 
 
+class _AnswerStream(IOStream):
+    """Connection to an endpoint, which accepts only header blocks with few fields."""
+
+    async def read_until_regex(
+        self, regex: bytes, max_bytes: int | None = None
+    ) -> bytes:
+        """Read a header block; the HTTP library calls this before it parses one.
+
+        Raises
+        ------
+        HTTPInputError
+            The block has more than `MAX_HEADER_FIELDS` lines.
+        """
+        block = await super().read_until_regex(regex, max_bytes)
+        if block.count(b"\n") > MAX_HEADER_FIELDS:
+            raise HTTPInputError(f"more than {MAX_HEADER_FIELDS} header fields")
+        return block
+
+
 class _AnswerReader(HTTPMessageDelegate):
     """Queues the head, chunks and end of the answer that a connection receives."""
 
@@ -211,7 +235,9 @@
     Result
         The answer to read; or `ConnectError`, in which case nothing was sent.
     """
-    opened = await open_stream(address, timeout=connect_timeout)
+    opened = await open_stream(
+        address, timeout=connect_timeout, stream_class=_AnswerStream
+    )
     if isinstance(opened, Err):
         return opened
     answer = Answer(stream=opened.ok_value)
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -97,7 +97,7 @@
 
 
 async def open_stream(
-    address: Address, *, timeout: timedelta
+    address: Address, *, timeout: timedelta, stream_class: type[IOStream] = IOStream
 ) -> Result[IOStream, ConnectError]:
     """Connect to an address.
 
@@ -107,13 +107,15 @@
         Address to connect to.
     timeout : timedelta
         Longest time to establish the connection.
+    stream_class : type
+        Class of the stream.
 
     Returns
     -------
     Result
         The connected stream; or `ConnectError`, after which nothing was sent.
     """
-    stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+    stream = stream_class(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     enable_keepalive(stream.socket)
     try:
         connecting = stream.connect((address.ip, address.port))
--- a/zinniaramp/standins/platform/behaviour.py
+++ b/zinniaramp/standins/platform/behaviour.py
@@ -66,6 +66,12 @@
     ENDLESS_BODY = "endless-body"
     """Sends headers, and bytes without a line break until the caller closes."""
 
+    ENDLESS_FIELDS = "endless-fields"
+    """Sends short header fields without a blank line until the caller closes."""
+
+    MANY_FIELDS = "many-fields"
+    """Like `ENDLESS_BODY`, with headers that have thousands of short fields."""
+
     RESET = "reset"
     """Sends an incomplete answer without a length and resets the connection."""
 
--- a/zinniaramp/standins/platform/handlers.py
+++ b/zinniaramp/standins/platform/handlers.py
@@ -24,11 +24,35 @@
 ENDLESS_CHUNK_BYTES = 64 * 1024
 """Bytes that an answer without an end is extended by at a time."""
 
+MANY_FIELD_BYTES = 60_000
+"""Size of a header block with many fields, in bytes; readers accept 64 KiB."""
+
 REPEATED_REFUSALS = (ServerBehaviour.SHED_AGAIN, ServerBehaviour.SHED_AGAIN_NAMELESS)
 """Behaviours of a server that refuses once and writes it twice."""
 
 
-async def write_endlessly(standin: "ServerStandin", stream: IOStream, head: bytes):
+ENDLESS = (
+    ServerBehaviour.ENDLESS_HEAD,
+    ServerBehaviour.ENDLESS_FIELDS,
+    ServerBehaviour.ENDLESS_BODY,
+    ServerBehaviour.MANY_FIELDS,
+)
+"""Behaviours of a server that sends bytes until the caller closes."""
+
+
+def make_short_fields(size: int) -> bytes:
+    """Return about `size` bytes of header fields with distinct short names."""
+    lines, total, number = [], 0, 0
+    while total < size:
+        lines.append(b"%x:\r\n" % number)
+        total += len(lines[-1])
+        number += 1
+    return b"".join(lines)
+
+
+async def write_endlessly(
+    standin: "ServerStandin", stream: IOStream, head: bytes, piece: bytes = b"x"
+):
     """Send bytes that never end until the caller closes the connection.
 
     Parameters
@@ -39,12 +63,15 @@
         Connection of the caller.
     head : bytes
         Status line and headers; empty if the bytes are no answer from the start.
+    piece : bytes
+        Bytes that are repeated.
     """
+    chunk = piece * max(1, ENDLESS_CHUNK_BYTES // len(piece))
     try:
         await stream.write(head)
         while True:
-            await stream.write(b"x" * ENDLESS_CHUNK_BYTES)
-            standin.endless_bytes += ENDLESS_CHUNK_BYTES
+            await stream.write(chunk)
+            standin.endless_bytes += len(chunk)
     except StreamClosedError:
         standin.endless_answers += 1
 
@@ -177,10 +204,8 @@
             await self._write_raw(b"\x00\x01 not an answer\r\n\r\n")
         elif behaviour is ServerBehaviour.RESET:
             await self._reset()
-        elif behaviour is ServerBehaviour.ENDLESS_HEAD:
-            await self._write_endlessly(b"")
-        elif behaviour is ServerBehaviour.ENDLESS_BODY:
-            await self._write_endlessly(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
+        elif behaviour in ENDLESS:
+            await self._answer_endlessly(behaviour)
         elif behaviour is ServerBehaviour.UNFRAMED_EMPTY:
             await self._write_raw(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
         elif behaviour in (ServerBehaviour.FAIL, ServerBehaviour.UNAVAILABLE):
@@ -193,6 +218,20 @@
         else:
             await self._answer(behaviour)
 
+    async def _answer_endlessly(self, behaviour: ServerBehaviour) -> None:
+        head = self._raw_answer(ServerBehaviour.UNFRAMED, b"")
+        piece = b"x"
+        if behaviour is ServerBehaviour.ENDLESS_HEAD:
+            head = b""
+        elif behaviour is ServerBehaviour.ENDLESS_FIELDS:
+            head = b"HTTP/1.1 200 OK\r\n"
+            piece = make_short_fields(ENDLESS_CHUNK_BYTES)
+        elif behaviour is ServerBehaviour.MANY_FIELDS:
+            fields = make_short_fields(MANY_FIELD_BYTES)
+            head = head.removesuffix(b"\r\n") + fields + b"\r\n"
+        await write_endlessly(self.standin, self.detach(), head, piece)
+        self.arrival.was_disconnected = True
+
     def _sign(self) -> None:
         self.set_header("Zinniaramp-Request-Id", self._request_id())
         self.set_header("Zinniaramp-Server-Stamp", f"stamp.{self.standin.id}")
@@ -345,10 +384,6 @@
         stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         stream.close()
 
-    async def _write_endlessly(self, head: bytes) -> None:
-        await write_endlessly(self.standin, self.detach(), head)
-        self.arrival.was_disconnected = True
-
     async def _write_raw(self, data: bytes) -> None:
         stream = self.detach()
         try:
