Refuse events of many lines that don't end, in an endpoint process

Cause: found beside the report of a server that sends bytes without an end. The reader of an engine's events bounded one line, not the event: data lines without a blank line were kept without a limit.

Change: an event is refused after 1 MiB without its end, whatever its lines are.

--- a/zinniaramp/answers/event_reader.py
+++ b/zinniaramp/answers/event_reader.py
@@ -7,10 +7,13 @@
 
 from .core import AnswerError
 
-__all__ = ["MAX_EVENT_CHARS", "EventReader"]
+__all__ = ["MAX_EVENT_BYTES", "EventReader"]
 
-MAX_EVENT_CHARS = 1024 * 1024
-"""Maximum length of a line of an event, in characters."""
+MAX_EVENT_BYTES = 1024 * 1024
+"""Largest event, in bytes."""
+
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+"""Blank lines that end an event."""
 
 
 class EventReader:
@@ -21,14 +24,20 @@
     assel 1.0 shares one UTF-8 decoder between all parsers: a character split
     between two reads of one response would corrupt another response.  Each reader
     therefore has its own decoder.
+
+    Attributes
+    ----------
+    unfinished : int
+        Bytes read after the latest read with the end of an event.
     """
 
-    __slots__ = ("parser",)
+    __slots__ = ("parser", "unfinished")
 
     def __init__(self):
         self.parser = assel.Parser()
         decoder = codecs.getincrementaldecoder("utf-8")("replace")
         self.parser.line_decoder.utf8dec = decoder
+        self.unfinished = 0
 
     def read(self, data: bytes) -> Result[list[str], AnswerError]:
         """Parse bytes and return the data of each completed event.
@@ -45,8 +54,8 @@
             `AnswerError`, after which the reader must not be used again.
         """
         events = self.parser.receive_bytes(data)
-        if len(self.parser.line_decoder.buffer) > MAX_EVENT_CHARS:
-            return Err(
-                AnswerError(f"event line is longer than {MAX_EVENT_CHARS} characters")
-            )
+        has_end = bool(events) or any(end in data for end in EVENT_ENDS)
+        self.unfinished = 0 if has_end else self.unfinished + len(data)
+        if self.unfinished > MAX_EVENT_BYTES:
+            return Err(AnswerError(f"event has more than {MAX_EVENT_BYTES} bytes"))
         return Ok([event.data.replace("\n", " ") for event in events])
