Answer the requests that a stopping gateway can't complete

What callers saw (reported by another operator): in a planned stop, requests that came late in the grace period were passed on, and cut without an answer at its end, among them some that may not be repeated.

Cause: new requests are refused from 2.9 s after the stop signal on, and those that were taken before have until 0.4 s before the end of the grace period. Then their connections were closed: a caller of a request that may not be repeated learnt nothing.

Change: what is in flight then is ended like a request whose deadline has passed: 504 if it may have run, 503 if it was not sent, with the reason stopping; an answer that has begun is cut off, as before. The process waits up to 0.1 s for these.

Result: features/gateway/stopping.feature; the three examples of the new outline failed before (closed connection, no status) and pass. That a request whose body arrives late in the grace period is not passed on held before; a scenario shows it. 6 more features of the gateway, 93 scenarios, pass.

--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -12,6 +12,21 @@
     When a request arrives on an open connection and the process shuts down
     Then the request got its complete answer
 
+  Scenario Outline: A request that can't be completed before the exit is answered: <request>
+    Given every server behaves as "hold"
+    When "<request>" arrives on an open connection while the gateway stops
+    Then its caller gets a complete 504 before the process exits, and the server is disconnected
+
+    Examples:
+      | request      |
+      | POST /book/x |
+      | GET /read/x  |
+      | GET /tell/x  |
+
+  Scenario: A request whose body arrives late in the grace period is not passed on
+    When the body of a request arrives after the gateway has begun to refuse new ones
+    Then its caller gets a complete 503, and it reached no server
+
   Scenario: A request that is parsed after its connection was closed is not sent
     When a connection is closed as idle while it has an unread request
     Then the request was answered, or reached no server
--- a/features/steps/gateway_stopping_steps.py
+++ b/features/steps/gateway_stopping_steps.py
@@ -1,6 +1,8 @@
 """Steps for stopping the gateway and reloading its settings."""
 
 import asyncio
+from dataclasses import replace
+from datetime import timedelta
 from pathlib import Path
 
 from behave import then, when
@@ -13,6 +15,9 @@
 from zinniaramp.platform.settings import read_host_settings
 from zinniaramp.standins.platform import expected_body
 
+SHORT_GRACE = timedelta(seconds=4)
+"""Grace period that ends soon after new requests are refused."""
+
 
 @when("the gateway receives the stop signal")
 def receives_stop_signal(context):
@@ -61,6 +66,62 @@
     assert context.reply.headers["connection"] == "close"
 
 
+@when('"{method} {path}" arrives on an open connection while the gateway stops')
+def arrives_while_stopping(context, method, path):
+    rig = context.rig
+    gateway = rig.daemons[0].gateway
+    gateway.settings = replace(gateway.settings, grace=SHORT_GRACE)
+
+    async def stop():
+        reader, writer = await rig.connect()
+        rig.daemons[0].stopped.set()
+        await rig.wait_until(lambda: gateway.is_stopping)
+        writer.write(request(path, method=method))
+        await rig.wait_until(rig.arrivals)
+        context.reply = await read_reply(reader)
+        await rig.tasks[0]
+
+    rig.run(stop())
+
+
+@then(
+    "its caller gets a complete {status:d} before the process exits, and the server "
+    "is disconnected"
+)
+def answered_before_exit(context, status):
+    assert context.reply.status == status, context.reply
+    assert context.reply.is_complete
+    assert context.reply.headers["connection"] == "close"
+    assert b"stopping" in context.reply.body, context.reply
+    rig = context.rig
+    rig.run(rig.wait_until(lambda: all(one.was_disconnected for one in rig.arrivals())))
+
+
+@when("the body of a request arrives after the gateway has begun to refuse new ones")
+def body_arrives_late(context):
+    rig = context.rig
+    gateway = rig.daemons[0].gateway
+    body = b"a late body"
+
+    async def stop():
+        reader, writer = await rig.connect()
+        data = request("/book/x", method="POST", body=body)
+        writer.write(data.removesuffix(body))
+        rig.daemons[0].stopped.set()
+        await rig.wait_until(lambda: gateway.pool.is_refusing)
+        writer.write(body)
+        context.reply = await read_reply(reader)
+
+    rig.run(stop())
+
+
+@then("its caller gets a complete {status:d}, and it reached no server")
+def refused_late(context, status):
+    assert context.reply.status == status, context.reply
+    assert context.reply.is_complete
+    assert not context.rig.arrivals()
+
+
 @when("a connection is closed as idle while it has an unread request")
 def closed_as_idle(context):
     rig = context.rig
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -61,8 +61,11 @@
 ANSWER_FLUSH_TIME = timedelta(milliseconds=50)
 """Time allowed for the last answers to leave the host's socket buffers."""
 
+FINAL_ANSWER_TIME = timedelta(milliseconds=100)
+"""Time allowed for writing the answers to requests that can't be completed."""
+
 EXIT_MARGIN = timedelta(milliseconds=400)
-"""Time before the end of the grace period at which the process exits."""
+"""Time before the end of the grace period at which requests in flight are ended."""
 
 MIN_GATEWAY_COUNT = 8
 """Smallest number of gateway processes among which the retry slack is divided.
@@ -330,6 +333,7 @@
 
         Idle connections are closed once the load balancer has stopped opening new
         ones; then new requests are refused, and requests in flight are completed.
+        Those that are not completed in time get an answer that says so.
         """
         stop_began_at = self.clock()
         self.is_stopping = True
@@ -343,6 +347,7 @@
         self.callers.close_idle()
         left = self.settings.grace - EXIT_MARGIN - (self.clock() - stop_began_at)
         remaining = await self.callers.finish(left)
+        await self.callers.end_unfinished(FINAL_ANSWER_TIME)
         self.callers.close_idle()
         await asyncio.sleep(ANSWER_FLUSH_TIME.total_seconds())
         after = (self.clock() - stop_began_at).total_seconds()
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -42,9 +42,24 @@
         The request.
     caller : CallerConnection
         Connection for the answer.
+
+    Attributes
+    ----------
+    time_limit : asyncio.Timeout or None
+        Time limit of the request; None before it is served.
+    is_stopped : bool
+        Whether the process exits before the request has ended.
     """
 
-    __slots__ = ("pool", "request", "caller", "matched", "sender")
+    __slots__ = (
+        "pool",
+        "request",
+        "caller",
+        "matched",
+        "sender",
+        "time_limit",
+        "is_stopped",
+    )
 
     def __init__(
         self, *, pool: EndpointPool, request: CallerRequest, caller: CallerConnection
@@ -54,6 +69,8 @@
         self.caller = caller
         self.matched: MatchedRequest | None = None
         self.sender: Sender | None = None
+        self.time_limit: asyncio.Timeout | None = None
+        self.is_stopped = False
 
     async def run(self) -> None:
         """Handle the request.
@@ -63,7 +80,7 @@
         try:
             self.matched = self._match()
             left = self.matched.deadline - self.pool.clock()
-            async with asyncio.timeout(left.total_seconds()):
+            async with asyncio.timeout(left.total_seconds()) as self.time_limit:
                 await self._serve(self.matched)
         except RefusalError as refusal:
             await self._end_without_answer(refusal)
@@ -80,6 +97,12 @@
             if self.sender is not None:
                 self.sender.end_send()
 
+    def stop(self) -> None:
+        """End the request now, with an answer, because the process exits."""
+        self.is_stopped = True
+        if self.time_limit is not None:
+            self.time_limit.reschedule(asyncio.get_running_loop().time())
+
     def find_refusal(self) -> RefusalError | None:
         """Return why the request will be refused whatever its body is, or None."""
         try:
@@ -205,9 +228,11 @@
         raise RefusalError(503, "not-run")
 
     def _timeout_refusal(self) -> RefusalError:
-        """Return the refusal of a request whose deadline has passed."""
+        """Return the refusal of a request whose time is over."""
         if self.sender is not None and self.sender.may_have_run:
-            return RefusalError(504, "time-over")
+            return RefusalError(504, "stopping" if self.is_stopped else "time-over")
+        if self.is_stopped:
+            return RefusalError(503, "stopping")
         return RefusalError(503, "time-over-not-run")
 
     async def _end_without_answer(self, refusal: RefusalError) -> None:
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -207,6 +207,8 @@
     ----------
     tasks : set of asyncio.Task
         Requests in flight.
+    handlers : set of RequestHandler
+        Handlers of those that may be sent to an endpoint.
     idle : set of HTTP1Connection
         Connections on which no request is in progress.
     is_closing : bool
@@ -219,6 +221,7 @@
         "clock",
         "http",
         "tasks",
+        "handlers",
         "idle",
         "is_closing",
         "limits",
@@ -229,6 +232,7 @@
         self.account = account
         self.clock = clock
         self.tasks: set[asyncio.Task] = set()
+        self.handlers: set[RequestHandler] = set()
         self.idle: set[HTTP1Connection] = set()
         self.is_closing = False
         self.http = BoundedServer.make(
@@ -269,9 +273,11 @@
             running = handler.refuse(RefusalError(503, "descriptors-short"))
         task = asyncio.create_task(running)
         self.tasks.add(task)
+        self.handlers.add(handler)
 
         def end(task: asyncio.Task) -> None:
             self.tasks.discard(task)
+            self.handlers.discard(handler)
             holder.end_run()
 
         task.add_done_callback(end)
@@ -365,6 +371,21 @@
             await asyncio.wait(self.tasks, timeout=left.total_seconds())
         return len(self.tasks)
 
+    async def end_unfinished(self, limit: timedelta) -> None:
+        """End the requests in flight with an answer, and wait until it is written.
+
+        An answer that has started is cut off.
+
+        Parameters
+        ----------
+        limit : timedelta
+            Longest wait.
+        """
+        for handler in self.handlers:
+            handler.stop()
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=limit.total_seconds())
+
     async def close(self) -> None:
         """Close the listeners and all connections."""
         self.http.stop()
