Let nothing but events of a successful answer into a stream that has begun

Cause: an answer with a status from 200 to 399 was taken for the rest of the stream, whatever it held. A body of a redirect or a JSON text with a blank line was forwarded as an event, and a 204 or an empty answer without a length ended the stream as complete. An error that a server writes into its own stream without a length arrives as events as well, with its head. Answers with 4xx and 5xx were kept out before.

Change: a stream that has begun goes on only with a 200 whose media type, if it has one, is that of events. Lines of an event have to be fields or comments; status lines and header fields are not. An answer without a length that ends before its first event is incomplete also if the stream is resumed.

--- a/features/gateway/streams.feature
+++ b/features/gateway/streams.feature
@@ -50,6 +50,35 @@
     Then the reply is 200 with every event once and in order
     And the request reached 2 servers
 
+  Scenario Outline: Of an error in the middle of a stream its caller gets nothing: <error>, <break>
+    Given one server behaves as "<break>" at the first send, and all others as "<error>"
+    When "GET /resume/x" is sent
+    Then the reply has events in order, no other text, and is not a complete success
+
+    Examples:
+      | break               | error              |
+      | tear                | fail-in-events     |
+      | tear                | fail-unframed      |
+      | tear                | success-with-error |
+      | tear                | redirect           |
+      | tear                | no-content         |
+      | tear                | unframed-empty     |
+      | tear                | shed               |
+      | unframed-tear       | fail-in-events     |
+      | unframed-tear       | redirect           |
+      | unframed-error      | unframed-error     |
+      | unframed-late-error | fail-unframed      |
+
+  Scenario Outline: A stream in which a server writes an error is resumed: <break>
+    Given the server of the first send behaves as "<break>"
+    When "GET /resume/x" is sent
+    Then the reply is 200 with every event once and in order
+
+    Examples:
+      | break               |
+      | unframed-error      |
+      | unframed-late-error |
+
   Scenario: A route without targets has no timeout for a silent server
     Given every server behaves as "hold"
     When "GET /resume/x" is sent and the server continues after a pause
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 from datetime import datetime, timedelta
+from http import HTTPStatus
 
 from result import Err, Ok
 
@@ -50,6 +51,9 @@
 """Timeout for each further event of a resumable stream, as a multiple of the route's
 target gap.  Callers wait for eight gaps."""
 
+EVENT_STREAM = "text/event-stream"
+"""Media type of streams; answers without a length may have none."""
+
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """Largest body that is forwarded only when it is complete, in bytes.  A host with
 200 MB holds a dozen of them; the platform's bodies have a few kilobytes."""
@@ -301,6 +305,9 @@
         if result.outcome is SendOutcome.ANSWERED:
             self.pool.record_head(self.selection)
         if result.outcome is SendOutcome.ANSWERED and self.relay is not None:
+            problem = self._continuation_problem(result.head)
+            if problem:
+                return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
             return await self._relay_stream(answer, result)
         if result.head is None:
             return result
@@ -381,6 +388,17 @@
             return SendResult(outcome=SendOutcome.NOT_RUN, problem=problem)
         return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
+    def _continuation_problem(self, head: AnswerHead) -> str:
+        """Return why an answer can't go on with a stream that has begun, or nothing."""
+        if self.relay.last_event_id is None and not self.caller.has_started:
+            return ""
+        if head.status != HTTPStatus.OK:
+            return f"status {head.status} in the middle of a stream"
+        content_type = head.headers.get("Content-Type", EVENT_STREAM)
+        if content_type.partition(";")[0].strip().lower() != EVENT_STREAM:
+            return f"Content-Type {content_type!r} in the middle of a stream"
+        return ""
+
     async def _relay_stream(self, answer: Answer, result: SendResult) -> SendResult:
         self.relay.begin_answer()
         while True:
@@ -410,8 +428,7 @@
             return end.problem
         if self.relay.pending:
             return "incomplete event"
-        is_resumed = self.relay.last_event_id is not None
-        if end.is_closed and not self.events and not is_resumed:
+        if end.is_closed and not self.events:
             # An endpoint that ends before its first event also closes the connection.
             return "connection closed before the first event"
         return ""
--- a/zinniaramp/gateway/streams.py
+++ b/zinniaramp/gateway/streams.py
@@ -11,6 +11,14 @@
 EVENT = re.compile(rb".*?(?:\n\n|\r\n\r\n)", re.DOTALL)
 """Pattern of one event with its terminator."""
 
+FIELD = re.compile(
+    rb"(?:\xef\xbb\xbf)?(?:[a-z][a-z0-9_-]*)?:.*|data|event|id|retry|", re.DOTALL
+)
+"""Pattern of one line of an event: a comment, or a field with a name in lower case.
+
+The standard lets readers ignore unknown fields; no server sends names with other
+characters, but status lines and header fields that get into a stream have them."""
+
 ID_FIELD_PREFIX = b"id:"
 """Start of the line that carries an event's id."""
 
@@ -35,21 +43,24 @@
         Id of the last complete event, after which the stream can be resumed.
     in_order : bool
         Whether ids that began as numbers have stayed numbers and strictly increased.
+    is_well_formed : bool
+        Whether all events have consisted of fields and comments.
     pending : bytes
         Start of an event that is not complete yet.
     """
 
-    __slots__ = ("pending", "last_event_id", "in_order")
+    __slots__ = ("pending", "last_event_id", "in_order", "is_well_formed")
 
     def __init__(self, *, last_event_id: str | None):
         self.pending = b""
         self.last_event_id = last_event_id
         self.in_order = True
+        self.is_well_formed = True
 
     def feed(self, data: bytes) -> bytes:
         """Add received bytes; return those of the events that are now complete.
 
-        Events from the first one on that is out of order are left out.
+        Events from the first one on that is out of order or malformed are left out.
         """
         buffered = self.pending + data
         end = max(self._end_of(buffered, mark) for mark in EVENT_TERMINATORS)
@@ -60,6 +71,7 @@
         """Prepare for another answer, which goes on after `last_event_id`."""
         self.pending = b""
         self.in_order = True
+        self.is_well_formed = True
 
     @staticmethod
     def _end_of(data: bytes, mark: bytes) -> int:
@@ -71,6 +83,8 @@
         """Why the bytes so far can't be those of the stream; empty if they can."""
         if not self.in_order:
             return "events out of order"
+        if not self.is_well_formed:
+            return "bytes that are no event"
         if len(self.pending) > MAX_EVENT_BYTES:
             return f"event with more than {MAX_EVENT_BYTES} bytes"
         return ""
@@ -78,6 +92,9 @@
     def _accept(self, whole: bytes) -> bytes:
         """Record the ids of events, and return the events that are in order."""
         for event in EVENT.finditer(whole):
+            if not all(map(FIELD.fullmatch, event[0].splitlines())):
+                self.is_well_formed = False
+                return whole[: event.start()]
             last = self.last_event_id
             for name in _event_ids(event[0]):
                 if not _is_after(name, last):
--- a/zinniaramp/standins/platform/behaviour.py
+++ b/zinniaramp/standins/platform/behaviour.py
@@ -60,6 +60,27 @@
     UNFRAMED_EMPTY = "unframed-empty"
     """Like `UNFRAMED`, but the connection ends after the headers."""
 
+    UNFRAMED_ERROR = "unframed-error"
+    """Like `UNFRAMED_TEAR`, and writes an answer with an error after it."""
+
+    UNFRAMED_LATE_ERROR = "unframed-late-error"
+    """Like `UNFRAMED_ERROR`, but after a complete event."""
+
+    FAIL_IN_EVENTS = "fail-in-events"
+    """Answers a signed 500 whose body looks like an event."""
+
+    FAIL_UNFRAMED = "fail-unframed"
+    """Like `FAIL_IN_EVENTS`, without a length."""
+
+    SUCCESS_WITH_ERROR = "success-with-error"
+    """Answers a signed 200 whose body is a JSON error and a blank line."""
+
+    REDIRECT = "redirect"
+    """Answers a signed 302 whose body looks like an event."""
+
+    NO_CONTENT = "no-content"
+    """Answers a signed 204."""
+
     ENDLESS_HEAD = "endless-head"
     """Sends bytes without a blank line until the caller closes the connection."""
 
--- a/zinniaramp/standins/platform/handlers.py
+++ b/zinniaramp/standins/platform/handlers.py
@@ -31,6 +31,29 @@
 """Behaviours of a server that refuses once and writes it twice."""
 
 
+EVENT_LIKE = b"id: 50\ndata: error\n\n"
+"""Body of an error that looks like an event of a stream."""
+
+ERROR_ANSWER = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nerror\n"
+"""Answer that a faulty server writes in the middle of a stream."""
+
+ERRORS = {
+    ServerBehaviour.FAIL: (500, b""),
+    ServerBehaviour.UNAVAILABLE: (503, b""),
+    ServerBehaviour.FAIL_IN_EVENTS: (500, EVENT_LIKE),
+    ServerBehaviour.SUCCESS_WITH_ERROR: (200, b'{"error": "failed"}\n\n'),
+    ServerBehaviour.REDIRECT: (302, EVENT_LIKE),
+    ServerBehaviour.NO_CONTENT: (204, b""),
+}
+"""Status and body of signed answers that are not the request's result."""
+
+UNFRAMED_TEARS = {
+    ServerBehaviour.UNFRAMED_TEAR: (-4, b""),
+    ServerBehaviour.UNFRAMED_ERROR: (-4, ERROR_ANSWER),
+    ServerBehaviour.UNFRAMED_LATE_ERROR: (None, ERROR_ANSWER),
+}
+"""Where a stream without a length ends in its first two events, and what follows."""
+
 ENDLESS = (
     ServerBehaviour.ENDLESS_HEAD,
     ServerBehaviour.ENDLESS_FIELDS,
@@ -208,9 +231,14 @@
             await self._answer_endlessly(behaviour)
         elif behaviour is ServerBehaviour.UNFRAMED_EMPTY:
             await self._write_raw(self._raw_answer(ServerBehaviour.UNFRAMED, b""))
-        elif behaviour in (ServerBehaviour.FAIL, ServerBehaviour.UNAVAILABLE):
-            self.set_status(500 if behaviour is ServerBehaviour.FAIL else 503)
+        elif behaviour in ERRORS:
+            status, body = ERRORS[behaviour]
+            self.set_status(status)
             self._sign()
+            self.finish(body or None)
+        elif behaviour is ServerBehaviour.FAIL_UNFRAMED:
+            head = self._raw_answer(ServerBehaviour.UNFRAMED, EVENT_LIKE)
+            await self._write_raw(head.replace(b"200 OK", b"500 Error", 1))
         elif self.standin.engine is not None:
             await self._generate()
         elif self.request.headers.get("Accept") == "text/event-stream":
@@ -277,10 +305,11 @@
         if behaviour is ServerBehaviour.UNFRAMED:
             await self._stream_unframed(first)
             return
-        if behaviour is ServerBehaviour.UNFRAMED_TEAR:
+        if behaviour in UNFRAMED_TEARS:
             head = self._raw_answer(ServerBehaviour.UNFRAMED, b"")
             events = expected_events(self._request_id(), first, first + 1)
-            await self._write_raw(head + events[:-4])
+            end, rest = UNFRAMED_TEARS[behaviour]
+            await self._write_raw(head + events[:end] + rest)
             return
         if behaviour is ServerBehaviour.REPEAT:
             start = expected_events(self._request_id(), first, first + 1)
