Let a call that was lost in an ended outage renew no later watch

Cause: found while reading the change. A read that the store never answered is given up up to 1.5 s after another one was answered, and would have made the watch doubtful that was sent in between; a check that was cancelled would have done so for good.

Change: calls that were sent before the confirmation that ended an outage are settled with it.

--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -124,6 +124,8 @@
     lost_call_sent_at : datetime or None
         Time at which the latest call was sent that the store has not answered; None
         once the waiting watch was sent after the outage.
+    settled_at : datetime or None
+        Calls that were sent before this time make no watch doubtful any more.
     answered_at : datetime or None
         Time of the latest answer to a read of the revision.
     overdue_timer : asyncio.TimerHandle or None
@@ -141,6 +143,7 @@
         "watch",
         "watch_sent_at",
         "lost_call_sent_at",
+        "settled_at",
         "answered_at",
         "overdue_timer",
     )
@@ -164,6 +167,7 @@
         self.watch: asyncio.Task | None = None
         self.watch_sent_at: datetime | None = None
         self.lost_call_sent_at: datetime | None = None
+        self.settled_at: datetime | None = None
         self.answered_at: datetime | None = None
         self.overdue_timer: asyncio.TimerHandle | None = None
         registry.freshness.on_report.append(self._check_watch)
@@ -242,6 +246,8 @@
         sent_at : datetime
             Time at which the call was sent.
         """
+        if self.settled_at is not None and sent_at < self.settled_at:
+            return
         if self.lost_call_sent_at is None or sent_at > self.lost_call_sent_at:
             self.lost_call_sent_at = sent_at
         self._renew_doubtful_watch()
@@ -286,6 +292,7 @@
         if lost is None or confirmed is None or confirmed <= lost:
             return
         self.lost_call_sent_at = None
+        self.settled_at = confirmed
         if not self._is_waiting() or self.watch_sent_at > confirmed:
             return
         age = self.clock() - self.watch_sent_at
--- a/zinniaramp/registry/revision_checks.py
+++ b/zinniaramp/registry/revision_checks.py
@@ -116,8 +116,10 @@
         watch = self.follower.watch
         sent_at = self.clock()
         self.unanswered.add(sent_at)
-        read = await self.follower.read_revision()
-        self.unanswered.discard(sent_at)
+        try:
+            read = await self.follower.read_revision()
+        finally:
+            self.unanswered.discard(sent_at)
         if isinstance(read, Err):
             return False
         for earlier in [one for one in self.unanswered if one < sent_at]:
