--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -96,14 +96,6 @@
         server.behaviours = shared
 
 
-@given(
-    'one server behaves as "{first}" at the first send, and all others as "{others}"'
-)
-def servers_behave(context, first, others):
-    first_server_behaves(context, first)
-    context.rig.servers["s-1"].behaviours.extend([ServerBehaviour(others)] * 10)
-
-
 def send(context, text, **fields):
     """Send a request given as method and path, and wait for its reply."""
     method, path = text.split()
@@ -371,14 +363,6 @@
     first_server_behaves(context, "reset")
 
 
-@then("the reply has events in order, no other text, and is not a complete success")
-def reply_has_only_events(context):
-    whole = expected_events(context.name, 1, 4)
-    assert context.reply.body and whole.startswith(context.reply.body), context.reply
-    assert context.reply.body.endswith(b"\n\n"), context.reply
-    check_no_complete_success(context)
-
-
 @then("the reply is not a complete success")
 def check_no_complete_success(context):
     reply = context.reply
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -19,7 +19,8 @@
 from .metrics import ANSWERS, CUT_ANSWERS, FIRST_EVENT_SECONDS, RESUMPTIONS
 from .outcomes import SendOutcome, SendResult
 from .pool import EndpointPool
-from .sending import MILLISECOND, Sender
+from .selection_log import MILLISECOND
+from .sending import Sender
 
 __all__ = ["RequestHandler"]
 
--- a/zinniaramp/gateway/outcomes.py
+++ b/zinniaramp/gateway/outcomes.py
@@ -3,10 +3,17 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from ..routes import RetryPolicy, Route
 from .messages import AnswerMetadata
-from .upstream import AnswerHead
+from .upstream import AnswerHead, AnswerMessage
 
-__all__ = ["SendOutcome", "SendResult", "classify_answer"]
+__all__ = [
+    "SendOutcome",
+    "SendResult",
+    "classify_answer",
+    "make_incomplete",
+    "may_repeat",
+]
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses from which a caller concludes that the request has not run.  An answer with
@@ -123,3 +130,20 @@
         problem = "status implies not-run, but the endpoint does not state it"
         return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
     return SendResult(outcome=SendOutcome.FAILED, head=head)
+
+
+def make_incomplete(result: SendResult, message: AnswerMessage) -> SendResult:
+    """Return the result of a send whose answer ends with a message before its end."""
+    problem = getattr(message, "problem", "second status line")
+    if result.outcome is SendOutcome.NOT_RUN:
+        return SendResult(outcome=SendOutcome.NOT_RUN, problem=problem)
+    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
+
+
+def may_repeat(result: SendResult, route: Route, *, sends: int) -> bool:
+    """Return whether a route permits another send after a number of them."""
+    if result.outcome in (SendOutcome.ANSWERED, SendOutcome.NOT_SENT):
+        return False
+    is_repeatable = route.repeat is not RetryPolicy.NEVER
+    may_have_run = result.outcome is not SendOutcome.NOT_RUN
+    return sends < route.max_attempts and (is_repeatable or not may_have_run)
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -6,7 +6,6 @@
 import asyncio
 from collections.abc import Callable
 from datetime import datetime, timedelta
-from http import HTTPStatus
 
 from result import Err, Ok
 
@@ -14,13 +13,21 @@
 from ..registry import Endpoint
 from ..routes import RetryPolicy
 from .caller import CallerConnection
-from .events import ENDPOINT_CHOSEN, SEND_ENDED
-from .hops import end_to_end_headers
+from .continuation import find_end_problem, find_head_problem
+from .events import SEND_ENDED
+from .hops import announced_length
 from .matching import CallerRequest, MatchedRequest
-from .messages import UpstreamMetadata
 from .metrics import ADDED_SECONDS, SENDS
-from .outcomes import SendOutcome, SendResult, classify_answer
+from .outcomes import (
+    SendOutcome,
+    SendResult,
+    classify_answer,
+    make_incomplete,
+    may_repeat,
+)
 from .pool import EndpointPool, Selection
+from .selection_log import MILLISECOND, log_selection
+from .silence import find_silence_timeout
 from .streams import EventRelay
 from .upstream import (
     READ_BYTES,
@@ -28,9 +35,9 @@
     AnswerChunk,
     AnswerEnd,
     AnswerHead,
-    UpstreamRequest,
     send_request,
 )
+from .upstream_request import build_request
 
 __all__ = ["Sender"]
 
@@ -38,29 +45,10 @@
 """Timeout of a connection attempt.  Connecting takes 1 ms, and 1 ms more to the
 farthest data centre; a lost packet is retransmitted only after a second."""
 
-SILENCE_TIMEOUT_SHARE = 0.5
-"""Share of the remaining time that an endpoint may stay silent before a retryable
-request without a stream is sent to another one.  Half leaves the second endpoint as
-much time as the first."""
-
-FIRST_EVENT_TIMEOUT_TARGETS = 2
-"""Timeout for the first event of a resumable stream, as a multiple of the route's
-target latency."""
-
-NEXT_EVENT_TIMEOUT_GAPS = 4
-"""Timeout for each further event of a resumable stream, as a multiple of the route's
-target gap.  Callers wait for eight gaps."""
-
-EVENT_STREAM = "text/event-stream"
-"""Media type of streams; answers without a length may have none."""
-
 MAX_BUFFERED_BYTES = 8 * 1024 * 1024
 """Largest body that is forwarded only when it is complete, in bytes.  A host with
 200 MB holds a dozen of them; the platform's bodies have a few kilobytes."""
 
-MILLISECOND = timedelta(milliseconds=1)
-"""Unit of durations in the log."""
-
 MIN_TIME_LEFT = timedelta(milliseconds=20)
 """Remaining time below which nothing is sent; no answer arrives in so short a time."""
 
@@ -214,28 +202,13 @@
             )
         if selection is None:
             return None
-        demand = matched.metadata.demand
-        confirmed = self.pool.registry.freshness.age()
-        emit(
-            ENDPOINT_CHOSEN,
-            request=matched.metadata.id,
-            route=matched.route.name,
-            endpoint=selection.endpoint.incarnation,
-            software=selection.endpoint.version,
+        log_selection(
+            self.pool,
+            self.request,
+            matched,
+            selection,
             send=self.sends + 1,
             after_event=self.relay.last_event_id if self.relay else None,
-            resumes=matched.metadata.resumes,
-            version=matched.configuration.version,
-            era=self.pool.registry.cache.revision.era,
-            revision=self.pool.registry.cache.revision.number,
-            confirmed_ms=None if confirmed is None else confirmed // MILLISECOND,
-            ready=selection.ready,
-            waited_ms=(self.pool.clock() - self.request.received) // MILLISECOND,
-            left_ms=(matched.deadline - self.pool.clock()) // MILLISECOND,
-            wait_ms=selection.predicted_ttft // MILLISECOND,
-            to_read=selection.prefill_tokens,
-            segments=demand.shared_names if demand else (),
-            fingerprint=matched.fingerprint,
         )
         return selection
 
@@ -244,7 +217,14 @@
         left = self.matched.deadline - began
         sent = await send_request(
             endpoint.address,
-            self._build_request(endpoint, left),
+            build_request(
+                self.pool.codec,
+                self.request,
+                self.matched,
+                endpoint,
+                left=left,
+                last_event_id=self.relay.last_event_id if self.relay else None,
+            ),
             connect_timeout=min(CONNECT_TIMEOUT, left),
         )
         self.pool.record_written(self.selection)
@@ -265,28 +245,6 @@
             self.may_have_run = may_have_run_before
         return result
 
-    def _build_request(self, endpoint: Endpoint, left: timedelta) -> UpstreamRequest:
-        matched = self.matched
-        upstream_metadata = UpstreamMetadata(
-            endpoint_id=endpoint.id,
-            time_left=left,
-            workspace=matched.workspace.name if matched.workspace else "",
-            urgency=matched.urgency if matched.metadata.demand else None,
-            last_event_id=self.relay.last_event_id if self.relay else None,
-        )
-        forwarded = end_to_end_headers(
-            self.request.headers, keep=self.pool.codec.protected_headers
-        )
-        headers = self.pool.codec.write_request(forwarded, upstream_metadata)
-        if self.request.body or self.request.start_line.method != "GET":
-            headers["Content-Length"] = str(len(self.request.body))
-        return UpstreamRequest(
-            method=self.request.start_line.method,
-            target=self.request.start_line.path,
-            headers=headers,
-            body=self.request.body,
-        )
-
     async def _receive(self, answer: Answer) -> SendResult:
         may_repeat = self.matched.route.repeat is not RetryPolicy.NEVER
         gone_watch, endpoint = self.pool.gone_watch, self.selection.endpoint
@@ -304,11 +262,8 @@
         result = classify_answer(message, metadata, request_id)
         if result.outcome is SendOutcome.ANSWERED:
             self.pool.record_head(self.selection)
-        if result.outcome is SendOutcome.ANSWERED and self.relay is not None:
-            problem = self._continuation_problem(result.head)
-            if problem:
-                return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
-            return await self._relay_stream(answer, result)
+            if self.relay is not None:
+                return await self._relay_stream(answer, result)
         if result.head is None:
             return result
         return await self._read_body(answer, result)
@@ -331,7 +286,12 @@
     async def _next_or_silence(
         self, answer: Answer
     ) -> AnswerHead | AnswerChunk | AnswerEnd:
-        silence_timeout = self._silence_timeout()
+        silence_timeout = find_silence_timeout(
+            self.matched.route,
+            sends=self.sends,
+            left=self.matched.deadline - self.pool.clock(),
+            has_started=self.first_at is not None,
+        )
         if silence_timeout is None:
             return await answer.next()
         is_retry_possible = False
@@ -348,21 +308,9 @@
             )
         return await answer.next()
 
-    def _silence_timeout(self) -> timedelta | None:
-        """Return the timeout for the next message; None if there is none."""
-        route = self.matched.route
-        if route.repeat is RetryPolicy.NEVER or self.sends >= route.max_attempts:
-            return None
-        if not route.streams:
-            return (self.matched.deadline - self.pool.clock()) * SILENCE_TIMEOUT_SHARE
-        has_started = self.first_at is not None
-        if has_started:
-            return route.gap_target * NEXT_EVENT_TIMEOUT_GAPS or None
-        return route.target * FIRST_EVENT_TIMEOUT_TARGETS or None
-
     async def _read_body(self, answer: Answer, result: SendResult) -> SendResult:
         parts, size = [], 0
-        held = _announced_length(result.head)
+        held = min(announced_length(result.head.headers), MAX_BUFFERED_BYTES)
         if held:
             await self.caller.hold(held)
         while True:
@@ -380,40 +328,27 @@
             if isinstance(message, AnswerEnd) and message.is_complete:
                 result.body = b"".join(parts)
                 return result
-            return self._incomplete_result(result, message)
-
-    def _incomplete_result(self, result: SendResult, message) -> SendResult:
-        problem = getattr(message, "problem", "second status line")
-        if result.outcome is SendOutcome.NOT_RUN:
-            return SendResult(outcome=SendOutcome.NOT_RUN, problem=problem)
-        return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
-
-    def _continuation_problem(self, head: AnswerHead) -> str:
-        """Return why an answer can't go on with a stream that has begun, or nothing."""
-        if self.relay.last_event_id is None and not self.caller.has_started:
-            return ""
-        if head.status != HTTPStatus.OK:
-            return f"status {head.status} in the middle of a stream"
-        content_type = head.headers.get("Content-Type", EVENT_STREAM)
-        if content_type.partition(";")[0].strip().lower() != EVENT_STREAM:
-            return f"Content-Type {content_type!r} in the middle of a stream"
-        return ""
+            return make_incomplete(result, message)
 
     async def _relay_stream(self, answer: Answer, result: SendResult) -> SendResult:
+        has_begun = self.relay.last_event_id is not None or self.caller.has_started
+        problem = find_head_problem(result.head) if has_begun else ""
         self.relay.begin_answer()
-        while True:
+        while not problem:
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
                 await self._forward_events(message.data, result.head)
                 problem = self.relay.problem or self._charge_event()
-                if problem:
-                    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
                 continue
-            problem = self._end_problem(message)
+            problem = find_end_problem(
+                message, pending=self.relay.pending, events=self.events
+            )
             if not problem:
-                await self._finish_stream(result.head)
+                if not self.caller.has_started:
+                    await self.caller.send_head(result.head, None)
+                self.caller.finish()
                 return result
-            return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
+        return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
     def _charge_event(self) -> str:
         """Charge the beginning of an event; return why it can't be kept, or nothing."""
@@ -422,17 +357,6 @@
             return ""
         return f"no memory for an event with over {size} bytes"
 
-    def _end_problem(self, end: AnswerEnd) -> str:
-        """Return why the end of a stream is not that of a complete one, or nothing."""
-        if not end.is_complete:
-            return end.problem
-        if self.relay.pending:
-            return "incomplete event"
-        if end.is_closed and not self.events:
-            # An endpoint that ends before its first event also closes the connection.
-            return "connection closed before the first event"
-        return ""
-
     async def _forward_events(self, data: bytes, head: AnswerHead) -> None:
         whole = self.relay.feed(data)
         if not whole:
@@ -457,22 +381,9 @@
             self.pool.record_event(self.selection, gap)
         self.last_at = now
 
-    async def _finish_stream(self, head: AnswerHead) -> None:
-        if not self.caller.has_started:
-            await self.caller.send_head(head, None)
-        self.caller.finish()
-
     def may_retry(self, result: SendResult) -> bool:
         """Return whether to retry after a result; if so, take it from the budget."""
-        route = self.matched.route
-        if result.outcome in (SendOutcome.ANSWERED, SendOutcome.NOT_SENT):
-            return False
-        if self.sends >= route.max_attempts:
-            return False
-        if (
-            result.outcome is not SendOutcome.NOT_RUN
-            and route.repeat is RetryPolicy.NEVER
-        ):
+        if not may_repeat(result, self.matched.route, sends=self.sends):
             return False
         if self.has_retry_allowance:
             self.has_retry_allowance = False
@@ -487,10 +398,3 @@
         if self.selection is not None:
             self.pool.record_end(self.selection)
             self.selection = None
-
-
-def _announced_length(head: AnswerHead) -> int:
-    """Return the length of a body that is kept until it is complete; 0 if unknown."""
-    value = head.headers.get("Content-Length", "")
-    length = int(value) if value.isascii() and value.isdigit() else 0
-    return min(length, MAX_BUFFERED_BYTES)
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -9,14 +9,12 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
-    HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
-    RequestStartLine,
     ResponseStartLine,
 )
 
 from ..clock import Clock
-from ..intake import FIELD_BYTES, LARGE_BYTES, Account, Kind, Phase
+from ..intake import Account, Kind, Phase
 from ..routes import ClientLimits
 from .caller import CallerConnection, UnfinishedCallerConnection
 from .handling import RequestHandler
@@ -24,6 +22,7 @@
 from .matching import CallerRequest, RefusalError
 from .metrics import ANSWERS
 from .pool import EndpointPool
+from .request_reader import RequestReader
 
 __all__ = ["CallerServer"]
 
@@ -38,157 +37,12 @@
 refusal.  Under pressure the connection is closed earlier."""
 
 
-FRAMING = ("Content-Length", "Transfer-Encoding")
-"""Header fields that the library needs to read the body of a refused request."""
-
-
-class _RequestReader(HTTPMessageDelegate):
-    """Reads one complete request and starts its handler.
-
-    Attributes
-    ----------
-    body : bytearray
-        Body received so far; of a large one with a length, that length from the start,
-        so that it is never copied.
-    filled : int
-        Bytes of the body received so far.
-    is_refused : bool
-        Whether the request was refused; the rest of its body is discarded.
-    has_ended : bool
-        Whether the complete request was received.
-    """
-
-    def __init__(self, *, server: "CallerServer", connection: HTTP1Connection):
-        self.server = server
-        self.connection = connection
-        server.idle.add(connection)
-        self.stream: MeteredStream = connection.stream
-        self.stream.reader = self
-        self.holder = self.stream.holder
-        if self.holder.phase is not Phase.HEAD:
-            self.holder.enter(Phase.IDLE)
-        self.start_line: RequestStartLine | None = None
-        self.headers = HTTPHeaders()
-        self.received = server.clock()
-        self.body = bytearray()
-        self.filled = 0
-        self.is_chunked = False
-        self.is_refused = False
-        self.has_ended = False
-
-    def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders):
-        self.server.idle.discard(self.connection)
-        if self.server.limits is not None:
-            # The connection has the limit that was in force when it began to wait.
-            self.connection.set_max_body_size(self.server.limits.body_bytes)
-        self.start_line = start_line
-        self.headers = headers
-        self.received = self.server.clock()
-        self.stream.settle()
-        if self.stream.closed():
-            # Evicted after its headers had arrived, and before they were parsed.
-            self.drop()
-        else:
-            self._admit()
-
-    def _admit(self) -> None:
-        """Charge the request, or refuse it before any of its body is read."""
-        length = _announced_length(self.headers)
-        self.is_chunked = "Transfer-Encoding" in self.headers
-        if self.is_chunked or length > LARGE_BYTES:
-            refusal = self.server.find_refusal(self.request(b""))
-            if refusal is not None:
-                self._refuse(refusal)
-                return
-        if not self.holder.reserve(length + FIELD_BYTES * len(self.headers)):
-            if length or self.is_chunked:
-                self._refuse(RefusalError(503, "memory-short"))
-            else:
-                self._refuse_at_once()
-            return
-        if length > LARGE_BYTES:
-            self.body = bytearray(length)
-        if self.is_chunked or length > self.stream.buffered:
-            self.holder.enter(Phase.BODY)
-
-    def _refuse(self, refusal: RefusalError) -> None:
-        self.drop()
-        self.holder.release()
-        self.holder.enter(Phase.REFUSED)
-        self.server.refuse(self, refusal)
-
-    def _refuse_at_once(self) -> None:
-        """Refuse a request without a body, and close its connection.
-
-        Header fields take up to a megabyte, which is free as soon as this returns.
-        """
-        self.drop()
-        self.server.record_refusal()
-        self.server.write_not_run(self.connection)
-        self.connection.close()
-
-    def drop(self) -> None:
-        """Free what the request holds, and ignore the rest of it.
-
-        The library keeps the headers until its next step, in which it may parse those
-        of all connections: 535 refused requests held 270 MB.
-        """
-        self.is_refused = True
-        self.body = bytearray()
-        framing = [
-            (name, self.headers[name]) for name in FRAMING if name in self.headers
-        ]
-        self.headers.__init__(framing)
-
-    def request(self, body: bytes | bytearray) -> CallerRequest:
-        """Return the request with a body."""
-        return CallerRequest(
-            start_line=self.start_line,
-            headers=self.headers,
-            body=body,
-            received=self.received,
-        )
-
-    def data_received(self, chunk: bytes) -> None:
-        self.stream.settle()
-        if self.is_refused:
-            return
-        if self.is_chunked and not self.holder.reserve(len(chunk)):
-            self._refuse(RefusalError(503, "memory-short"))
-            return
-        end = self.filled + len(chunk)
-        if end > len(self.body):
-            self.body += chunk
-        else:
-            self.body[self.filled : end] = chunk
-        self.filled = end
-
-    def finish(self) -> None:
-        self.has_ended = True
-        if self.is_refused:
-            return
-        if self.connection.stream.closed():
-            # The connection was closed as idle before the headers were parsed.  The
-            # caller concludes that the request was not read, so it must not be sent.
-            return
-        is_large = self.filled > LARGE_BYTES
-        body, self.body = self.body, bytearray()
-        request = self.request(body if is_large else bytes(body))
-        self.server.handle(request, self.connection)
-
-
-def _announced_length(headers: HTTPHeaders) -> int:
-    """Return the length of a body; 0 if there is none, or none that is valid."""
-    value = headers.get("Content-Length", "0")
-    return int(value) if value.isascii() and value.isdigit() else 0
-
-
 class _ConnectionDelegate(HTTPServerConnectionDelegate):
     def __init__(self, server: "CallerServer"):
         self.server = server
 
     def start_request(self, server_conn, request_conn: HTTP1Connection):
-        return _RequestReader(server=self.server, connection=request_conn)
+        return RequestReader(server=self.server, connection=request_conn)
 
 
 class CallerServer:
@@ -289,13 +143,13 @@
             pool=self.pool, request=request, caller=None
         ).find_refusal()
 
-    def refuse(self, reader: _RequestReader, refusal: RefusalError) -> None:
+    def refuse(self, reader: RequestReader, refusal: RefusalError) -> None:
         """Refuse a request whose body was not read, and close its connection."""
         task = asyncio.create_task(self._refuse(reader, refusal))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _refuse(self, reader: _RequestReader, refusal: RefusalError) -> None:
+    async def _refuse(self, reader: RequestReader, refusal: RefusalError) -> None:
         stream = reader.stream
         caller = UnfinishedCallerConnection(
             connection=reader.connection, is_closing=lambda: True
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -26,6 +26,7 @@
     "AnswerEnd",
     "AnswerHead",
     "AnswerChunk",
+    "AnswerMessage",
     "UpstreamRequest",
     "send_request",
 ]
