Don't let a refusal that is being written keep a stopping gateway

Cause: found while reading the change. The time limit of a request that was no longer served can't be changed; the exception would have ended the shutdown, and the process would have lived until it is killed.

Change: the time limit is known only while the request is served.

Result: the new scenario of features/gateway/stopping.feature ended with that exception before; all 9 pass.

--- a/features/gateway/stopping.feature
+++ b/features/gateway/stopping.feature
@@ -41,3 +41,8 @@
   Scenario: The metrics report answers, sends, the configuration version and the store
     When "GET /read/x" is sent
     Then the metrics count the request by route and status
+
+  Scenario: A refusal that is being written when the grace period ends doesn't keep the process
+    Given every server behaves as "shed"
+    When the refusal of "POST /book/x" is being written while the gateway stops
+    Then the process has shut down
--- a/features/steps/gateway_stopping_steps.py
+++ b/features/steps/gateway_stopping_steps.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 from datetime import timedelta
 from pathlib import Path
+from unittest.mock import patch
 
 from behave import then, when
 from result import Ok
@@ -12,6 +13,7 @@
     read_reply,
     request,
 )
+from zinniaramp.gateway.caller import CallerConnection
 from zinniaramp.platform.settings import read_host_settings
 from zinniaramp.standins.platform import expected_body
 
@@ -122,6 +124,33 @@
     assert not context.rig.arrivals()
 
 
+@when('the refusal of "{method} {path}" is being written while the gateway stops')
+def refusal_while_stopping(context, method, path):
+    rig = context.rig
+    gateway = rig.daemons[0].gateway
+    gateway.settings = replace(gateway.settings, grace=SHORT_GRACE)
+    is_refused = asyncio.Event()
+
+    async def refuse(*_):
+        is_refused.set()
+        await asyncio.Event().wait()
+
+    async def stop():
+        _, writer = await rig.connect()
+        writer.write(request(path, method=method))
+        await is_refused.wait()
+        rig.daemons[0].stopped.set()
+        await rig.tasks[0]
+
+    with patch.object(CallerConnection, "refuse", refuse):
+        rig.run(stop())
+
+
+@then("the process has shut down")
+def has_shut_down(context):
+    assert context.rig.logged_events("gateway-stopped")
+
+
 @when("a connection is closed as idle while it has an unread request")
 def closed_as_idle(context):
     rig = context.rig
--- a/zinniaramp/gateway/handling.py
+++ b/zinniaramp/gateway/handling.py
@@ -47,7 +47,7 @@
     Attributes
     ----------
     time_limit : asyncio.Timeout or None
-        Time limit of the request; None before it is served.
+        Time limit of the request while it is served; None before and after.
     is_stopped : bool
         Whether the process exits before the request has ended.
     """
@@ -81,8 +81,12 @@
         try:
             self.matched = self._match()
             left = self.matched.deadline - self.pool.clock()
-            async with asyncio.timeout(left.total_seconds()) as self.time_limit:
-                await self._serve(self.matched)
+            async with asyncio.timeout(left.total_seconds()) as time_limit:
+                self.time_limit = time_limit
+                try:
+                    await self._serve(self.matched)
+                finally:
+                    self.time_limit = None
         except RefusalError as refusal:
             await self._end_without_answer(refusal)
         except TimeoutError:
