--- a/features/intake/crowds.py
+++ b/features/intake/crowds.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from features.gateway.rig import API_KEY, HOSTNAME, LOOPBACK
+from zinniaramp.standins.platform.faults import make_short_fields
 
 BODY_BYTES = 1_000_000
 """``max_body_bytes`` of the scenarios' configuration."""
@@ -59,17 +60,7 @@
 }
 
 
-def short_fields(size):
-    """Return about `size` bytes of header fields with distinct short names."""
-    lines, total, number = [], 0, 0
-    while total < size:
-        lines.append(f"{number:x}:".encode())
-        total += len(lines[-1]) + 2
-        number += 1
-    return b"\r\n".join(lines) + b"\r\n"
-
-
-SHORT_FIELDS = short_fields(HEADER_BYTES - 400)
+SHORT_FIELDS = make_short_fields(HEADER_BYTES - 400)
 
 
 def head(method, path, number, *lines):
