--- a/features/freshness/freshness.feature
+++ b/features/freshness/freshness.feature
@@ -39,6 +39,18 @@
       | 26       | 25    | 300 | 2     | 3     | 4      |
       | 26       | 25    | 500 | 2     | 3     | 4      |
 
+  Scenario Outline: A watch lost in an outage that no read shows doesn't delay later changes: mesh of <gateways>
+    Given <gateways> simulated gateways, each connected to <peers> others
+    And packets take 500 ms each way
+    And the store is silent from second 6 to 6.5, and has a change 0.95 s before
+    When the load is played with <seeds> seeds
+    Then every gateway has each change within <apply> s, or <stable> s after the store's return
+
+    Examples:
+      | gateways | peers | seeds | apply | stable |
+      | 5        | 4     | 8     | 2     | 3      |
+      | 26       | 25    | 2     | 3     | 4      |
+
   Scenario Outline: On a calm day <gateways> gateways use a thousandth of the platform's rate
     Given <gateways> simulated gateways, each connected to <peers> others
     When the load is played with 1 seed and no changes
