--- a/features/freshness/freshness.feature
+++ b/features/freshness/freshness.feature
@@ -51,6 +51,15 @@
       | 5        | 4     | 8     | 2     | 3      |
       | 26       | 25    | 2     | 3     | 4      |
 
+  Scenario Outline: Changes are known in time around random outages: packets of <ms> ms
+    When <count> random loads with outages are played over packets of <ms> ms
+    Then none of them has a change that is known too late
+
+    Examples:
+      | count | ms  |
+      | 10    | 1   |
+      | 10    | 300 |
+
   Scenario Outline: On a calm day <gateways> gateways use a thousandth of the platform's rate
     Given <gateways> simulated gateways, each connected to <peers> others
     When the load is played with 1 seed and no changes
--- a/features/freshness/play.py
+++ b/features/freshness/play.py
@@ -28,6 +28,31 @@
 PEER_PORT = 8000
 
 
+SLOW_SECONDS = 0.12
+"""Time by which a slow store delays a call and its answer, each."""
+
+
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Outage:
+    """Time from `start` to `end`, in seconds, in which the store is disturbed.
+
+    Parameters
+    ----------
+    start, end : float
+        The time.
+    kind : str
+        ``silent``: it neither takes calls nor delivers answers; ``refusing`` or
+        ``slow``.
+    gateways : frozenset of int or None
+        Gateways to which this applies; None for all.
+    """
+
+    start: float
+    end: float
+    kind: str
+    gateways: frozenset[int] | None = None
+
+
 @dataclass(slots=True, kw_only=True)
 class Load:
     """What a simulation plays.  Times are in seconds.
@@ -46,6 +71,8 @@
         The store is away in this time.
     refuses : bool
         Whether it refuses calls while it is away; by default it doesn't answer them.
+    outages : tuple of Outage
+        Further disturbances of the store.
     changes : tuple of float
         Times at which the store acknowledges a change.
     seconds : float
@@ -65,6 +92,7 @@
     away_from: float = 0.0
     away_to: float = 0.0
     refuses: bool = False
+    outages: tuple[Outage, ...] = ()
     changes: tuple[float, ...] = ()
     seconds: float = 30.0
     store_latency: float = 0.004
@@ -103,10 +131,16 @@
         self.number = FIRST_REVISION
         self.changed = asyncio.Event()
 
-    @property
-    def is_away(self):
-        """Whether the store is away at this time."""
-        return self.load.away_from <= self.loop.seconds < self.load.away_to
+    def disturbance(self, gateway):
+        """Return how the store is disturbed for a gateway now; empty if it is not."""
+        load, now = self.load, self.loop.seconds
+        if load.away_from <= now < load.away_to:
+            return "refusing" if load.refuses else "silent"
+        for outage in load.outages:
+            is_affected = outage.gateways is None or gateway in outage.gateways
+            if is_affected and outage.start <= now < outage.end:
+                return outage.kind
+        return ""
 
     def add_change(self):
         """Store the next change."""
@@ -143,13 +177,18 @@
         self.report.calls.append((self.loop.seconds, gateway))
         with suppress(TimeoutError):
             async with asyncio.timeout(timeout.total_seconds()):
-                await asyncio.sleep(self.load.store_latency / 2)
-                if self.is_away and self.load.refuses:
+                is_slow = self.disturbance(gateway) == "slow"
+                latency = self.load.store_latency / 2 + SLOW_SECONDS * is_slow
+                await asyncio.sleep(latency)
+                disturbance = self.disturbance(gateway)
+                if disturbance == "refusing":
                     return Err(ReadError("refused", status=503))
-                if self.is_away:
+                if disturbance == "silent":
                     await asyncio.Event().wait()
                 answered = await answer()
-                await asyncio.sleep(self.load.store_latency / 2)
+                if self.disturbance(gateway) == "silent":
+                    await asyncio.Event().wait()
+                await asyncio.sleep(latency)
                 return Ok(answered)
         return Err(ReadError("timeout", status=599))
 
--- a/features/steps/freshness_steps.py
+++ b/features/steps/freshness_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 
 from features.freshness.play import Load, play
+from features.freshness.random_outages import find_excess
 
 CHANGES = (12.0, 14.04, 14.31, 16.0, 18.0)
 SETTLED_SECONDS = 5
@@ -74,6 +75,17 @@
             assert at + max(delays) <= limit, (seed, at, delays)
 
 
+@when("{count:d} random loads with outages are played over packets of {ms:d} ms")
+def play_random(context, count, ms):
+    context.excesses = {seed: find_excess(seed, ms / 1000) for seed in range(count)}
+
+
+@then("none of them has a change that is known too late")
+def check_excesses(context):
+    late = {seed: excess for seed, excess in context.excesses.items() if excess > 0}
+    assert not late, late
+
+
 @then("the store gets at most {count:d} calls per second")
 def check_calls(context, count):
     (report,) = context.reports
