Take no lost connection to the store for an outage

Cause: the time from the loss of a watch's connection to the gateway's own next answer counted as an outage of the store. With peers that confirm its revision a gateway makes no calls of its own, so the next answer is that of the watch, seconds later, which tells of a removal; after an outage of over 2 s the entry is then kept for 2 s as one that expired.

Change: an outage is a time of over 2 s in which the store is known to have answered no gateway: answers of its own and reports of peers count alike, as in the confirmation of the revision.

--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -21,6 +21,11 @@
     When the store is silent for 3 s and answers no earlier watch after it
     Then the watches of 3 gateways wait at the store without a change, and none has timed out
 
+  Scenario: An endpoint that leaves after connections to the store were lost gets no more requests
+    Given 3 connected gateways
+    When the connections of all watches are lost, and the entry of "s-1" is removed 3 s later
+    Then no gateway sends requests to "s-1"
+
   Scenario Outline: Changes are in force although watches are never answered
     Given <gateways> connected gateways
     When <unanswered>
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -100,6 +100,31 @@
     assert len(context.rig.logged_events("watch-renewed")) == count
 
 
+@when(
+    'the connections of all watches are lost, and the entry of "{name}" is removed '
+    "{seconds:d} s later"
+)
+def lose_connections_and_remove(context, name, seconds):
+    rig = context.rig
+    wait_for_watches(rig)
+
+    async def lose():
+        for watch in tuple(rig.store.waiting):
+            watch.request.connection.stream.close()
+        await asyncio.sleep(seconds)
+
+    rig.run(lose())
+    rig.store.remove(f"servers/{name}")
+    wait_for_all_gateways(rig)
+
+
+@then('no gateway sends requests to "{name}"')
+def check_not_ready(context, name):
+    for daemon in context.rig.daemons:
+        ready = [one.id for one in daemon.registry.ready("plain")]
+        assert ready and name not in ready, ready
+
+
 @when("{count:d} values of {size:d} bytes are published while the store is silent")
 def publish_in_silence(context, count, size):
     wait_for_watches(context.rig)
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -218,6 +218,7 @@
         self.clock = clock
         self.cache = ItemCache()
         self.freshness = Freshness(cache=self.cache, clock=clock)
+        self.freshness.on_return.append(self.start_lapse_grace)
         self.configuration: Configuration | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.leaving: set[str] = set()
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -62,11 +62,6 @@
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of durations in the log."""
 
-MIN_OUTAGE = timedelta(seconds=2)
-"""Time without a successful call above which entries may have expired in the outage.
-
-Entries expire after three heartbeat intervals of 1.2 s."""
-
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Source:
@@ -361,12 +356,12 @@
             await asyncio.sleep(WATCH_PAUSE.total_seconds())
 
     def _record_success(self) -> None:
+        # Before the answer is applied, which may lack entries that have expired.
+        self.registry.freshness.record_answer(age=timedelta())
         if self.unreachable_since is None:
             return
         outage = self.clock() - self.unreachable_since
         self.unreachable_since = None
-        if outage > MIN_OUTAGE:
-            self.registry.start_lapse_grace()
         emit(
             STORE_REGAINED,
             era=self._last_revision.era,
