Let the limits of odd values be tested at the only server there is

With the limit of 1 a second, "s-1" gets one or two of the first 20 requests. If these answers take 3 ms, as beside load, gateways choose "s-2", which answers in 0.2 ms, for all of the next 20, which take 30 ms; so no gateway reads the changed value, and the examples that expect no change pass without having shown anything.

Change: only "s-1" is listed, so that it gets the first request of the second round, and a caller must have got its answer. What has to be known of the limits is unchanged.

--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -41,14 +41,15 @@
     Then it knows a limit of 0.5 for the server "s-1"
 
   Scenario Outline: Values that are no decimal number set no limit and lift none
-    Given the servers "s-1 s-2" are listed
+    Given the servers "s-1" are listed
     And 2 connected gateways
     And the server "s-1" names the limit "<before>" in all answers
     When 20 requests "GET /read/x" are sent to the gateways in turn
     And the server "s-1" names the limit "<after>" in all answers
     And 60 seconds pass for the limits of all gateways
     And 20 requests "GET /read/x" are sent to the gateways in turn
-    Then the gateways know the limits "<known>" for the server "s-1"
+    Then a caller got the server's answer
+    And the gateways know the limits "<known>" for the server "s-1"
 
     Examples:
       | before | after         | known |
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -58,6 +58,12 @@
     assert set(statuses) == {200}, statuses
 
 
+@then("a caller got the server's answer")
+def check_any_answered(context):
+    statuses = [reply.status for reply in context.replies]
+    assert 200 in statuses, statuses
+
+
 @then("the other callers get 503 with a time when the server takes a request")
 def check_refused(context):
     refused = [reply for reply in context.replies if reply.status != 200]
