--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -2,10 +2,11 @@
 
 from .barrier import ReadBarrier
 from .core import Endpoint, EndpointState, Registry
-from .follower import Source, StoreFollower
+from .follower import StoreFollower
 from .freshness import Freshness
 from .items import Item, ItemCache, Snapshot, StoreRevision
 from .revision_checks import RevisionChecker
+from .source import Source
 
 __all__ = [
     "Endpoint",
