--- a/features/freshness/freshness.feature
+++ b/features/freshness/freshness.feature
@@ -59,7 +59,6 @@
       | count | ms  |
       | 10    | 1   |
       | 10    | 300 |
-      | 10    | 500 |
 
   Scenario Outline: On a calm day <gateways> gateways use a thousandth of the platform's rate
     Given <gateways> simulated gateways, each connected to <peers> others
--- a/features/freshness/play.py
+++ b/features/freshness/play.py
@@ -28,9 +28,6 @@
 PEER_PORT = 8000
 
 
-NO_WAIT = timedelta(milliseconds=1)
-"""Wait of a call that returns the changes made before it."""
-
 SLOW_SECONDS = 0.12
 """Time by which a slow store delays a call and its answer, each."""
 
@@ -166,19 +163,12 @@
 
             return await self._call(gateway, wait + WATCH_MARGIN, answer)
 
-        async def read_changes(after):
-            async def answer():
-                return await self._changes(gateway, after.number, NO_WAIT)
-
-            return await self._call(gateway, REVISION_TIMEOUT, answer)
-
         async def read_history():
             return Err(ReadError("not simulated"))
 
         return Source(
             read_all=read_all,
             watch=watch,
-            read_changes=read_changes,
             read_revision=read_revision,
             read_history=read_history,
         )
--- a/features/gateway/freshness.feature
+++ b/features/gateway/freshness.feature
@@ -13,14 +13,9 @@
   Scenario: The log tells whether a watch was sent before or into an outage
     Given a gateway that is ready
     When its watch waits while the store is silent for 3 s by the gateway's clock
-    And the store is lost, and a change after its return shows that the watch is lost
+    And the store is lost, and a change after its return ends the watch
     Then the log has the age of the watch and of the last confirmation
 
-  Scenario: The log tells when a watch was sent that has not delivered a change
-    Given a gateway that is ready
-    When its watch waits for 3 s by the gateway's clock, and a change doesn't end it
-    Then the log says that the watch was sent over 3 s ago
-
   Scenario: Every gateway watches again after an outage that took its watch
     Given 3 connected gateways
     When the store is silent for 3 s and answers no earlier watch after it
--- a/features/resumption/world.py
+++ b/features/resumption/world.py
@@ -108,9 +108,6 @@
         return Source(
             read_all=held(lambda: self._call(self._read_all, is_cut)),
             watch=held(lambda after, wait: self._watch(after, wait, is_cut)),
-            read_changes=held(
-                lambda after: self._watch(after, timedelta(milliseconds=1), is_cut)
-            ),
             read_revision=held(lambda: self._call(lambda: self.revision, is_cut)),
             read_history=held(lambda: self._call(self._read_history, is_cut)),
         )
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -32,40 +32,20 @@
     pass_time_in_silence(context, seconds)
 
 
-@when("the store is lost, and a change after its return shows that the watch is lost")
+@when("the store is lost, and a change after its return ends the watch")
 def lose_and_regain_store(context):
     rig = context.rig
     rig.run(rig.wait_until(lambda: rig.logged_events("store-lost")))
     lose_watches_in_outage(context)
-    rig.run(rig.wait_until(lambda: rig.logged_events("watch-renewed")))
+    rig.run(rig.wait_until(lambda: rig.logged_events("watch-overdue")))
 
 
 @then("the log has the age of the watch and of the last confirmation")
 def check_logged_ages(context):
     (lost,) = context.rig.logged_events("store-lost")
-    (renewed,) = context.rig.logged_events("watch-renewed")
+    (overdue,) = context.rig.logged_events("watch-overdue")
     assert lost["confirmed_ms"] >= 3000, lost
-    assert renewed["waited_ms"] >= lost["confirmed_ms"], (lost, renewed)
-
-
-@when(
-    "its watch waits for {seconds:d} s by the gateway's clock, and a change doesn't "
-    "end it"
-)
-def miss_change(context, seconds):
-    rig = context.rig
-    abandon_watches(context, 1)
-    advance_clock(rig.daemons[0], timedelta(seconds=seconds))
-    rig.store.put("unrelated", {})
-    wait_for_all_gateways(rig)
-
-
-@then("the log says that the watch was sent over {seconds:d} s ago")
-def check_age_of_watch(context, seconds):
-    rig = context.rig
-    rig.run(rig.wait_until(lambda: rig.logged_events("watch-overdue")))
-    (overdue,) = rig.logged_events("watch-overdue")
-    assert overdue["waited_ms"] >= seconds * 1000, overdue
+    assert overdue["waited_ms"] >= lost["confirmed_ms"], (lost, overdue)
 
 
 def wait_for_watches(rig):
--- a/features/steps/gateway_mesh_steps.py
+++ b/features/steps/gateway_mesh_steps.py
@@ -47,11 +47,7 @@
         return Err(ReadError("refused"))
 
     follower.source = Source(
-        read_all=refuse,
-        watch=refuse,
-        read_changes=refuse,
-        read_revision=refuse,
-        read_history=refuse,
+        read_all=refuse, watch=refuse, read_revision=refuse, read_history=refuse
     )
     rig.store.put("unrelated", {})
     cache = rig.daemons[0].registry.cache
--- a/features/warmup/evacuation_play.py
+++ b/features/warmup/evacuation_play.py
@@ -54,11 +54,7 @@
         await asyncio.Event().wait()
 
     return Source(
-        read_all=refuse,
-        watch=refuse,
-        read_changes=refuse,
-        read_revision=refuse,
-        read_history=refuse,
+        read_all=refuse, watch=refuse, read_revision=refuse, read_history=refuse
     )
 
 
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -21,8 +21,8 @@
     make_answer_reader,
     make_http_reader,
 )
+from ..registry.follower import Source
 from ..registry.items import History, Item, Snapshot, StoreRevision
-from ..registry.source import Source
 from ..sockets import Address, open_stream
 from .documents import ENDPOINT_PREFIX
 
@@ -35,10 +35,8 @@
 """Timeout of one page; a slow store takes about 400 ms, 100 times the usual time."""
 
 REVISION_TIMEOUT = timedelta(seconds=1.5)
-"""Timeout of a read of the revision, or of the changes after one.
-
-A slow store takes about 400 ms; on the link of a machine that counts as reachable,
-packets wait up to 500 ms each way."""
+"""Timeout of a read of the revision.  A slow store takes about 400 ms; on the link of a
+machine that counts as reachable, packets wait up to 500 ms each way."""
 
 WATCH_MARGIN = timedelta(seconds=1.5)
 """Time added to the requested wait of a watch to get its timeout."""
@@ -181,13 +179,6 @@
             return Ok(None)
         return answer.and_then(partial(_parse_snapshot, field="events"))
 
-    async def read_changes(
-        after: StoreRevision,
-    ) -> Result[Snapshot | None, ReadError]:
-        changes = await _read_changes(read, base, ALL_KEYS_PREFIX, after.number)
-        is_gone = changes.is_err() and changes.err_value.status == HTTP_GONE
-        return Ok(None) if is_gone else changes
-
     async def read_revision() -> Result[StoreRevision, ReadError]:
         query = urlencode({"prefix": NO_KEY_PREFIX})
         answer = await read(f"{base}/kv-range?{query}", REVISION_TIMEOUT)
@@ -203,7 +194,6 @@
     return Source(
         read_all=read_all,
         watch=watch,
-        read_changes=read_changes,
         read_revision=read_revision,
         read_history=read_history,
     )
@@ -220,7 +210,7 @@
     changes: tuple[Item, ...] = ()
     missing, start, tried = -1, newest.number, 0
     while start - missing > 1:
-        answer = await _read_changes(read, base, ENDPOINT_PREFIX, tried)
+        answer = await _read_changes(read, base, tried)
         if answer.is_err() and answer.err_value.status != HTTP_GONE:
             return answer
         if answer.is_err():
@@ -237,10 +227,12 @@
 
 
 async def _read_changes(
-    read: ReadAnswer, base: str, prefix: str, after: int
+    read: ReadAnswer, base: str, after: int
 ) -> Result[Snapshot, ReadError]:
-    """Read the changes after a revision number of the keys that have a prefix."""
-    query = urlencode({"prefix": prefix, "after": after, "wait_ms": HISTORY_WAIT_MS})
+    """Read the changes of endpoint entries after a revision number."""
+    query = urlencode(
+        {"prefix": ENDPOINT_PREFIX, "after": after, "wait_ms": HISTORY_WAIT_MS}
+    )
     answer = await read(f"{base}/kv-watch?{query}", REVISION_TIMEOUT)
     return answer.and_then(partial(_parse_snapshot, field="events"))
 
--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -2,11 +2,10 @@
 
 from .barrier import ReadBarrier
 from .core import Endpoint, EndpointState, Registry
-from .follower import StoreFollower
+from .follower import Source, StoreFollower
 from .freshness import Freshness
 from .items import Item, ItemCache, Snapshot, StoreRevision
 from .revision_checks import RevisionChecker
-from .source import Source
 
 __all__ = [
     "Endpoint",
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -1,10 +1,10 @@
 """Replication from the store: one full read, followed by watches."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from datetime import datetime, timedelta
 from random import Random
-from typing import TypeVar
 
 from result import Err, Ok, Result
 
@@ -20,9 +20,8 @@
     WATCH_RENEWED,
 )
 from .items import NO_REVISION, History, Snapshot, StoreRevision
-from .source import Source
 
-__all__ = ["StoreFollower"]
+__all__ = ["Source", "StoreFollower"]
 
 WATCH_TIMEOUT = timedelta(seconds=20)
 """Long-poll timeout of one watch.
@@ -53,9 +52,6 @@
 BACKOFF_LIMIT = timedelta(seconds=1)
 """Upper bound of every delay: half of the time limit for activating a version."""
 
-MAX_OUTAGES_WITHOUT_CHANGES = 2
-"""Outages without an answer that has changes, after which only watches ask for them."""
-
 FULL_REACH = timedelta(days=1)
 """Time to which a history reaches back that begins with the store; longer than streams
 last."""
@@ -63,12 +59,36 @@
 NO_ANSWER = 599
 """Status of a `ReadError` for a call that timed out or whose connection failed."""
 
-T = TypeVar("T")
-
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of durations in the log."""
 
 
+@dataclass(slots=True, kw_only=True, frozen=True)
+class Source:
+    """Calls to the store.
+
+    Parameters
+    ----------
+    read_all : callable
+        Returns all items.
+    watch : callable
+        Takes a revision and a timeout; returns the changes after the revision, at
+        the latest after the timeout.  Returns `Ok(None)` if the store's history no
+        longer covers the revision.
+    read_revision : callable
+        Returns the store's current revision.
+    read_history : callable
+        Returns the changes of the endpoints' entries that the store still has.
+    """
+
+    read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
+    watch: Callable[
+        [StoreRevision, timedelta], Awaitable[Result[Snapshot | None, ReadError]]
+    ]
+    read_revision: Callable[[], Awaitable[Result[StoreRevision, ReadError]]]
+    read_history: Callable[[], Awaitable[Result[History, ReadError]]]
+
+
 class StoreFollower:
     """Keeps a registry up to date from the store.
 
@@ -102,10 +122,7 @@
     settled_at : datetime or None
         Calls that were sent before this time make no watch doubtful any more.
     answered_at : datetime or None
-        Time of the latest answer to a read beside the watch.
-    outages_without_changes : int
-        Outages that have ended since the store last answered a call that returns
-        changes.
+        Time of the latest answer to a read of the revision.
     overdue_timer : asyncio.TimerHandle or None
         Ends the waiting watch unless it delivers a reported revision by then.
     """
@@ -123,7 +140,6 @@
         "lost_call_sent_at",
         "settled_at",
         "answered_at",
-        "outages_without_changes",
         "overdue_timer",
     )
 
@@ -148,7 +164,6 @@
         self.lost_call_sent_at: datetime | None = None
         self.settled_at: datetime | None = None
         self.answered_at: datetime | None = None
-        self.outages_without_changes = 0
         self.overdue_timer: asyncio.TimerHandle | None = None
         registry.freshness.on_report.append(self._check_watch)
 
@@ -167,8 +182,6 @@
                 case Ok(snapshot):
                     self.backoff.reset()
                     self._record_success()
-                    if not snapshot.is_complete:
-                        self.outages_without_changes = 0
                     self._apply(snapshot)
                     await self._pause(snapshot)
                 case Err(error):
@@ -201,34 +214,8 @@
 
     async def read_revision(self) -> Result[StoreRevision, ReadError]:
         """Return the store's current revision, beside a watch that may be waiting."""
-        return await self._read_beside_watch(self.source.read_revision())
-
-    async def read_changes(self) -> Result[StoreRevision, ReadError]:
-        """Apply what has changed, and return the revision that the store had.
-
-        Only the revision is read while the store is away, and if it seems to leave
-        calls for changes unanswered, or the changes are too large for one answer.
-        """
-        is_away = self.unreachable_since is not None
-        if is_away or self.outages_without_changes >= MAX_OUTAGES_WITHOUT_CHANGES:
-            return await self.read_revision()
-        known = self.registry.cache.revision
-        read = await self._read_beside_watch(self.source.read_changes(known))
-        match read:
-            case Ok(None):
-                return await self.read_revision()
-            case Ok(snapshot):
-                self.outages_without_changes = 0
-                if snapshot.revision.era == known.era:
-                    self.registry.apply(snapshot)
-                return Ok(snapshot.revision)
-        return read
-
-    async def _read_beside_watch(
-        self, call: Awaitable[Result[T, ReadError]]
-    ) -> Result[T, ReadError]:
         sent_at = self.clock()
-        read = await call
+        read = await self.source.read_revision()
         match read:
             case Ok():
                 self.answered_at = self.clock()
@@ -375,7 +362,6 @@
             return
         outage = self.clock() - self.unreachable_since
         self.unreachable_since = None
-        self.outages_without_changes += 1
         emit(
             STORE_REGAINED,
             era=self._last_revision.era,
--- a/zinniaramp/registry/revision_checks.py
+++ b/zinniaramp/registry/revision_checks.py
@@ -1,4 +1,4 @@
-"""Reads of the store's changes beside a watch, which may not have delivered them."""
+"""Reads of the store's revision, which show changes that a watch has not delivered."""
 
 import asyncio
 from collections.abc import Callable
@@ -16,7 +16,7 @@
 __all__ = ["RevisionChecker"]
 
 MAX_CONFIRMATION_AGE = timedelta(milliseconds=700)
-"""Age of the last confirmation at which the store is read.
+"""Age of the last confirmation at which the store's revision is read.
 
 A change has to be in force 2 s after the store has it.  The rest of that time is for
 the spread of the reads, the watch's grace, and the peers' requests for the items."""
@@ -45,7 +45,7 @@
     """Confirms the known revision with the store if nothing else has lately.
 
     Answers to watches confirm it too, and so do the heartbeats of peers; in a mesh of
-    gateways one of them reads at a time.
+    gateways one of them reads the revision at a time.
 
     Parameters
     ----------
@@ -112,12 +112,12 @@
             await asyncio.sleep(left.total_seconds())
 
     async def _check(self) -> bool:
-        """Read what has changed, and return whether it is known here."""
+        """Read the store's revision, and return whether it is known here."""
         watch = self.follower.watch
         sent_at = self.clock()
         self.unanswered.add(sent_at)
         try:
-            read = await self.follower.read_changes()
+            read = await self.follower.read_revision()
         finally:
             self.unanswered.discard(sent_at)
         if isinstance(read, Err):
--- a/zinniaramp/standins/platform/store.py
+++ b/zinniaramp/standins/platform/store.py
@@ -24,10 +24,6 @@
 """Value of ``Store-Era`` before the first restore."""
 
 
-READ_WAIT_MS = 1
-"""Longest wait of a call that reads past changes and counts as no watch."""
-
-
 @dataclass(slots=True, kw_only=True, frozen=True)
 class StoreCopy:
     """Copy of the store's content, from which it can be restored."""
@@ -225,19 +221,17 @@
         compaction, or one that the store does not have, is answered 410.
         """
         after = int(self.get_query_argument("after"))
-        wait_ms = int(self.get_query_argument("wait_ms"))
+        wait = int(self.get_query_argument("wait_ms")) / 1000
         self.is_abandoned = self.store.ignores_watches
         self.survives_restore = False
-        if wait_ms > READ_WAIT_MS:
-            self.store.waiting.append(self)
+        self.store.waiting.append(self)
         try:
-            async with asyncio.timeout(wait_ms / 1000):
+            async with asyncio.timeout(wait):
                 events = await self._wait_for_changes(after)
         except TimeoutError:
             events = []
         finally:
-            if wait_ms > READ_WAIT_MS:
-                self.store.waiting.remove(self)
+            self.store.waiting.remove(self)
         if self.is_abandoned:
             await asyncio.Event().wait()
         self.set_header("Store-Era", str(self.store.era))
