Answer the requests that a draining entry can't complete

Cause: the drain cancelled the tasks of these requests and closed all connections.

Change: at the drain limit each request ends with a result and its answer is written before the process exits. A request that was not offered, or whose offers were all refused, is not run (503 `shutting_down`, with `Retry-After`). Otherwise its outcome is unknown: 502 `outcome_unknown` with the ticket if it may not be repeated, else 503, and a last event in a stream that has begun. The attempts are cancelled as before.

Test: features/entry/draining.feature. Before the change all four examples fail: three callers get "Remote end closed connection without response", and the stream ends within a chunk.

--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -1,7 +1,7 @@
 """The entry process: its tasks, readiness and graceful shutdown."""
 
 import asyncio
-from datetime import timedelta
+from datetime import datetime, timedelta
 from random import Random
 
 from tornado.httputil import split_host_and_port
@@ -15,6 +15,7 @@
 from ..settings import Settings
 from .callers import make_application
 from .events import DRAIN_ENDED, DRAIN_STARTED
+from .handling import CallerHandler
 from .peer_set import PeerSet
 from .router import Router
 from .server import CallerServer
@@ -37,6 +38,9 @@
 READINESS_DELAY = timedelta(seconds=1)
 """Time for which the process reports not ready before it stops listening."""
 
+FINAL_ANSWER_TIME = timedelta(seconds=0.5)
+"""Time allowed for writing the answers to requests that can't be completed."""
+
 DRAIN_POLL_INTERVAL = timedelta(seconds=0.05)
 """Interval between checks for requests in flight during a drain."""
 
@@ -65,6 +69,8 @@
         Endpoint processes and the streams to them.
     request_tasks : set of asyncio.Task
         One task for each request that is being processed.
+    handlers : set of CallerHandler
+        Handlers of the requests for which an answer is awaited.
     """
 
     def __init__(
@@ -98,6 +104,7 @@
             policy=settings.routing.policy,
         )
         self.request_tasks: set[asyncio.Task] = set()
+        self.handlers: set[CallerHandler] = set()
         self.is_draining = False
         self.server: CallerServer | None = None
 
@@ -135,6 +142,8 @@
     async def drain(self) -> int:
         """Stop accepting requests and finish those in flight, within the drain limit.
 
+        Requests that are not finished by then are answered with an error.
+
         Returns
         -------
         int
@@ -145,13 +154,15 @@
         self.is_draining = True
         emit(DRAIN_STARTED, in_flight=self.in_flight())
         limit = self.settings.fleet.drain_limit
-        deadline = asyncio.get_running_loop().time() + limit.total_seconds()
+        until = self.clock() + limit
         await asyncio.sleep(min(READINESS_DELAY, limit).total_seconds())
         self.server.disable_keep_alive()
         self.server.stop()
-        while self.in_flight() and asyncio.get_running_loop().time() < deadline:
-            await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
+        await self._wait_for_requests(until)
         unfinished_count = self.in_flight()
+        for handler in tuple(self.handlers):
+            handler.stop()
+        await self._wait_for_requests(self.clock() + FINAL_ANSWER_TIME)
         emit(DRAIN_ENDED, left=unfinished_count)
         for task in self.request_tasks:
             task.cancel()
@@ -159,6 +170,11 @@
         self.peers.stop()
         return unfinished_count
 
+    async def _wait_for_requests(self, until: datetime) -> None:
+        """Wait until no request is in flight, until a time at the latest."""
+        while self.in_flight() and self.clock() < until:
+            await asyncio.sleep(DRAIN_POLL_INTERVAL.total_seconds())
+
     def in_flight(self) -> int:
         """Return the number of requests being received, processed or answered."""
         return max(len(self.request_tasks), len(self.server.in_flight))
--- a/zinniaramp/entry/failures.py
+++ b/zinniaramp/entry/failures.py
@@ -15,6 +15,7 @@
     "host_unreachable",
     "incarnation_gone",
     "outcome_unknown",
+    "shutting_down",
     "ticket_mismatch",
     "ticket_required",
 ]
@@ -106,6 +107,18 @@
     )
 
 
+def shutting_down(outcome: Outcome, retry_delay_s: float) -> CallerError:
+    """Return the error for a request that is not complete when the process exits."""
+    return CallerError(
+        status=503,
+        code=ErrorCode.SHUTTING_DOWN,
+        message="the entry process exits before the request is complete; retry after "
+        f"{retry_delay_s:.0f} s",
+        outcome=outcome,
+        retry_after_s=retry_delay_s,
+    )
+
+
 def ticket_mismatch(ticket: Ticket) -> CallerError:
     """Return the error for a ticket issued for another class or workspace."""
     return CallerError(
--- a/zinniaramp/entry/handling.py
+++ b/zinniaramp/entry/handling.py
@@ -35,12 +35,15 @@
         The process that serves the request.
     task : asyncio.Task or None
         Task that processes the request; cancelled when the caller disconnects.
+    time_limit : asyncio.Timeout or None
+        Ends the processing when the process exits; None before it starts.
     """
 
     def initialize(self, process):
         """Set the entry process that serves the request."""
         self.process = process
         self.task: asyncio.Task | None = None
+        self.time_limit: asyncio.Timeout | None = None
 
     def prepare(self):
         """Reject requests that are too large; close connections while draining."""
@@ -82,12 +85,23 @@
         if not self.task.cancelled():
             self.task.result()
 
+    def stop(self) -> None:
+        """End the request with an answer, because the process exits."""
+        if self.time_limit is not None:
+            self.time_limit.reschedule(asyncio.get_running_loop().time())
+
     async def run(self, call: Call, sink: Sink) -> RequestRun:
         """Run a request to its outcome and record it; send no response."""
         run = RequestRun(router=self.process.router, call=call, sink=sink)
         self.request_run = run
+        self.process.handlers.add(self)
         try:
-            run.final_result = await run.run()
+            async with asyncio.timeout(None) as self.time_limit:
+                run.final_result = await run.run()
+        except TimeoutError:
+            if not self.time_limit.expired():
+                raise
+            run.final_result = run.result_at_exit()
         except AnswerTooLargeError:
             run.final_result = RequestResult(outcome=Outcome.UNKNOWN, error=_TOO_LARGE)
         except asyncio.CancelledError:
@@ -95,6 +109,9 @@
             emit(CALLER_GONE, request=run.first_id.request, attempts=attempts)
             self.record(run, outcome="abandoned", reason="caller_gone", status=499)
             raise
+        finally:
+            self.process.handlers.discard(self)
+            self.time_limit = None
         error = run.final_result.error
         self.record(
             run,
--- a/zinniaramp/entry/runs.py
+++ b/zinniaramp/entry/runs.py
@@ -19,6 +19,7 @@
     host_unreachable,
     incarnation_gone,
     outcome_unknown,
+    shutting_down,
     ticket_mismatch,
     ticket_required,
 )
@@ -270,6 +271,19 @@
         retry_delay_s = retry_after(hints, self.router.random_source).total_seconds()
         return RequestResult(outcome=outcome, error=self.error(outcome, retry_delay_s))
 
+    def result_at_exit(self) -> RequestResult:
+        """Return the result of a request that is in progress when the process exits."""
+        is_refused = len(self.refusals) == len(self.attempts)
+        may_have_run = self.call.ticket and not self.is_ticket_confirmed_unused()
+        is_not_run = is_refused and not may_have_run
+        outcome = Outcome.NOT_RUN if is_not_run else Outcome.UNKNOWN
+        if is_not_run:
+            self.ticket = ""
+        elif not self.call.class_declaration.repeatable:
+            return RequestResult(outcome=outcome, error=outcome_unknown(self.ticket))
+        delay_s = retry_after([], self.router.random_source).total_seconds()
+        return RequestResult(outcome=outcome, error=shutting_down(outcome, delay_s))
+
     async def is_confirmed_not_run(self, has_caller_ticket: bool) -> bool:
         """Return whether all attempts are confirmed never to run."""
         if not self.unconfirmed:
