Close the connection to an engine or service whose answer has no end

In an endpoint process only the reading had been bounded.

Cause: when the end of an answer was known, by `[DONE]` or by a malformed event, nobody read the transfer any more, but it went on and queued what arrived. The body of an error, or of a plain service, was read until the attempt's deadline.

Change: a malformed answer cancels the request at the engine and closes the connection; after a complete answer, the first bytes beyond it do. A body that is no event stream ends the attempt as unknown after 16 MiB; entry processes deliver 8.

--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -146,7 +146,7 @@
     arrived : asyncio.Event
         Set while `items` is not empty.
     is_ended : bool
-        Whether the last item has been queued.
+        Whether the last item has been queued, or no more are needed.
     curl : pycurl.Curl or None
         libcurl's handle, from the start of the transfer until its end.
     response : asyncio.Future or None
@@ -211,7 +211,9 @@
             )
 
     def on_data(self, data: bytes) -> None:
-        """Handle bytes of the response body."""
+        """Handle bytes of the response body; bytes after its end end the transfer."""
+        if self.is_ended:
+            self.is_aborted = True
         self.enqueue(BodyData(data=data))
 
     def on_done(self, future) -> None:
@@ -236,6 +238,10 @@
         self.enqueue(item)
         self.is_ended = True
 
+    def finish(self) -> None:
+        """Accept nothing more, because the response is known to be complete."""
+        self.is_ended = True
+
     async def wait(self, seconds: float) -> None:
         """Wait until an item arrives, for at most the given seconds."""
         try:
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -331,10 +331,22 @@
             self.store_answer(attempt, reader)
         if attempt.has_ended():
             return
+        self.finish_transfer(attempt, transfer, reader.end.outcome)
         if reader.end.outcome is Outcome.NOT_RUN:
             self.unavailable_until = self.clock() + ENGINE_BACKOFF
         self.end(attempt, reader.end.outcome, reader.end.detail)
 
+    def finish_transfer(
+        self, attempt: Attempt, transfer: Transfer, outcome: Outcome
+    ) -> None:
+        """End the transfer of a response whose end is known before it has ended."""
+        if transfer.is_ended:
+            return
+        if outcome is Outcome.DONE:
+            transfer.finish()
+        else:
+            self.cancel_at_engine(attempt)
+
     async def wait_for_item(self, attempt: Attempt, transfer: Transfer) -> bool:
         """Wait until the engine sends data; return false if it is silent."""
         is_first = not attempt.answer.tokens
--- a/zinniaramp/endpoint/responses.py
+++ b/zinniaramp/endpoint/responses.py
@@ -29,6 +29,11 @@
 MAX_PIECE_BYTES = 256 * 1024
 """Size up to which body data is joined into one piece, in bytes."""
 
+MAX_BODY_BYTES = 16 * 1024 * 1024
+"""Maximum size of a body that is not an event stream, in bytes.
+
+Entry processes deliver at most half as much, and tell callers of a larger answer."""
+
 
 @dataclass(slots=True, kw_only=True, frozen=True)
 class ResponseEnd:
@@ -99,15 +104,18 @@
         Outcome of the attempt, once it is known.
     pending : list of Piece
         Content that the caller has not fetched yet.
+    size : int
+        Bytes received of a body that is not an event stream.
     """
 
-    __slots__ = ("is_chat", "head", "end", "pending", "events")
+    __slots__ = ("is_chat", "head", "end", "pending", "size", "events")
 
     def __init__(self, *, is_chat: bool):
         self.is_chat = is_chat
         self.head: ResponseHead | None = None
         self.end: ResponseEnd | None = None
         self.pending: list[Piece] = []
+        self.size = 0
         self.events = EventReader()
 
     def read(self, item) -> None:
@@ -132,10 +140,10 @@
 
     def read_data(self, data: bytes) -> None:
         """Process bytes of the response body."""
-        if self.end is not None or self.is_engine_failure():
+        if self.end is not None:
             return
         if not self.is_event_stream():
-            self.pending.append(Piece(payload=data, tokens=0))
+            self.read_plain_data(data)
             return
         match self.events.read(data):
             case Err(error):
@@ -144,6 +152,15 @@
                 for event in events:
                     self.read_event(event)
 
+    def read_plain_data(self, data: bytes) -> None:
+        """Process bytes of a body that is not an event stream."""
+        self.size += len(data)
+        if self.size > MAX_BODY_BYTES:
+            detail = f"body has more than {MAX_BODY_BYTES} bytes"
+            self.end = ResponseEnd(outcome=Outcome.UNKNOWN, detail=detail)
+        elif not self.is_engine_failure():
+            self.pending.append(Piece(payload=data, tokens=0))
+
     def read_event(self, data: str) -> None:
         """Process one event of a chat answer."""
         if self.end is not None:
