Split the receiving of responses, orders and upkeep from the executor

Change: `receiving` receives the engine's response to an attempt, `orders` sends orders about one, `upkeep` holds and removes attempts; functions that take the executor. The code in them is unchanged.

--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -27,6 +27,7 @@
 from .placement import Placement
 from .status import EndpointStatus
 from .streams import Streams
+from .upkeep import clean_up_attempts, hold_waiting
 
 __all__ = ["EndpointProcess"]
 
@@ -248,7 +249,7 @@
             )
             self.check_pause()
             self.streams.close_silent()
-            self.executor.clean_up_attempts()
+            clean_up_attempts(self.executor)
 
     def check_pause(self) -> bool:
         """Close all streams and hold waiting attempts if this process was paused.
@@ -261,7 +262,7 @@
         gap = self.pause_detector.gap()
         if gap is None:
             return False
-        held = self.executor.hold_waiting()
+        held = hold_waiting(self.executor)
         emit(
             PAUSE_DETECTED,
             gap_s=gap.total_seconds(),
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -9,7 +9,7 @@
 
 from ..answers.retention import AnswerStore
 from ..clock import Clock
-from ..contracts import Head, Offer, Outcome, RefusalReason
+from ..contracts import Offer, Outcome, RefusalReason
 from ..links import Connection
 from ..observability import emit
 from ..scheduling import (
@@ -25,37 +25,28 @@
 )
 from ..tickets.tombstones import Tombstones
 from .attempts import Attempt
-from .engine import EngineCall, EngineClient, EngineError, EngineOrder, Transfer
+from .engine import EngineCall, EngineClient, EngineError, EngineOrder
 from .events import (
     ATTEMPT_ENDED,
     ATTEMPT_SCHEDULED,
-    ENGINE_ORDER_FAILED,
-    ENGINE_SILENT,
 )
-from .metrics import PLACEMENTS, QUEUE_LENGTH, TOKENS_GENERATED, TOKENS_WASTED
+from .metrics import PLACEMENTS, QUEUE_LENGTH, TOKENS_WASTED
+from .orders import send_order
 from .pace import IntervalEstimator
-from .responses import ResponseReader, chat_call, plain_call
+from .receiving import receive_response
+from .responses import chat_call, plain_call
 
 __all__ = ["Executor"]
 
-COALESCE_SECONDS = 0.005
-"""Time for which further tokens are collected before they are delivered, in seconds."""
-
 MIN_WAIT_SECONDS = 0.001
 """Shortest wait until the scheduler is run again for a due action, in seconds."""
 
-ENGINE_BACKOFF = timedelta(seconds=1)
-"""Time for which offers are refused after connecting to the engine failed."""
-
 MAX_ANSWER_TIME = timedelta(days=1)
 """Timeout of one chat request to the engine."""
 
 CANCELLED_DETAIL = "cancelled"
 """Detail of the `End` of an attempt that was cancelled."""
 
-SILENT_DETAIL = "engine-silent"
-"""Detail of the `End` of an attempt whose engine stopped sending data."""
-
 
 class Executor:
     """Runs attempts at one engine in the order that the scheduler decides.
@@ -183,11 +174,11 @@
                 self.start(attempt)
             case PauseJob():
                 self.log_decision(attempt, "pause")
-                self.spawn(self.order(attempt, EngineOrder.PAUSE))
+                self.spawn(send_order(self.engine, attempt, EngineOrder.PAUSE))
             case ResumeJob():
                 self.log_decision(attempt, "resume")
                 attempt.last_activity = self.clock()
-                self.spawn(self.order(attempt, EngineOrder.RESUME))
+                self.spawn(send_order(self.engine, attempt, EngineOrder.RESUME))
             case ExpireJob(retry_after=retry_after):
                 self.log_decision(attempt, "expire")
                 self.end_waiting(attempt, RefusalReason.DEADLINE, retry_after)
@@ -296,7 +287,7 @@
                 attempt.last_activity = self.clock()
                 attempt.transfer = self.engine.send(call)
                 attempt.drop_body()
-                self.spawn(self.run_attempt(attempt, attempt.transfer))
+                self.spawn(receive_response(self, attempt, attempt.transfer))
 
     def build_call(self, attempt: Attempt) -> Result[EngineCall, EngineError]:
         """Return the HTTP call that runs an attempt.
@@ -319,97 +310,11 @@
         limit = service.timeout if service else timeout
         return plain_call(offer, timeout=min(timeout, limit))
 
-    async def run_attempt(self, attempt: Attempt, transfer: Transfer) -> None:
-        """Receive the engine's response until it ends, then end the attempt."""
-        reader = ResponseReader(is_chat=self.is_chat)
-        while reader.end is None and not attempt.has_ended():
-            if not await self.wait_for_item(attempt, transfer):
-                self.end_silent(attempt)
-                return
-            for item in transfer.pop_items():
-                reader.read(item)
-            self.store_answer(attempt, reader)
-        if attempt.has_ended():
-            return
-        self.finish_transfer(attempt, transfer, reader.end.outcome)
-        if reader.end.outcome is Outcome.NOT_RUN:
-            self.unavailable_until = self.clock() + ENGINE_BACKOFF
-        self.end(attempt, reader.end.outcome, reader.end.detail)
-
-    def finish_transfer(
-        self, attempt: Attempt, transfer: Transfer, outcome: Outcome
-    ) -> None:
-        """End the transfer of a response whose end is known before it has ended."""
-        if transfer.is_ended:
-            return
-        if outcome is Outcome.DONE:
-            transfer.finish()
-        else:
-            self.cancel_at_engine(attempt)
-
-    async def wait_for_item(self, attempt: Attempt, transfer: Transfer) -> bool:
-        """Wait until the engine sends data; return false if it is silent."""
-        is_first = not attempt.answer.tokens
-        while not transfer.items:
-            bound = self.intervals.silence_timeout(is_first=is_first)
-            remaining = attempt.last_activity + bound - self.clock()
-            is_generating = self.is_chat and attempt.job.state is JobState.RUNNING
-            if is_generating and remaining <= timedelta(0) and not self.check_pause():
-                return False
-            await transfer.wait((remaining if is_generating else bound).total_seconds())
-        if not is_first:
-            await asyncio.sleep(COALESCE_SECONDS)
-        return True
-
-    def store_answer(self, attempt: Attempt, reader: ResponseReader) -> None:
-        """Store the data that the engine has sent, and deliver it."""
-        if attempt.has_ended():
-            return
-        is_first = not attempt.answer.tokens
-        self.record_interval(attempt)
-        if reader.head is not None and attempt.answer.head is None:
-            attempt.answer.head = Head(
-                attempt_id=attempt.attempt_id,
-                status=reader.head.status,
-                headers=reader.head.headers,
-            )
-        for piece in reader.pop_pieces():
-            self.answers.append(attempt.answer, piece)
-            if piece.tokens:
-                self.scheduler.record_tokens(attempt.attempt_id, piece.tokens)
-                TOKENS_GENERATED.labels(attempt.job.class_name).inc(piece.tokens)
-        if is_first and attempt.answer.tokens:
-            self.changed.set()
-        if reader.end is None:
-            attempt.deliver()
-
-    def record_interval(self, attempt: Attempt) -> None:
-        """Record the time since the engine last sent data."""
-        now = self.clock()
-        if attempt.job.state is JobState.RUNNING:
-            is_first = not attempt.answer.tokens
-            self.intervals.record(now - attempt.last_activity, is_first=is_first)
-        attempt.last_activity = now
-
-    def end_silent(self, attempt: Attempt) -> None:
-        """End an attempt whose engine has sent nothing within the timeout."""
-        if attempt.has_ended():
-            return
-        bound = self.intervals.silence_timeout(is_first=not attempt.answer.tokens)
-        emit(
-            ENGINE_SILENT,
-            attempt=attempt.attempt_id,
-            bound_s=bound.total_seconds(),
-            tokens=attempt.answer.tokens,
-        )
-        self.cancel_at_engine(attempt)
-        self.end(attempt, Outcome.UNKNOWN, SILENT_DETAIL)
-
     def cancel_at_engine(self, attempt: Attempt) -> None:
         """Abort the transfer and order the engine to cancel the request."""
         attempt.transfer.abort()
         if self.is_chat:
-            self.spawn(self.order(attempt, EngineOrder.CANCEL))
+            self.spawn(send_order(self.engine, attempt, EngineOrder.CANCEL))
 
     def end_waiting(
         self, attempt: Attempt, reason: RefusalReason, retry_after: timedelta
@@ -463,24 +368,6 @@
             self.end(attempt, Outcome.UNKNOWN, CANCELLED_DETAIL)
         return True
 
-    async def order(self, attempt: Attempt, order: str) -> None:
-        """Send the engine an order; orders about one attempt are sent in sequence."""
-        async with attempt.order_lock:
-            answer = await self.engine.order(attempt.attempt_id, order)
-        match answer:
-            case Ok(status) if status < 400:
-                return
-            case Ok(status):
-                error = f"status {status}"
-            case Err(engine_error):
-                error = str(engine_error)
-        emit(
-            ENGINE_ORDER_FAILED,
-            attempt=attempt.attempt_id,
-            order=order,
-            error=error,
-        )
-
     def record_disconnects(self, connection: Connection) -> None:
         """Record the attempts that have lost their last stream."""
         for attempt in self.attempts.values():
@@ -490,22 +377,6 @@
             if is_disconnected and attempt.disconnected_at is None:
                 attempt.disconnected_at = self.clock()
 
-    def hold_waiting(self) -> int:
-        """Remove unstarted attempts from the scheduler; return how many are held.
-
-        Notes
-        -----
-        Held attempts do not start until their entry process resumes them.  The
-        silence timeouts of all attempts restart, because the engine may have sent
-        data while this process was paused.
-        """
-        for attempt in self.live():
-            attempt.last_activity = self.clock()
-            if not attempt.is_dispatched:
-                self.scheduler.remove(attempt.attempt_id)
-                self.held.add(attempt.attempt_id)
-        return len(self.held)
-
     def requeue(self, attempt: Attempt) -> None:
         """Mark an attempt as connected; if held, offer it to the scheduler again."""
         attempt.disconnected_at = None
@@ -516,23 +387,3 @@
         if not admission.is_admitted:
             self.end_waiting(attempt, admission.reason, admission.retry_after)
         self.changed.set()
-
-    def clean_up_attempts(self) -> None:
-        """Cancel abandoned attempts and remove those whose retention has ended."""
-        now = self.clock()
-        for attempt in self.live():
-            is_held = attempt.attempt_id in self.held
-            is_disconnected = attempt.disconnected_at is not None
-            is_abandoned = (
-                is_disconnected and now - attempt.disconnected_at > self.resume_timeout
-            )
-            if is_abandoned and (is_held or attempt.is_repeatable):
-                self.cancel(attempt)
-            elif is_held and now >= attempt.job.deadline:
-                self.end(attempt, Outcome.NOT_RUN, RefusalReason.DEADLINE)
-        for attempt_id in self.answers.remove_expired():
-            attempt = self.attempts.pop(attempt_id)
-            if attempt.is_dispatched and not self.expired_attempts.add(attempt_id):
-                self.unrecorded_until = now + self.expired_attempts.retention
-            for alias in attempt.deliveries:
-                self.aliases.pop(alias, None)
