Let a pause of the test process close no stream of an endpoint under test

Change: the scenario uses the clock that only the test advances, as another one does. What it checks is the same.

--- a/features/endpoint/endpoint.feature
+++ b/features/endpoint/endpoint.feature
@@ -121,7 +121,7 @@
     And the engine has run only "a"
 
   Scenario Outline: Replies about a ticket's attempt are consistent after its answer is discarded
-    Given an endpoint process with 1 slot and a silence timeout of 0.1 seconds
+    Given an endpoint process with 1 slot and a clock that the test advances
     When a ticket is fetched
     And attempt "a" of class "record" for 60 tokens is offered with the ticket
     And the answer of "a" is <state>
