--- a/review/standins2/wire.py
+++ b/review/standins2/wire.py
@@ -30,10 +30,10 @@
         return int(self.start[1])
 
 
-async def read_head(reader: asyncio.StreamReader) -> Message | None:
+async def read_head(reader: asyncio.StreamReader, begun: bytes) -> Message | None:
     """Read the first line and the header fields; None if the channel ends before."""
     try:
-        block = await reader.readuntil(b"\r\n\r\n")
+        block = begun + await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
     lines = block.decode("latin1").split("\r\n")
@@ -42,9 +42,19 @@
     return Message(start=lines[0].split(" ", 2), headers=headers)
 
 
-async def read_message(reader: asyncio.StreamReader) -> Message | None:
-    """Read a complete message; None if the channel ends before its end."""
-    message = await read_head(reader)
+async def read_message(
+    reader: asyncio.StreamReader, begun: bytes = b""
+) -> Message | None:
+    """Read a complete message; None if the channel ends before its end.
+
+    Parameters
+    ----------
+    reader : asyncio.StreamReader
+        The channel.
+    begun : bytes
+        What was read of the message before.
+    """
+    message = await read_head(reader, begun)
     if message is None:
         return None
     try:
