--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -100,7 +100,7 @@
     }
     body = b""
     if method == "POST":
-        body = b"x" * 400
+        body = f"{name:x<400}".encode()
         headers["Content-Length"] = str(len(body))
         headers["Zinniaramp-Model"] = "m"
         headers["Zinniaramp-Token-Usage"] = "17020,120"
--- a/review/standins2/store.py
+++ b/review/standins2/store.py
@@ -48,7 +48,16 @@
             "lease": 0,
         }
         self.items[key] = item
-        self.history.append(item)
+        self._record(item)
+
+    def remove(self, key: str) -> None:
+        """Remove an item, as when a server's entry has expired."""
+        self.revision += 1
+        del self.items[key]
+        self._record({"key": key, "revision": self.revision, "tombstone": True})
+
+    def _record(self, change: dict) -> None:
+        self.history.append(change)
         self.changed.set()
         self.changed = asyncio.Event()
 
