--- /dev/null
+++ b/features/deployment/__init__.py
@@ -0,0 +1,1 @@
+"""Support for the features about the deploy file."""
--- a/zinniaramp/standins/platform/process.py
+++ b/zinniaramp/standins/platform/process.py
@@ -57,6 +57,10 @@
         Setting ``grace_s``: time between SIGTERM and SIGKILL, in seconds.
     limits : dict of int
         Fields of the table ``[limits]``; empty leaves the table out.
+    command : tuple of str
+        Program and arguments; by default the gateway with this Python.
+    environment : dict of str
+        Environment variables of the process, beside the path of its settings file.
     callers, ready, peers, metrics : int
         Ports for callers, for readiness checks, for peers and for metrics.
     process : asyncio.subprocess.Process or None
@@ -69,6 +73,8 @@
     seeds: tuple[int, ...] = ()
     grace_s: int = 8
     limits: dict[str, int] = field(default_factory=dict)
+    command: tuple[str, ...] = (sys.executable, "-m", "zinniaramp.daemon.gateway")
+    environment: dict[str, str] = field(default_factory=lambda: dict(os.environ))
     callers: int = field(default_factory=free_port)
     ready: int = field(default_factory=free_port)
     peers: int = field(default_factory=free_port)
@@ -109,10 +115,11 @@
         self.write_settings()
         with self.log_path.open("ab") as output:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "zinniaramp.daemon.gateway",
-                env={**os.environ, "ZINNIARAMP_NODE_FILE": str(self.settings_path)},
+                *self.command,
+                env={
+                    **self.environment,
+                    "ZINNIARAMP_NODE_FILE": str(self.settings_path),
+                },
                 stdout=output,
             )
 
