--- a/features/deployment/libraries.py
+++ b/features/deployment/libraries.py
@@ -14,6 +14,7 @@
     "libraries_of_directory",
     "libraries_of_program",
     "read_declared",
+    "read_deploy_file",
     "read_pins",
 ]
 
@@ -28,6 +29,11 @@
     return re.sub(r"[-_.]+", "-", name).lower()
 
 
+def read_deploy_file():
+    """Return the contents of the deploy file."""
+    return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+
+
 def read_pins(path):
     """Return the version of each library in a list of pinned requirements."""
     lines = (ROOT / path).read_text().split()
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -2,17 +2,16 @@
 
 import os
 import shlex
-import tomllib
 import venv
 
 from behave import then, when
 
 from features.deployment.libraries import (
-    ROOT,
     install_libraries,
     libraries_of_directory,
     libraries_of_program,
     read_declared,
+    read_deploy_file,
     read_pins,
 )
 from zinniaramp.standins.platform import GatewayProcess
@@ -23,11 +22,6 @@
 """Directories whose modules may import the libraries for development."""
 
 
-def read_deploy_file():
-    """Return the contents of the deploy file."""
-    return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
-
-
 @when(
     "the gateway of the deploy file is started where only its libraries are installed"
 )
