Treat an answer that ends during the upload as incomplete

Cause: a reset that arrives during the answer was seen already. A server process that ends has its host close the connection first, if nothing of the upload lies unread, and reset it only when more of it arrives. The gateway took the close for the end of the body and closed the connection.

Change: when the connection ends a body without a length, the gateway looks whether a part of the request waits in its own buffer or in the kernel's. Such an answer is incomplete: 502, or a retry where the route allows it. The rarer case of a server that ends its answer early, keeps reading and then closes gets the same: nothing distinguishes the two at that moment.

Result: features/gateway/broken_answers.feature.

--- /dev/null
+++ b/features/gateway/broken_answers.feature
@@ -0,0 +1,38 @@
+Feature: Answers that break off are never forwarded as complete
+
+  Guards against an answer without a length whose connection ended while a long request
+  was still being sent: its part was forwarded as the whole body.
+
+  Background:
+    Given a store with the usual configuration
+
+  Scenario Outline: A part of an answer to a long upload is not complete: <path>, <end>
+    Given a server that answers "<answer>" without a length, and whose connection is <end>
+    And a gateway that is ready
+    When "POST <path>" is sent with a body of 900000 bytes
+    Then the reply is not a complete success
+    And the ended send is logged with a problem
+
+    Examples: Plain answers
+      | path    | answer        | end                   |
+      | /book/x | a part of it  | reset                 |
+      | /book/x | a part of it  | reset at once         |
+      | /book/x | a part of it  | closed                |
+      | /book/x | a part of it  | closed and then reset |
+      | /read/x | a part of it  | reset                 |
+      | /read/x | a part of it  | closed and then reset |
+      | /book/x |               | reset                 |
+      | /book/x |               | closed and then reset |
+
+    Examples: Streams
+      | path      | answer              | end                   |
+      | /tell/x   | id: 1\ndata: x\n\n  | reset                 |
+      | /tell/x   | id: 1\ndata: x\n\n  | closed and then reset |
+      | /resume/x | id: 1\ndata: x\n\n  | reset                 |
+      | /resume/x | id: 1\ndata: x\n\n  | closed and then reset |
+
+  Scenario: An answer without a length to an upload that was received is complete
+    Given a server that reads each request, and then answers "all of it" without a length
+    And a gateway that is ready
+    When "POST /book/x" is sent with a body of 900000 bytes
+    Then the reply is 200 with a signature
--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -254,11 +254,13 @@
 
         await self.wait_until(is_logged)
 
-    def publish(self, name, *, state="ready", service="plain", born=1000, **fields):
+    def publish(
+        self, name, *, state="ready", service="plain", born=1000, port=None, **fields
+    ):
         """Publish the entry of a server in the store."""
         entry = {
             "service": service,
-            "address": f"{LOOPBACK}:{self.servers[name].port}",
+            "address": f"{LOOPBACK}:{port or self.servers[name].port}",
             "zone": "a",
             "version": "v1",
             "slots": 6,
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -19,7 +19,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
-from ..sockets import Address, ConnectError, open_stream
+from ..sockets import Address, ConnectError, count_unacknowledged, open_stream
 
 __all__ = [
     "Answer",
@@ -105,7 +105,36 @@
 
 
 class _AnswerStream(IOStream):
-    """Connection to an endpoint, which accepts only header blocks with few fields."""
+    """Connection to an endpoint, which accepts only header blocks with few fields.
+
+    Attributes
+    ----------
+    ends_body : bool
+        Whether the end of the connection is the end of the answer's body.
+    had_unsent_bytes : bool
+        Whether a part of the request had not reached the endpoint's host at that end.
+    """
+
+    ends_body = False
+    had_unsent_bytes = False
+
+    def close(self, exc_info=False) -> None:
+        """Close the connection; the HTTP library also calls this at its end."""
+        if self.ends_body and not self.closed():
+            self.had_unsent_bytes = (
+                self.writing() or count_unacknowledged(self.socket) > 0
+            )
+        super().close(exc_info)
+
+    def find_end_problem(self) -> str:
+        """Return why the end of the connection does not complete a body, or nothing."""
+        if self.error is not None:
+            return repr(self.error)
+        if self.had_unsent_bytes:
+            # An endpoint that fails while it receives the request ends the connection
+            # like this.  It resets it only when more of the request arrives.
+            return "connection closed before the end of the request"
+        return ""
 
     async def read_until_regex(
         self, regex: bytes, max_bytes: int | None = None
@@ -126,16 +155,16 @@
 class _AnswerReader(HTTPMessageDelegate):
     """Queues the head, chunks and end of the answer that a connection receives."""
 
-    def __init__(self, *, queue: asyncio.Queue[AnswerMessage], stream: IOStream):
+    def __init__(self, *, queue: asyncio.Queue[AnswerMessage], stream: _AnswerStream):
         self.queue = queue
         self.stream = stream
-        self.is_framed = False
         self.end_task: asyncio.Task | None = None
 
     def headers_received(self, start_line: ResponseStartLine, headers: HTTPHeaders):
         if start_line.code < MIN_FINAL_STATUS:
             return None
-        self.is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        self.stream.ends_body = not is_framed
         head = AnswerHead(
             status=start_line.code, reason=start_line.reason, headers=headers
         )
@@ -146,14 +175,10 @@
 
     def finish(self) -> None:
         # The end is queued here because `read_response` returns only after the
-        # endpoint has read the whole request.  A body without a length ends when the
-        # connection closes, but a reset leaves it incomplete.
-        error = None if self.is_framed else self.stream.error
-        end = AnswerEnd(
-            is_complete=error is None,
-            problem=repr(error) if error else "",
-            is_closed=not self.is_framed,
-        )
+        # endpoint has read the whole request.
+        ends_body = self.stream.ends_body
+        problem = self.stream.find_end_problem() if ends_body else ""
+        end = AnswerEnd(is_complete=not problem, problem=problem, is_closed=ends_body)
         self.end_task = asyncio.create_task(self.queue.put(end))
 
 
@@ -162,13 +187,13 @@
 
     Parameters
     ----------
-    stream : IOStream
+    stream : _AnswerStream
         Connected stream; `close` closes it.
     """
 
     __slots__ = ("stream", "queue", "task")
 
-    def __init__(self, *, stream: IOStream):
+    def __init__(self, *, stream: _AnswerStream):
         self.stream = stream
         self.queue: asyncio.Queue[AnswerMessage] = asyncio.Queue(MAX_QUEUED_MESSAGES)
         self.task: asyncio.Task | None = None
--- a/zinniaramp/sockets/__init__.py
+++ b/zinniaramp/sockets/__init__.py
@@ -1,10 +1,18 @@
 """TCP connections with keep-alive, so that an unreachable peer is detected."""
 
-from .core import Address, ConnectError, enable_keepalive, open_stream, parse_address
+from .core import (
+    Address,
+    ConnectError,
+    count_unacknowledged,
+    enable_keepalive,
+    open_stream,
+    parse_address,
+)
 
 __all__ = [
     "Address",
     "ConnectError",
+    "count_unacknowledged",
     "enable_keepalive",
     "open_stream",
     "parse_address",
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -1,6 +1,9 @@
 """TCP connections by IP address, with short intervals of keep-alive probes."""
 
+import fcntl
 import socket
+import sys
+import termios
 from dataclasses import dataclass
 from datetime import timedelta
 from ipaddress import IPv4Address
@@ -13,6 +16,7 @@
 __all__ = [
     "Address",
     "ConnectError",
+    "count_unacknowledged",
     "enable_keepalive",
     "open_stream",
     "parse_address",
@@ -34,6 +38,10 @@
 detection by probes takes."""
 
 
+INT_BYTES = 4
+"""Size of the integer that ``TIOCOUTQ`` returns, in bytes."""
+
+
 class ConnectError(ConnectionError):
     """The connection could not be established; nothing was sent.
 
@@ -96,6 +104,31 @@
     )
 
 
+def count_unacknowledged(connection: socket.socket) -> int:
+    """Return the number of written bytes that the peer's host has not acknowledged.
+
+    Parameters
+    ----------
+    connection : socket.socket
+        Connected TCP socket.
+
+    Returns
+    -------
+    int
+        Bytes in the send queue of the kernel; 0 if the system does not report them.
+
+    References
+    ----------
+    Linux manual, tcp(7), ``SIOCOUTQ``.
+    """
+    count = bytearray(INT_BYTES)
+    try:
+        fcntl.ioctl(connection, termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 async def open_stream(
     address: Address, *, timeout: timedelta, stream_class: type[IOStream] = IOStream
 ) -> Result[IOStream, ConnectError]:
