End an attempt as unknown if its answer ends during the upload

Cause: as in the gateway. libcurl takes the close that comes before the reset for the end of the body, and reports success.

Change: the transfer follows how much of the request libcurl has written and how much of that the kernel still holds. A body that the end of the connection ends is an error while any is left.

Engines were not affected, as their streams end with an event of their own. A scenario of the gateway checks that a 204, which has no body to cut, stays complete.

--- a/features/endpoint/rig.py
+++ b/features/endpoint/rig.py
@@ -284,15 +284,25 @@
         self.wait_until(lambda: self.received(kind, attempt_id), description)
         return self.received(kind, attempt_id)[-1]
 
-    def offer(self, name, class_name, tokens, *, ticket="", credit=1000, deadline_s=30):
-        """Offer a chat attempt."""
-        body = {
+    def offer(
+        self,
+        name,
+        class_name,
+        tokens,
+        *,
+        ticket="",
+        credit=1000,
+        deadline_s=30,
+        body=None,
+    ):
+        """Offer a chat attempt, or one with another body."""
+        document = {
             "model": MODEL,
             "messages": [{"role": "user", "content": name}],
             "max_tokens": tokens,
             "metadata": {"mark": name, "output_tokens": tokens},
         }
-        self.offers[name] = body
+        self.offers[name] = document
         if ticket:
             self.ticketed.add(name)
         self.send(
@@ -307,7 +317,7 @@
                 method="POST",
                 path="/v1/chat/completions",
                 headers=[],
-                body=json.dumps(body).encode(),
+                body=body or json.dumps(document).encode(),
                 credit=credit,
             )
         )
--- a/features/gateway/broken_answers.feature
+++ b/features/gateway/broken_answers.feature
@@ -36,3 +36,9 @@
     And a gateway that is ready
     When "POST /book/x" is sent with a body of 900000 bytes
     Then the reply is 200 with a signature
+
+  Scenario: An answer without a body is complete before the upload is
+    Given a server that sends the signed head "HTTP/1.1 204 No Content", and whose connection is closed and then reset
+    And a gateway that is ready
+    When "POST /book/x" is sent with a body of 900000 bytes
+    Then the reply is 204 with a signature
--- /dev/null
+++ b/features/steps/endpoint_broken_answers_steps.py
@@ -0,0 +1,42 @@
+"""Steps for engines and services whose answers break off, or have no valid head."""
+
+import json
+
+from behave import given, when
+
+from features.endpoint.rig import Rig
+from features.support.scripted_server import ScriptedServer
+
+
+def start_for_server(context, kind, answer, end, **options):
+    """Start an endpoint process for a server that answers with given bytes."""
+    rig = context.rig = Rig(kind=kind)
+    context.add_cleanup(rig.close)
+    text = answer.encode().decode("unicode_escape")
+    context.server = ScriptedServer(
+        answer=text, end=end, port=rig.engine_port, **options
+    )
+    rig.tasks.append(rig.loop.create_task(context.server.run()))
+    rig.start()
+
+
+@given(
+    'an endpoint process for {kind} that answers "{answer}", '
+    "and whose connection is {end}"
+)
+def start_for_scripted_server(context, kind, answer, end):
+    start_for_server(context, kind, answer, end)
+
+
+@given(
+    "an endpoint process for a service that reads each request "
+    'before it answers "{answer}"'
+)
+def start_for_reading_server(context, answer):
+    start_for_server(context, "service", answer, "closed", reads_body=True)
+
+
+@when('attempt "{name}" with a body of {count:d} bytes is offered')
+def offer_with_body(context, name, count):
+    body = json.dumps({"text": "x" * count}).encode()
+    context.rig.offer(name, "question", 1, body=body)
--- a/features/steps/gateway_broken_answers_steps.py
+++ b/features/steps/gateway_broken_answers_steps.py
@@ -36,6 +36,11 @@
     start_server(context, f"{SUCCESS_HEAD}\r\n{unescape(answer)}", end)
 
 
+@given('a server that sends the signed head "{line}", and whose connection is {end}')
+def start_with_head(context, line, end):
+    start_server(context, f"{line}\r\n{SIGNED_HEADERS}\r\n", end)
+
+
 @given('a server that reads each request, and then answers "{answer}" without a length')
 def start_that_reads(context, answer):
     answer = f"{SUCCESS_HEAD}\r\n{answer}"
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -14,6 +14,8 @@
     parse_response_start_line,
 )
 
+from ..sockets import count_unacknowledged
+
 __all__ = [
     "BodyData",
     "EngineCall",
@@ -65,6 +67,10 @@
 """
 
 
+BODY_FRAMING_HEADERS = frozenset(("Content-Length", "Transfer-Encoding"))
+"""Headers that tell where a body ends; without them the connection's end does."""
+
+
 class EngineError(Exception):
     """The engine cannot be reached, or failed during a response."""
 
@@ -156,6 +162,13 @@
         Response headers received so far.
     status : int
         HTTP status of the response; 0 if unknown.
+    ends_body : bool
+        Whether the end of the connection is the end of the response's body.
+    descriptor : int
+        File descriptor of the connection.
+    unsent_bytes : int
+        Bytes of the request that had not reached the engine when libcurl last
+        processed the transfer; only known if `ends_body` is true.
     """
 
     __slots__ = (
@@ -167,6 +180,9 @@
         "response",
         "head",
         "status",
+        "ends_body",
+        "descriptor",
+        "unsent_bytes",
     )
 
     def __init__(self):
@@ -178,6 +194,9 @@
         self.response: asyncio.Future | None = None
         self.head = HTTPHeaders()
         self.status = 0
+        self.ends_body = False
+        self.descriptor = -1
+        self.unsent_bytes = 0
 
     def prepare(self, curl: pycurl.Curl) -> None:
         """Set options of libcurl that tornado's client does not expose."""
@@ -189,9 +208,21 @@
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self.on_progress)
         curl.setopt(pycurl.HEADERFUNCTION, self.on_header)
+        curl.setopt(pycurl.SOCKOPTFUNCTION, self.on_socket)
+
+    def on_socket(self, descriptor: int, _) -> int:
+        """Record the connection's descriptor; 0 makes libcurl continue."""
+        self.descriptor = descriptor
+        return pycurl.SOCKOPT_OK
 
-    def on_progress(self, *_) -> int:
-        """Return nonzero, which makes libcurl end the transfer, if it was aborted."""
+    def on_progress(self, _total: int, _received: int, size: int, sent: int) -> int:
+        """Return nonzero, which makes libcurl end the transfer, if it was aborted.
+
+        libcurl also calls this at the end of the transfer, before it closes the
+        connection.
+        """
+        if self.ends_body:
+            self.unsent_bytes = size - sent + count_unacknowledged(self.descriptor)
         return int(self.is_aborted)
 
     def on_header(self, line: bytes) -> None:
@@ -206,6 +237,7 @@
         elif text:
             self.head.parse_line(text)
         elif self.status >= 200:
+            self.ends_body = not BODY_FRAMING_HEADERS & set(self.head)
             self.enqueue(
                 ResponseHead(status=self.status, headers=end_to_end_headers(self.head))
             )
@@ -221,12 +253,20 @@
         self.curl = None
         try:
             future.result()
-            self.end(TransferEnd(error=None, is_sent=True))
+            self.end(TransferEnd(error=self.find_end_error(), is_sent=True))
         except (HTTPError, OSError, ValueError, KeyError) as error:
             number = getattr(error, "errno", None)
             is_sent = number not in NEVER_SENT_ERRORS
             self.end(TransferEnd(error=EngineError(str(error)), is_sent=is_sent))
 
+    def find_end_error(self) -> EngineError | None:
+        """Return why a response that libcurl takes for complete may not be."""
+        if self.ends_body and self.unsent_bytes:
+            # An engine that fails while it receives the request ends the connection
+            # like this.  It resets it only when more of the request arrives.
+            return EngineError("connection closed before the end of the request")
+        return None
+
     def enqueue(self, item: TransferItem) -> None:
         """Queue an item unless the transfer has ended."""
         if not self.is_ended:
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -104,13 +104,13 @@
     )
 
 
-def count_unacknowledged(connection: socket.socket) -> int:
+def count_unacknowledged(connection: socket.socket | int) -> int:
     """Return the number of written bytes that the peer's host has not acknowledged.
 
     Parameters
     ----------
-    connection : socket.socket
-        Connected TCP socket.
+    connection : socket.socket or int
+        Connected TCP socket, or its file descriptor.
 
     Returns
     -------
