End an attempt whose answer has no valid status

What callers saw: an engine or service that answered with a malformed status ("2000") or with 101, and a body, got no end to its attempt, within the 8 s of the test; by the code nothing frees its slot.

Cause: libcurl takes such a head for that of a final response and delivers the body. The transfer queues no head for it, and the reader of the response needs one: its task ended with "AttributeError: 'NoneType' object has no attribute 'status'", and nothing else ends the attempt. Found with the report of a status 000, which libcurl itself refuses: such an attempt ended as unknown before, too.

Change: the first byte of a body without a head ends the transfer with an error, which names the status.

Result: nine new scenarios with 000, 099, 20, 2000 and 101, for engines and services, with and without a length.

--- a/features/endpoint/broken_answers.feature
+++ b/features/endpoint/broken_answers.feature
@@ -22,3 +22,20 @@
     Given an endpoint process for a service that reads each request before it answers "HTTP/1.1 200 OK\r\n\r\nall of it"
     When attempt "a" with a body of 2000000 bytes is offered
     Then "a" ends as "done"
+
+  Scenario Outline: An answer without a valid status is none: <kind>, <line>, <fields>
+    Given an endpoint process for <kind> that answers "<line>\r\n<fields>\r\ndata: [DONE]\n\n", and whose connection is closed
+    When attempt "a" with a body of 100 bytes is offered
+    Then "a" ends as "unknown" and has no answer
+
+    Examples:
+      | kind    | line                         | fields                 |
+      | service | HTTP/1.1 000 Trouble         | Content-Length: 14\r\n |
+      | service | HTTP/1.1 000 Trouble         |                        |
+      | service | HTTP/1.1 099 Trouble         | Content-Length: 14\r\n |
+      | service | HTTP/1.1 2000 OK             | Content-Length: 14\r\n |
+      | service | HTTP/1.1 20 OK               | Content-Length: 14\r\n |
+      | service | HTTP/1.1 101 Switching       |                        |
+      | engine  | HTTP/1.1 000 Trouble         | Content-Length: 14\r\n |
+      | engine  | HTTP/1.1 2000 OK             | Content-Length: 14\r\n |
+      | engine  | HTTP/1.1 101 Switching       |                        |
--- a/features/steps/endpoint_broken_answers_steps.py
+++ b/features/steps/endpoint_broken_answers_steps.py
@@ -2,10 +2,11 @@
 
 import json
 
-from behave import given, when
+from behave import given, then, when
 
 from features.endpoint.rig import Rig
 from features.support.scripted_server import ScriptedServer
+from zinniaramp.contracts import Chunk, End, Head
 
 
 def start_for_server(context, kind, answer, end, **options):
@@ -40,3 +41,10 @@
 def offer_with_body(context, name, count):
     body = json.dumps({"text": "x" * count}).encode()
     context.rig.offer(name, "question", 1, body=body)
+
+
+@then('"{name}" ends as "{outcome}" and has no answer')
+def check_ends_without_answer(context, name, outcome):
+    rig = context.rig
+    assert rig.wait_for(End, name).outcome == outcome
+    assert not rig.received(Head, name) and not rig.received(Chunk, name)
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -39,6 +39,9 @@
 MAX_PAUSED_TRANSFERS = 256
 """Maximum number of transfers beyond the engine's slots, for paused requests."""
 
+MIN_FINAL_STATUS = 200
+"""Lowest final status; lower ones are interim responses, or no status."""
+
 NEVER_SENT_ERRORS = {
     pycurl.E_COULDNT_RESOLVE_HOST,
     pycurl.E_COULDNT_CONNECT,
@@ -162,6 +165,8 @@
         Response headers received so far.
     status : int
         HTTP status of the response; 0 if unknown.
+    has_head : bool
+        Whether a final response has begun, with a valid status.
     ends_body : bool
         Whether the end of the connection is the end of the response's body.
     descriptor : int
@@ -180,6 +185,7 @@
         "response",
         "head",
         "status",
+        "has_head",
         "ends_body",
         "descriptor",
         "unsent_bytes",
@@ -194,6 +200,7 @@
         self.response: asyncio.Future | None = None
         self.head = HTTPHeaders()
         self.status = 0
+        self.has_head = False
         self.ends_body = False
         self.descriptor = -1
         self.unsent_bytes = 0
@@ -236,14 +243,22 @@
                 self.status = 0
         elif text:
             self.head.parse_line(text)
-        elif self.status >= 200:
+        elif self.status >= MIN_FINAL_STATUS:
+            self.has_head = True
             self.ends_body = not BODY_FRAMING_HEADERS & set(self.head)
             self.enqueue(
                 ResponseHead(status=self.status, headers=end_to_end_headers(self.head))
             )
 
     def on_data(self, data: bytes) -> None:
-        """Handle bytes of the response body; bytes after its end end the transfer."""
+        """Handle bytes of the response body; the transfer ends at any others.
+
+        These follow the end of the body, or a head that is not one of a final response
+        by its status, though libcurl takes it for one.
+        """
+        if not self.has_head:
+            error = EngineError(f"body of an answer with status {self.status}")
+            self.end(TransferEnd(error=error, is_sent=True))
         if self.is_ended:
             self.is_aborted = True
         self.enqueue(BodyData(data=data))
