Name the status of an answer that is refused for it

What callers saw: nothing wrong. The report was that an answer with status 000 reached a client as an answer. Here callers get 502, or a retry: the gateway has dropped the heads of all statuses below 200 as interim ones. But the HTTP library takes a status below 100 for a final one, so the body came without a head: the log had the problem "body before headers", or none, and a server that kept its connection open was counted as one that had closed it, which the crash detection then checks.

Change: a header block with a status below 100 is refused before it is parsed, like one with too many fields, and the reason of both is logged.

Result: ten new scenarios with 000, 099, 2000, 0200 and 101, on plain answers and streams.

--- a/features/gateway/broken_answers.feature
+++ b/features/gateway/broken_answers.feature
@@ -42,3 +42,23 @@
     And a gateway that is ready
     When "POST /book/x" is sent with a body of 900000 bytes
     Then the reply is 204 with a signature
+
+  Scenario Outline: An answer without a valid status is none: <request>, <line>
+    Given a server that sends "<line>" with a signed <body>, and whose connection is closed
+    And a gateway that is ready
+    When "<request>" is sent
+    Then the reply is 502 without a signature
+    And the ended send is logged with the problem "<problem>"
+
+    Examples:
+      | request       | line                 | body                  | problem      |
+      | POST /book/x  | HTTP/1.1 000 Trouble | body                  | status 000   |
+      | POST /book/x  | HTTP/1.1 000 Trouble | empty body            | status 000   |
+      | POST /book/x  | HTTP/1.1 000 Trouble | body without a length | status 000   |
+      | POST /book/x  | HTTP/1.1 099 Trouble | body                  | status 099   |
+      | POST /book/x  | HTTP/1.1 2000 OK     | body                  | malformed    |
+      | POST /book/x  | HTTP/1.1 0200 OK     | body                  | malformed    |
+      | POST /book/x  | HTTP/1.1 101 Switch  | body without a length | malformed    |
+      | GET /read/x   | HTTP/1.1 000 Trouble | body                  | status 000   |
+      | GET /tell/x   | HTTP/1.1 000 Trouble | body                  | status 000   |
+      | GET /resume/x | HTTP/1.1 000 Trouble | body                  | status 000   |
--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import re
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -55,6 +56,10 @@
 """Lowest final status; lower ones are interim responses."""
 
 
+LOW_STATUS = re.compile(rb"[\r\n]*HTTP/1\.\d (0\d\d)\b")
+"""Start of a header block whose status is below 100."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class UpstreamRequest:
     """A request as it is sent to an endpoint."""
@@ -105,16 +110,19 @@
 
 
 class _AnswerStream(IOStream):
-    """Connection to an endpoint, which accepts only header blocks with few fields.
+    """Connection to an endpoint, which checks header blocks before they are parsed.
 
     Attributes
     ----------
+    head_problem : str
+        Why a header block was refused; empty if none was.
     ends_body : bool
         Whether the end of the connection is the end of the answer's body.
     had_unsent_bytes : bool
         Whether a part of the request had not reached the endpoint's host at that end.
     """
 
+    head_problem = ""
     ends_body = False
     had_unsent_bytes = False
 
@@ -144,11 +152,16 @@
         Raises
         ------
         HTTPInputError
-            The block has more than `MAX_HEADER_FIELDS` lines.
+            The block has more than `MAX_HEADER_FIELDS` lines, or a status below 100,
+            which the HTTP library takes for that of a final response.
         """
         block = await super().read_until_regex(regex, max_bytes)
         if block.count(b"\n") > MAX_HEADER_FIELDS:
-            raise HTTPInputError(f"more than {MAX_HEADER_FIELDS} header fields")
+            self.head_problem = f"more than {MAX_HEADER_FIELDS} header fields"
+        elif found := LOW_STATUS.match(block):
+            self.head_problem = f"status {found[1].decode()}"
+        if self.head_problem:
+            raise HTTPInputError(self.head_problem)
         return block
 
 
@@ -234,6 +247,7 @@
         is_closed = False
         try:
             await connection.read_response(messages)
+            problem = self.stream.head_problem or problem
         except (StreamClosedError, UnsatisfiableReadError, ValueError) as error:
             problem = repr(error)
             is_closed = isinstance(error, StreamClosedError)
