Show that an answer whose head breaks off is no answer

The report: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER).

Here: no. 24 new scenarios cut the head after the status, within a field, after a length, after "chunked", before the empty line and after an interim answer, by a close or a reset, in front of the gateway (plain answers and streams) and of an endpoint process (services and engines). 23 of them passed on: callers of the gateway get 502, or a retry, and attempts end as unknown without any part of an answer.

One failed: libcurl also delivers the beginning of a line at which the connection closes, and a carriage return alone counted as the empty line. The endpoint process then delivered a head with status 200 before the attempt ended as unknown. A line without its end is ignored now.

--- a/features/endpoint/broken_answers.feature
+++ b/features/endpoint/broken_answers.feature
@@ -39,3 +39,22 @@
       | engine  | HTTP/1.1 000 Trouble         | Content-Length: 14\r\n |
       | engine  | HTTP/1.1 2000 OK             | Content-Length: 14\r\n |
       | engine  | HTTP/1.1 101 Switching       |                        |
+
+  Scenario Outline: An answer whose head breaks off is none: <kind>, after "<head>", <end>
+    Given an endpoint process for <kind> that answers "<head>", and whose connection is <end>
+    When attempt "a" with a body of 100 bytes is offered
+    Then "a" ends as "unknown" and has no answer
+
+    Examples:
+      | kind    | head                                                      | end    |
+      | service | HTTP/1.1 200                                              | closed |
+      | service | HTTP/1.1 200 OK\r\n                                       | closed |
+      | service | HTTP/1.1 200 OK\r\nContent-Le                             | closed |
+      | service | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n                  | closed |
+      | service | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n                  | reset  |
+      | service | HTTP/1.1 200 OK\r\nContent-Length: 12\r\n                 | closed |
+      | service | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n         | closed |
+      | service | HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r         | closed |
+      | service | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n          | closed |
+      | engine  | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n                  | closed |
+      | engine  | HTTP/1.1 200 OK\r\n                                       | reset  |
--- a/features/gateway/broken_answers.feature
+++ b/features/gateway/broken_answers.feature
@@ -62,3 +62,29 @@
       | GET /read/x   | HTTP/1.1 000 Trouble | body                  | status 000   |
       | GET /tell/x   | HTTP/1.1 000 Trouble | body                  | status 000   |
       | GET /resume/x | HTTP/1.1 000 Trouble | body                  | status 000   |
+
+  Scenario Outline: An answer whose head breaks off is none: <request>, after "<head>", <end>
+    Given a server that sends the bytes "<head>", and whose connection is <end>
+    And a gateway that is ready
+    When "<request>" is sent
+    Then the reply is 502 without a signature
+    And the ended send is logged with a problem
+
+    Examples: Plain answers
+      | request      | head                                                                     | end    |
+      | POST /book/x | HTTP/1.1 200                                                             | closed |
+      | POST /book/x | HTTP/1.1 200 OK\r\n                                                      | closed |
+      | POST /book/x | HTTP/1.1 200 OK\r\n{signed}Content-Le                                    | closed |
+      | POST /book/x | HTTP/1.1 200 OK\r\n{signed}Content-Length: 0\r\n                         | closed |
+      | POST /book/x | HTTP/1.1 200 OK\r\n{signed}Content-Length: 0\r\n                         | reset  |
+      | POST /book/x | HTTP/1.1 200 OK\r\n{signed}Content-Length: 12\r\n                        | closed |
+      | POST /book/x | HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n                | closed |
+      | POST /book/x | HTTP/1.1 200 OK\r\n{signed}\r                                            | closed |
+      | POST /book/x | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n{signed}                 | closed |
+      | GET /read/x  | HTTP/1.1 200 OK\r\n{signed}Content-Length: 0\r\n                         | closed |
+
+    Examples: Streams
+      | request       | head                                                                    | end    |
+      | GET /tell/x   | HTTP/1.1 200 OK\r\n{signed}                                             | closed |
+      | GET /tell/x   | HTTP/1.1 200 OK\r\n{signed}Transfer-Encoding: chunked\r\n               | reset  |
+      | GET /resume/x | HTTP/1.1 200 OK\r\n{signed}Content-Length: 0\r\n                        | closed |
--- a/features/steps/endpoint_broken_answers_steps.py
+++ b/features/steps/endpoint_broken_answers_steps.py
@@ -46,5 +46,6 @@
 @then('"{name}" ends as "{outcome}" and has no answer')
 def check_ends_without_answer(context, name, outcome):
     rig = context.rig
-    assert rig.wait_for(End, name).outcome == outcome
+    end = rig.wait_for(End, name)
+    assert end.outcome == outcome, end
     assert not rig.received(Head, name) and not rig.received(Chunk, name)
--- a/features/steps/gateway_broken_answers_steps.py
+++ b/features/steps/gateway_broken_answers_steps.py
@@ -55,6 +55,11 @@
     start_server(context, f"{line}\r\n{SIGNED_HEADERS}{BODIES[body]}", end)
 
 
+@given('a server that sends the bytes "{text}", and whose connection is {end}')
+def start_with_bytes(context, text, end):
+    start_server(context, unescape(text).replace("{signed}", SIGNED_HEADERS), end)
+
+
 @given('a server that reads each request, and then answers "{answer}" without a length')
 def start_that_reads(context, answer):
     answer = f"{SUCCESS_HEAD}\r\n{answer}"
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -233,7 +233,12 @@
         return int(self.is_aborted)
 
     def on_header(self, line: bytes) -> None:
-        """Handle one line of the response head."""
+        """Handle one line of the response head.
+
+        libcurl also delivers the beginning of a line when the connection closes there.
+        """
+        if not line.endswith(b"\n"):
+            return
         text = line.decode("latin-1").rstrip("\r\n")
         if text.startswith("HTTP/"):
             self.head.clear()
