Read the imports of the package in one place

The scenario "Everything that the package imports is a declared dependency" had a reader of imports of its own, beside the one that now compares the lists of libraries. It uses that one and checks as much as before; where a package has several providers, now all of them have to be declared.

--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -1,20 +1,14 @@
 """Steps for the end-to-end request path."""
 
-import ast
 import json
-import sys
-import tomllib
 import urllib.request
-from importlib.metadata import packages_distributions
-from pathlib import Path
 
 from behave import given, then, when
 
+from features.deployment.libraries import libraries_of_directory, read_declared
 from zinniaramp.standins import expected_text
 from zinniaramp.standins.fleet import MODEL, bring_up
 
-ROOT = Path(__file__).resolve().parents[2]
-
 
 def processes_of(context, role):
     """Return the scenario's processes of one role."""
@@ -87,32 +81,12 @@
     assert has_event(endpoint, "attempt-placed", context.request_id)
 
 
-def imported_names(path):
-    """Return the top-level packages that a module imports by absolute imports."""
-    names = set()
-    for node in ast.walk(ast.parse(path.read_text())):
-        if isinstance(node, ast.Import):
-            names |= {alias.name.partition(".")[0] for alias in node.names}
-        elif isinstance(node, ast.ImportFrom) and node.level == 0:
-            names.add(node.module.partition(".")[0])
-    return names
-
-
 @when("the imports of every module of the package are read")
 def read_imports(context):
-    modules = (ROOT / "zinniaramp").rglob("*.py")
-    context.imported = set().union(*map(imported_names, modules))
+    context.imported = libraries_of_directory("zinniaramp")
 
 
 @then("each is from the package, the standard library or a declared dependency")
 def check_imports(context):
-    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
-    declared = {line.split(">=")[0].lower() for line in project["dependencies"]}
-    distributions = packages_distributions()
-    foreign = context.imported - sys.stdlib_module_names - {"zinniaramp"}
-    undeclared = {
-        name
-        for name in foreign
-        if not declared & {one.lower() for one in distributions.get(name, [name])}
-    }
+    undeclared = context.imported - read_declared(with_dev=False)
     assert not undeclared, undeclared
