Exit with "unknown" if a connection is lost after it was made

What users saw: `zinniaramp send` exited with 3, "not reached", when a connection was reset or an answer was cut off, although the request may have run; the code for that is 5.

Cause: tornado's client raises an error of libcurl even with raise_error=False. The code that distinguishes the two looked for an answer with status 599, which there never is.

Change: the distinction is made where the error is caught.

--- a/features/support/scripted_server.py
+++ b/features/support/scripted_server.py
@@ -76,7 +76,7 @@
             self.requests += 1
             head = data.partition(b"\r\n\r\n")[0]
             if self.reads_body:
-                size = len(head) + 4 + int(read_header(head, "Content-Length"))
+                size = len(head) + 4 + int(read_header(head, "Content-Length") or 0)
                 await read_until(connection, lambda data: len(data) >= size, data)
             answer = self.answer.replace("{id}", read_header(head, "Request-Id"))
             await loop.sock_sendall(connection, answer.encode())
--- a/zinniaramp/commands/operators.py
+++ b/zinniaramp/commands/operators.py
@@ -85,11 +85,9 @@
     try:
         response = asyncio.run(fetch())
     except (HTTPError, OSError) as error:
-        fail(f"{url}: {error}", EXIT_UNREACHABLE)
-    if response.code == 599:
-        may_be_sent = response.error.errno not in CONNECT_ERRORS
+        may_be_sent = getattr(error, "errno", None) not in CONNECT_ERRORS
         code = lost_connection_code if may_be_sent else EXIT_UNREACHABLE
-        fail(f"{url}: {response.error}", code)
+        fail(f"{url}: {error}", code)
     return Answer(
         status=response.code,
         headers=dict(response.headers.get_all()),
