Report an answer whose head broke off as a lost connection

What users saw: if an entry process ended in the middle of an answer's head, `zinniaramp send` printed nothing and exited with 0, as after an empty answer. An endpoint process took an order to its engine (pause, resume, cancel) for confirmed.

Cause: libcurl reports success when a connection closes within a header block, with the status that it has read and an empty body. Forwarded answers are read line by line and were not affected; these two calls used what the client returned.

Change: both record the lines of the head and check that it has an end.

Reads of JSON by the same client were not affected: an empty body is not JSON.

--- a/features/endpoint/broken_answers.feature
+++ b/features/endpoint/broken_answers.feature
@@ -58,3 +58,14 @@
       | service | HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n          | closed |
       | engine  | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n                  | closed |
       | engine  | HTTP/1.1 200 OK\r\n                                       | reset  |
+
+  Scenario Outline: An order whose answer has a broken head is not confirmed: "<head>"
+    Given an endpoint process for engine that answers "<head>", and whose connection is closed
+    When an order is sent to the engine
+    Then the order has <result>
+
+    Examples:
+      | head                                              | result    |
+      | HTTP/1.1 200 OK\r\n                               | failed    |
+      | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n          | failed    |
+      | HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n      | succeeded |
--- a/features/steps/endpoint_broken_answers_steps.py
+++ b/features/steps/endpoint_broken_answers_steps.py
@@ -7,6 +7,7 @@
 from features.endpoint.rig import Rig
 from features.support.scripted_server import ScriptedServer
 from zinniaramp.contracts import Chunk, End, Head
+from zinniaramp.endpoint.engine import EngineOrder
 
 
 def start_for_server(context, kind, answer, end, **options):
@@ -49,3 +50,15 @@
     end = rig.wait_for(End, name)
     assert end.outcome == outcome, end
     assert not rig.received(Head, name) and not rig.received(Chunk, name)
+
+
+@when("an order is sent to the engine")
+def send_order(context):
+    rig = context.rig
+    engine = rig.process.executor.engine
+    context.result = rig.run(engine.order("a", EngineOrder.CANCEL))
+
+
+@then("the order has {result}")
+def check_order(context, result):
+    assert context.result.is_ok() == (result == "succeeded"), context.result
--- a/zinniaramp/commands/operators.py
+++ b/zinniaramp/commands/operators.py
@@ -8,6 +8,7 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError
 
+from ..reads import has_whole_head
 from .output import EXIT_UNREACHABLE, fail, print_json, verb
 
 __all__ = ["Answer", "base_url", "drain", "send_request", "status"]
@@ -67,6 +68,7 @@
         Exit code if the request fails otherwise than by `CONNECT_ERRORS`; a part of
         it may have been sent.
     """
+    head: list[str] = []
 
     async def fetch():
         client = CurlAsyncHTTPClient(force_instance=True)
@@ -80,6 +82,7 @@
             request_timeout=timeout_s,
             streaming_callback=on_data,
             raise_error=False,
+            header_callback=head.append,
         )
 
     try:
@@ -88,6 +91,8 @@
         may_be_sent = getattr(error, "errno", None) not in CONNECT_ERRORS
         code = lost_connection_code if may_be_sent else EXIT_UNREACHABLE
         fail(f"{url}: {error}", code)
+    if not has_whole_head(head):
+        fail(f"{url}: connection closed within the answer's head", lost_connection_code)
     return Answer(
         status=response.code,
         headers=dict(response.headers.get_all()),
--- a/zinniaramp/endpoint/engine.py
+++ b/zinniaramp/endpoint/engine.py
@@ -14,6 +14,7 @@
     parse_response_start_line,
 )
 
+from ..reads import has_whole_head
 from ..sockets import count_unacknowledged
 
 __all__ = [
@@ -404,6 +405,7 @@
         Result
             The HTTP status; or `EngineError` if no response arrived in time.
         """
+        head: list[str] = []
         request = HTTPRequest(
             f"{self.url}/v1/requests/{request_id}/{order}",
             method="POST",
@@ -411,11 +413,14 @@
             connect_timeout=CONNECT_TIMEOUT.total_seconds(),
             request_timeout=ORDER_TIMEOUT.total_seconds(),
             follow_redirects=False,
+            header_callback=head.append,
         )
         try:
             response = await self.orders.fetch(request, raise_error=False)
         except (HTTPError, OSError) as error:
             return Err(EngineError(f"engine {self.url}: {order}: {error}"))
+        if not has_whole_head(head):
+            return Err(EngineError(f"engine {self.url}: {order}: no whole answer"))
         return Ok(response.code)
 
 
--- a/zinniaramp/reads/__init__.py
+++ b/zinniaramp/reads/__init__.py
@@ -12,6 +12,7 @@
     parse_retry_after,
     polling_interval,
 )
+from .heads import has_whole_head
 
 __all__ = [
     "MAX_ANSWER_BYTES",
@@ -20,6 +21,7 @@
     "ReadAnswer",
     "ReadError",
     "ReadJson",
+    "has_whole_head",
     "make_answer_reader",
     "make_http_reader",
     "parse_retry_after",
