--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from result import Ok
 
+from features.gateway.exchanges import read_reply, request
 from zinniaramp.daemon.gateway_daemon import Daemon
 from zinniaramp.platform.settings import HostBounds, HostSettings
 from zinniaramp.registry import StoreRevision
@@ -43,80 +44,6 @@
     retry_window=timedelta(seconds=10),
 )
 
-STREAM_PATH_PREFIXES = ("/tell/", "/resume/", "/gaps/", "/ask/", "/sum/", "/talk/")
-API_KEY = "key-1"
-HOSTNAME = "films.example"
-CLIENT_LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": 1_000_000,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15000,
-}
-
-
-def route(name, kind, *, service="plain", attempts=1, timeout_ms=5000, **fields):
-    """Return a route whose path prefix is its name."""
-    return {
-        "name": name,
-        "hostname": HOSTNAME,
-        "prefix": f"/{name}/",
-        "route_type": kind,
-        "timeout_ms": timeout_ms,
-        "target_latency_ms": 400,
-        "priority": 1,
-        "service": service,
-        "max_attempts": attempts,
-        **fields,
-    }
-
-
-def configuration(version=7, *, routes=None, keys=(API_KEY,), **fields):
-    """Return a configuration with the routes that most scenarios use."""
-    return {
-        "version": version,
-        "routes": routes
-        or [
-            route("read", "safe", attempts=2),
-            route("book", "unsafe"),
-            route("tell", "streaming", target_gap_ms=400),
-            route(
-                "resume",
-                "streaming",
-                attempts=2,
-                resumable=True,
-                target_latency_ms=0,
-            ),
-            route("open", "safe", public=True),
-            route("brief", "safe", timeout_ms=300),
-            route("once", "unsafe", attempts=3),
-            route("gaps", "streaming", attempts=2, resumable=True, target_gap_ms=50),
-            route("ask", "streaming", service="model", priority=0, sticky=True),
-            route("sum", "streaming", service="model", priority=2, sticky=True),
-            route("talk", "streaming", service="model", attempts=2, resumable=True),
-        ],
-        "services": [
-            {"name": "plain", "health_path": "/healthz"},
-            {
-                "name": "model",
-                "health_path": "/healthz",
-                "engine": {"slots": 4, "kv_capacity_tokens": 60_000},
-            },
-        ],
-        "limits": CLIENT_LIMITS,
-        "tenants": [{"name": "workshop", "api_keys": list(keys)}],
-        **fields,
-    }
-
-
-@dataclass(slots=True, kw_only=True)
-class Reply:
-    """Answer that a caller received; status 0 if the headers were incomplete."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    is_complete: bool
-
 
 @dataclass(slots=True, kw_only=True)
 class Rig:
@@ -399,56 +326,6 @@
         await self.store.server.close_all_connections()
 
 
-def request(
-    path, *, name="r-1", method="GET", body=b"", deadline_ms=5000, key=API_KEY, lines=()
-):
-    """Return the bytes of an HTTP request."""
-    head = [
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOSTNAME}",
-        f"Zinniaramp-Request-Id: {name}",
-        f"Zinniaramp-Deadline-Ms: {deadline_ms}",
-    ]
-    if key:
-        head.append(f"Authorization: Bearer {key}")
-    if body or method != "GET":
-        head.append(f"Content-Length: {len(body)}")
-    if path.startswith(STREAM_PATH_PREFIXES):
-        head.append("Accept: text/event-stream")
-    head.extend(lines)
-    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
-
-
-async def read_reply(reader, on_headers=lambda: None):
-    """Read one reply; `is_complete` is false if the connection closed too early."""
-    try:
-        head = await reader.readuntil(b"\r\n\r\n")
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return Reply(status=0, headers={}, body=b"", is_complete=False)
-    on_headers()
-    start, *lines = head.decode().split("\r\n")
-    pairs = (line.partition(": ") for line in lines if line)
-    headers = {name.lower(): value for name, _, value in pairs}
-    status = int(start.split()[1])
-    body, is_complete = await _read_body(reader, headers)
-    return Reply(status=status, headers=headers, body=body, is_complete=is_complete)
-
-
-async def _read_body(reader, headers):
-    body = b""
-    try:
-        if "content-length" in headers:
-            return await reader.readexactly(int(headers["content-length"])), True
-        while "transfer-encoding" in headers:
-            size = int(await reader.readuntil(b"\r\n"), 16)
-            body += (await reader.readexactly(size + 2))[:-2]
-            if not size:
-                return body, True
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return body, False
-    return body, "content-length" in headers
-
-
 def in_force(context, version):
     """Return whether the first gateway has applied a configuration version."""
     registry = context.rig.daemons[0].registry
--- a/features/intake/crowds.py
+++ b/features/intake/crowds.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from features.gateway.rig import API_KEY, HOSTNAME, LOOPBACK
+from features.gateway.exchanges import API_KEY, HOSTNAME
+from features.gateway.rig import LOOPBACK
 from zinniaramp.standins.platform.faults import make_short_fields
 
 BODY_BYTES = 1_000_000
--- a/features/steps/check_configuration_steps.py
+++ b/features/steps/check_configuration_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given
 
-from features.gateway.rig import configuration, route
+from features.gateway.configurations import configuration, route
 
 
 @given("a platform configuration")
--- a/features/steps/gateway_belief_steps.py
+++ b/features/steps/gateway_belief_steps.py
@@ -4,13 +4,9 @@
 
 from behave import then, when
 
-from features.gateway.rig import (
-    API_KEY,
-    configuration,
-    in_force,
-    route,
-    wait_for_latest_revision,
-)
+from features.gateway.configurations import configuration, route
+from features.gateway.exchanges import API_KEY
+from features.gateway.rig import in_force, wait_for_latest_revision
 
 CLOCK_ADVANCE = timedelta(seconds=3)
 """Advance of the clocks; longer than the rig's `endpoint_relist_window`."""
--- a/features/steps/gateway_cut_answers_steps.py
+++ b/features/steps/gateway_cut_answers_steps.py
@@ -7,7 +7,7 @@
 
 from behave import then, when
 
-from features.gateway.rig import request
+from features.gateway.exchanges import request
 from features.steps.gateway_quarantine_steps import prompt_lines
 from zinniaramp.standins.platform import ServerBehaviour, expected_events
 
--- a/features/steps/gateway_disruption_steps.py
+++ b/features/steps/gateway_disruption_steps.py
@@ -8,7 +8,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import API_KEY, configuration, read_reply, request
+from features.gateway.configurations import configuration
+from features.gateway.exchanges import API_KEY, read_reply, request
 from zinniaramp.peers.codec import encode
 from zinniaramp.peers.messages import Hello, SendStarted
 from zinniaramp.placement import PromptSegment
--- a/features/steps/gateway_evacuation_steps.py
+++ b/features/steps/gateway_evacuation_steps.py
@@ -7,12 +7,9 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import (
-    configuration,
-    request,
-    route,
-    store_revision,
-)
+from features.gateway.configurations import configuration, route
+from features.gateway.exchanges import request
+from features.gateway.rig import store_revision
 from features.steps.gateway_steps import start_rig
 from zinniaramp.standins.platform import ServerBehaviour
 
--- a/features/steps/gateway_freshness_steps.py
+++ b/features/steps/gateway_freshness_steps.py
@@ -5,7 +5,8 @@
 
 from behave import then, when
 
-from features.gateway.rig import configuration, store_revision
+from features.gateway.configurations import configuration
+from features.gateway.rig import store_revision
 from features.steps.gateway_belief_steps import advance_clock
 
 LOST_REVISIONS = 40
--- a/features/steps/gateway_gone_steps.py
+++ b/features/steps/gateway_gone_steps.py
@@ -4,7 +4,7 @@
 
 from behave import then, when
 
-from features.gateway.rig import read_reply, request
+from features.gateway.exchanges import read_reply, request
 from features.steps.gateway_cut_answers_steps import serving_server
 
 SETTLE_SECONDS = 1.5
--- a/features/steps/gateway_holding_steps.py
+++ b/features/steps/gateway_holding_steps.py
@@ -5,7 +5,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import configuration, read_reply, request
+from features.gateway.configurations import configuration
+from features.gateway.exchanges import read_reply, request
 from features.steps.gateway_quarantine_steps import prompt_lines
 
 DEADLINE_MS = 15_000
--- a/features/steps/gateway_limits_steps.py
+++ b/features/steps/gateway_limits_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import request
+from features.gateway.exchanges import request
 
 WINDOW_SECONDS = 4
 LIMIT_FACTOR = 1.5
--- a/features/steps/gateway_mesh_steps.py
+++ b/features/steps/gateway_mesh_steps.py
@@ -6,11 +6,8 @@
 from behave import given, then, when
 from result import Err
 
-from features.gateway.rig import (
-    configuration,
-    store_revision,
-    wait_for_latest_revision,
-)
+from features.gateway.configurations import configuration
+from features.gateway.rig import store_revision, wait_for_latest_revision
 from zinniaramp.peers.codec import encode
 from zinniaramp.peers.messages import Hello
 from zinniaramp.reads import ReadError
--- a/features/steps/gateway_odd_entries_steps.py
+++ b/features/steps/gateway_odd_entries_steps.py
@@ -8,7 +8,8 @@
 from behave import then, when
 from result import Err
 
-from features.gateway.rig import LOOPBACK, configuration, store_revision
+from features.gateway.configurations import configuration
+from features.gateway.rig import LOOPBACK, store_revision
 from zinniaramp.platform.documents import decode_item
 from zinniaramp.registry import Item
 from zinniaramp.sockets import Address
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import request
+from features.gateway.exchanges import request
 
 
 @given('the model servers "{names}" are listed')
--- a/features/steps/gateway_repeated_refusals_steps.py
+++ b/features/steps/gateway_repeated_refusals_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import LOOPBACK, read_reply, request
+from features.gateway.exchanges import read_reply, request
+from features.gateway.rig import LOOPBACK
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import ServerBehaviour
 
--- a/features/steps/gateway_request_limits_steps.py
+++ b/features/steps/gateway_request_limits_steps.py
@@ -4,13 +4,9 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import (
-    CLIENT_LIMITS,
-    configuration,
-    in_force,
-    read_reply,
-    request,
-)
+from features.gateway.configurations import CLIENT_LIMITS, configuration
+from features.gateway.exchanges import read_reply, request
+from features.gateway.rig import in_force
 from zinniaramp.standins.platform import ServerBehaviour
 
 HALF_HEADER = len("POST /book/x HTTP/1.1\r\nHo")
--- a/features/steps/gateway_request_quarantine_steps.py
+++ b/features/steps/gateway_request_quarantine_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import configuration, request
+from features.gateway.configurations import configuration
+from features.gateway.exchanges import request
 from features.steps.gateway_quarantine_steps import prompt_lines, restart_ended_servers
 from features.steps.gateway_steps import start_rig
 from zinniaramp.standins.platform import CrashRequest
--- a/features/steps/gateway_restores_steps.py
+++ b/features/steps/gateway_restores_steps.py
@@ -6,7 +6,8 @@
 from hypothesis import given as for_any
 from hypothesis import strategies as st
 
-from features.gateway.rig import configuration, wait_for_latest_revision
+from features.gateway.configurations import configuration
+from features.gateway.rig import wait_for_latest_revision
 from features.steps.gateway_belief_steps import CLOCK_ADVANCE, advance_clock
 from zinniaramp.clock import monotonic_clock
 from zinniaramp.platform.documents import decode_item
--- a/features/steps/gateway_resumption_steps.py
+++ b/features/steps/gateway_resumption_steps.py
@@ -7,7 +7,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import Reply, configuration, request, route
+from features.gateway.configurations import configuration, route
+from features.gateway.exchanges import Reply, request
 from features.steps.gateway_disruption_steps import start_processes
 from features.steps.gateway_quarantine_steps import prompt_lines
 from features.steps.gateway_versions_steps import servers_reached
--- a/features/steps/gateway_slow_servers_steps.py
+++ b/features/steps/gateway_slow_servers_steps.py
@@ -5,7 +5,7 @@
 
 from behave import then, when
 
-from features.gateway.rig import read_reply, request
+from features.gateway.exchanges import read_reply, request
 from features.steps.gateway_cut_answers_steps import (
     REFUSALS,
     SEGMENT,
--- a/features/steps/gateway_starting_steps.py
+++ b/features/steps/gateway_starting_steps.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 
-from features.gateway.rig import read_reply, request
+from features.gateway.exchanges import read_reply, request
 from zinniaramp.platform.listening import open_listener
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform.process import LOOPBACK, GatewayProcess
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -4,11 +4,9 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import (
-    Rig,
-    configuration,
-    request,
-)
+from features.gateway.configurations import configuration
+from features.gateway.exchanges import request
+from features.gateway.rig import Rig
 from zinniaramp.standins.platform import ServerBehaviour, expected_body, expected_events
 
 FORGED_HEADERS = (
--- a/features/steps/gateway_stopping_steps.py
+++ b/features/steps/gateway_stopping_steps.py
@@ -9,10 +9,7 @@
 from behave import then, when
 from result import Ok
 
-from features.gateway.rig import (
-    read_reply,
-    request,
-)
+from features.gateway.exchanges import read_reply, request
 from zinniaramp.gateway.caller import CallerConnection
 from zinniaramp.platform.settings import read_host_settings
 from zinniaramp.standins.platform import expected_body
--- a/features/steps/gateway_unexpected_errors_steps.py
+++ b/features/steps/gateway_unexpected_errors_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import read_reply, request
+from features.gateway.exchanges import read_reply, request
 from zinniaramp.gateway import handling, pool, upstream
 from zinniaramp.gateway.streams import EventRelay
 from zinniaramp.standins.platform import ServerBehaviour
--- a/features/steps/gateway_versions_steps.py
+++ b/features/steps/gateway_versions_steps.py
@@ -5,7 +5,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import HOST_BOUNDS, read_reply, request
+from features.gateway.exchanges import read_reply, request
+from features.gateway.rig import HOST_BOUNDS
 from features.steps.gateway_steps import first_server_behaves
 from zinniaramp.gateway.core import MIN_GATEWAY_COUNT
 from zinniaramp.platform.store import make_store_source
--- a/features/steps/intake_refusals_steps.py
+++ b/features/steps/intake_refusals_steps.py
@@ -2,7 +2,8 @@
 
 from behave import then, when
 
-from features.gateway.rig import LOOPBACK, read_reply, request
+from features.gateway.exchanges import read_reply, request
+from features.gateway.rig import LOOPBACK
 from zinniaramp.sockets import Address
 
 ANSWER_BYTES = 4096
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -6,7 +6,8 @@
 
 from behave import given, then, when
 
-from features.gateway.rig import LOOPBACK, Rig, configuration
+from features.gateway.configurations import configuration
+from features.gateway.rig import LOOPBACK, Rig
 from features.intake.crowds import PATHS, SLOW_READS, Crowd, Peaks, settle
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import GatewayProcess, ServerBehaviour
--- a/features/steps/warmup_documents_steps.py
+++ b/features/steps/warmup_documents_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then
 from result import Err, Ok
 
-from features.gateway.rig import configuration, route
+from features.gateway.configurations import configuration, route
 from zinniaramp.platform.documents import decode_item
 from zinniaramp.platform.settings import read_host_settings
 from zinniaramp.registry import Item
--- a/zinniaramp/endpoint/attempts.py
+++ b/zinniaramp/endpoint/attempts.py
@@ -8,7 +8,7 @@
 from ..contracts import Chunk, End, Head, Offer, Outcome
 from ..links import Connection
 from ..scheduling import Job
-from .engine import Transfer
+from .transfer import Transfer
 
 __all__ = ["DISCARDED_DETAIL", "Attempt", "Delivery", "deliver"]
 
--- a/zinniaramp/endpoint/executor.py
+++ b/zinniaramp/endpoint/executor.py
@@ -25,7 +25,7 @@
 )
 from ..tickets.tombstones import Tombstones
 from .attempts import Attempt
-from .engine import EngineCall, EngineClient, EngineError, EngineOrder
+from .engine import EngineCall, EngineClient, EngineOrder
 from .events import (
     ATTEMPT_ENDED,
     ATTEMPT_SCHEDULED,
@@ -35,6 +35,7 @@
 from .pace import IntervalEstimator
 from .receiving import receive_response
 from .responses import chat_call, plain_call
+from .transfer import EngineError
 
 __all__ = ["Executor"]
 
--- a/zinniaramp/endpoint/receiving.py
+++ b/zinniaramp/endpoint/receiving.py
@@ -8,10 +8,10 @@
 from ..observability import emit
 from ..scheduling import JobState
 from .attempts import Attempt
-from .engine import Transfer
 from .events import ENGINE_SILENT
 from .metrics import TOKENS_GENERATED
 from .responses import ResponseReader
+from .transfer import Transfer
 
 if TYPE_CHECKING:
     from .executor import Executor
--- a/zinniaramp/endpoint/responses.py
+++ b/zinniaramp/endpoint/responses.py
@@ -10,13 +10,8 @@
 from ..answers import EventReader
 from ..answers.retention import Piece
 from ..contracts import Offer, Outcome
-from .engine import (
-    BodyData,
-    EngineCall,
-    EngineError,
-    ResponseHead,
-    TransferEnd,
-)
+from .engine import EngineCall
+from .transfer import BodyData, EngineError, ResponseHead, TransferEnd
 
 __all__ = ["ResponseEnd", "ResponseReader", "chat_call", "plain_call"]
 
