Let the scripted server read long bodies in large pieces

A server of the new scenarios that reads a body of 900 kB before it answers did so in pieces of 256 bytes through a receive buffer of 4 kB, which took 0.5 s beside other load, of the 5 s that the request has. Only servers that leave the body unread need the small buffer. An attribute that nothing used is gone.

--- a/features/support/scripted_server.py
+++ b/features/support/scripted_server.py
@@ -15,6 +15,9 @@
 READ_BYTES = 256
 """Size of one read, so that hardly anything of a body is read with the head."""
 
+BODY_READ_BYTES = 64 * 1024
+"""Size of one read of a server that reads the body."""
+
 RESET_DELAY_SECONDS = 0.1
 """Time between the end of the bytes and a reset of the connection."""
 
@@ -36,23 +39,18 @@
         Whether it reads the body of the request before it answers.
     port : int
         Port on which it listens; 0 for a free one.
-
-    Attributes
-    ----------
-    requests : int
-        Number of requests whose heads were read.
     """
 
     def __init__(self, *, answer, end, reads_body=False, port=0):
         self.answer = answer
         self.end = end
         self.reads_body = reads_body
-        self.requests = 0
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-        )
+        if not reads_body:
+            self.listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+            )
         self.listener.bind((LOOPBACK, port))
         self.listener.listen()
         self.listener.setblocking(False)
@@ -73,11 +71,12 @@
         connection.setblocking(False)
         with connection, contextlib.suppress(ConnectionError):
             data = await read_until(connection, lambda data: b"\r\n\r\n" in data)
-            self.requests += 1
             head = data.partition(b"\r\n\r\n")[0]
             if self.reads_body:
                 size = len(head) + 4 + int(read_header(head, "Content-Length") or 0)
-                await read_until(connection, lambda data: len(data) >= size, data)
+                await read_until(
+                    connection, lambda data: len(data) >= size, data, BODY_READ_BYTES
+                )
             answer = self.answer.replace("{id}", read_header(head, "Request-Id"))
             await loop.sock_sendall(connection, answer.encode())
             if self.end == "closed and then reset":
@@ -88,11 +87,11 @@
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
 
 
-async def read_until(connection, condition, data=b""):
-    """Read in small pieces until a condition holds for all that was read."""
+async def read_until(connection, condition, data=b"", count=READ_BYTES):
+    """Read pieces of a number of bytes until a condition holds for all of them."""
     loop = asyncio.get_running_loop()
     while not condition(data):
-        piece = await loop.sock_recv(connection, READ_BYTES)
+        piece = await loop.sock_recv(connection, count)
         if not piece:
             raise ConnectionResetError
         data += piece
