--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -1,5 +1,6 @@
 """Steps for the deploy file: its build, and the libraries of the programs."""
 
+import asyncio
 import os
 import shlex
 import venv
@@ -14,6 +15,7 @@
     read_deploy_file,
     read_pins,
 )
+from features.gateway.rig import POLL_INTERVAL_SECONDS
 from zinniaramp.standins.platform import GatewayProcess
 
 DEPLOY_REQUIREMENTS = "deploy/requirements.txt"
@@ -53,6 +55,7 @@
     async def call_when_ready():
         while await rig.process_readiness_status(process) != 200:
             assert process.process.returncode is None, process.log_path.read_text()
+            await asyncio.sleep(POLL_INTERVAL_SECONDS)
         return await rig.call_process(process, "/open/x")
 
     assert rig.run(call_when_ready()).status == status
