--- a/features/steps/promises_once_steps.py
+++ b/features/steps/promises_once_steps.py
@@ -293,12 +293,14 @@
 
 @then('the last retries all have outcome "{expected:w}"')
 def check_last_retries(context, expected):
-    results = {(one.outcome, one.text) for one in context.last_senders}
+    senders = context.last_senders
+    results = {(one.outcome, one.text) for one in senders}
     outcomes = {outcome for outcome, _ in results}
+    seen = [(one.status, one.outcome, one.error, one.text) for one in senders]
     if expected == "unknown":
-        assert outcomes == {"unknown"}, results
+        assert outcomes == {"unknown"}, seen
     else:
-        assert len(results) == 1 and outcomes == {"done"}, results
+        assert len(results) == 1 and outcomes == {"done"}, seen
 
 
 def train_length_estimate(context, class_names):
