--- a/zinniaramp/gateway/upstream.py
+++ b/zinniaramp/gateway/upstream.py
@@ -55,7 +55,6 @@
 MIN_FINAL_STATUS = 200
 """Lowest final status; lower ones are interim responses."""
 
-
 LOW_STATUS = re.compile(rb"[\r\n]*HTTP/1\.\d (0\d\d)\b")
 """Start of a header block whose status is below 100."""
 
@@ -137,6 +136,7 @@
     def find_end_problem(self) -> str:
         """Return why the end of the connection does not complete a body, or nothing."""
         if self.error is not None:
+            # A reset, unlike a close, is no end of a body.
             return repr(self.error)
         if self.had_unsent_bytes:
             # An endpoint that fails while it receives the request ends the connection
