Measure processes under callers that send far too much

Callers outside our limits ended a process. What a process's sockets have received and not read counts as its memory, and no test measured it: `Peaks` read VmHWM alone.

--- a/features/intake/crowds.py
+++ b/features/intake/crowds.py
@@ -1,16 +1,19 @@
-"""Crowds of misbehaving callers, and measurements of the process that they load.
+"""Crowds of misbehaving callers, and what they send.
 
 A member of a crowd sends its bytes and keeps its connection open without reading.
 """
 
 import asyncio
-import os
+import functools
+import itertools
+import json
 import socket
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
-from pathlib import Path
 
 from features.gateway.exchanges import API_KEY, HOSTNAME
 from features.gateway.rig import LOOPBACK
+from zinniaramp.standins.fleet import MODEL
 from zinniaramp.standins.platform.faults import make_short_fields
 
 BODY_BYTES = 1_000_000
@@ -27,8 +30,17 @@
 """Bytes that a member passes to its socket at a time."""
 RECEIVE_BUFFER_BYTES = 4_096
 """Receive buffer of a member's socket: little of an unread answer stays in it."""
-SAMPLE_INTERVAL_SECONDS = 0.01
-"""Interval between two measurements of the process."""
+ENDLESS_BYTES = 24_000_000
+"""Bytes that a member sends whose body has no end or is far over the limit."""
+PIPELINED_BODY_BYTES = 100_000
+"""Size of each body of a member that sends many requests at once."""
+CHUNK_BYTES = 20_000
+"""Size of the chunks of a body without an end."""
+LARGE_PIECE_BYTES = 1_000_000
+"""Bytes that a member with such a body passes to its socket at a time, so that its
+kernel always has more to send."""
+OWN_BODY_BYTES = 2_000_000
+"""Size of a body at the product's own interface; its limit is 2 MiB."""
 STALL_SECONDS = 0.5
 """Time without any sent byte after which a crowd counts as stopped by the process."""
 MAX_CROWD_SECONDS = 12
@@ -45,12 +57,6 @@
 """Elements of the message that a hostile peer announces."""
 ANNOUNCED_STRING_BYTES = 60_000_000
 """Length of the string that a hostile peer announces."""
-SETTLE_SECONDS = 0.2
-"""Interval over which the processor time of the process is measured."""
-SETTLED_TICKS = 4
-"""Processor time in this interval below which the process has read what it was sent,
-in clock ticks of 10 ms."""
-
 PATHS = {
     "a route": "/book/x",
     "a path without a route": "/none/x",
@@ -83,6 +89,13 @@
         yield data[start : start + size]
 
 
+def filler(total, size=PIECE_BYTES):
+    """Yield pieces of a body of some length, which share their memory."""
+    piece = memoryview(b"x" * size)
+    for start in range(0, total, size):
+        yield piece[: total - start]
+
+
 def chunks(total, size):
     """Yield chunks of a chunked body without the last one."""
     chunk = f"{size:x}\r\n".encode() + b"x" * size + b"\r\n"
@@ -93,7 +106,7 @@
 def fixed_body(path, number, length, sent, piece=PIECE_BYTES):
     """Yield a request that announces `length` bytes and sends `sent`."""
     yield head("POST", path, number, f"Content-Length: {length}") + b"\r\n"
-    yield from in_pieces(memoryview(b"x" * sent), piece)
+    yield from filler(sent, piece)
 
 
 def chunked_body(path, number, sent, size):
@@ -116,7 +129,8 @@
 def half_message():
     """Yield an array whose only element is a string that never ends."""
     announced = b"\x91\xdb" + ANNOUNCED_STRING_BYTES.to_bytes(4)
-    return in_pieces(memoryview(announced + b"x" * 4_000_000), PIECE_BYTES)
+    yield announced
+    yield from filler(4_000_000)
 
 
 def huge_frame():
@@ -125,6 +139,55 @@
     return in_pieces(memoryview(announced + b"\xa1x" * 2_000_000), PIECE_BYTES)
 
 
+@functools.cache
+def many_chunks():
+    """Return a large piece of a chunked body."""
+    return b"".join(chunks(LARGE_PIECE_BYTES, CHUNK_BYTES))
+
+
+def endless_chunks(path, number):
+    """Yield a chunked request that goes on far beyond the limit."""
+    yield head("POST", path, number, "Transfer-Encoding: chunked") + b"\r\n"
+    for _ in range(ENDLESS_BYTES // LARGE_PIECE_BYTES):
+        yield many_chunks()
+
+
+def pipelined_bodies(path, number, total):
+    """Yield complete requests with bodies on one connection."""
+    per_piece = LARGE_PIECE_BYTES // PIPELINED_BODY_BYTES
+    for start in range(0, total // PIPELINED_BODY_BYTES, per_piece):
+        requests = [
+            fixed_body(path, f"{number}-{index}", *[PIPELINED_BODY_BYTES] * 2)
+            for index in range(start, start + per_piece)
+        ]
+        yield b"".join(itertools.chain.from_iterable(requests))
+
+
+def own_request(path, length, pieces):
+    """Yield a request with a body to the product's own interface."""
+    fields = (
+        f"POST {path} HTTP/1.1",
+        "Host: x",
+        "Content-Type: application/json",
+        f"Content-Length: {length}",
+    )
+    yield "\r\n".join(fields).encode() + b"\r\n\r\n"
+    yield from pieces
+
+
+@functools.cache
+def small_values():
+    """Return a valid chat request of the largest size with very many JSON values."""
+    chat = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": "x"}],
+        "stream": True,
+        "values": [],
+    }
+    count = OWN_BODY_BYTES // 3
+    return json.dumps(chat)[:-3].encode() + b"[" + b"[]," * count + b"[]]}"
+
+
 INCOMPLETE_BYTES = BODY_BYTES - MISSING_BYTES
 EVENT_STREAM = "Accept: text/event-stream"
 
@@ -167,67 +230,39 @@
     "streams, read slowly": lambda path, number: pipelined(
         "/tell/x", number, 1, EVENT_STREAM
     ),
+    "bodies of 24 MB": lambda path, number: fixed_body(
+        path, number, ENDLESS_BYTES, ENDLESS_BYTES, piece=LARGE_PIECE_BYTES
+    ),
+    "the head of a body of 24 MB": lambda path, number: fixed_body(
+        path, number, ENDLESS_BYTES, 0
+    ),
+    "chunks without an end": endless_chunks,
+    "pipelined bodies": lambda path, number: pipelined_bodies(
+        path, number, ENDLESS_BYTES
+    ),
+    "bytes without an end": lambda path, number: filler(
+        ENDLESS_BYTES, LARGE_PIECE_BYTES
+    ),
+    "complete calls": lambda path, number: own_request(
+        "/services/ledger/entries", OWN_BODY_BYTES, filler(OWN_BODY_BYTES)
+    ),
+    "complete bodies of 2 MB": lambda path, number: fixed_body(
+        path, number, OWN_BODY_BYTES, OWN_BODY_BYTES
+    ),
+    "bodies of 2 MB that stop short": lambda path, number: fixed_body(
+        path, number, OWN_BODY_BYTES, OWN_BODY_BYTES - MISSING_BYTES
+    ),
+    "many small values": lambda path, number: own_request(
+        "/v1/chat/completions",
+        len(small_values()),
+        in_pieces(memoryview(small_values()), PIECE_BYTES),
+    ),
     "a huge frame": lambda path, number: huge_frame(),
     "half a message": lambda path, number: half_message(),
 }
 """What a member of a crowd of some kind sends, by path and number."""
 
 
-@dataclass(slots=True, kw_only=True)
-class Peaks:
-    """Largest measurements of a process; it is measured until it ends.
-
-    Attributes
-    ----------
-    memory_mb : float
-        Peak of the resident memory, in MiB.
-    descriptors : int
-        Largest number of open descriptors that was seen.
-    """
-
-    memory_mb: float = 0.0
-    descriptors: int = 0
-
-    def measure(self, pid):
-        """Measure a process."""
-        directory = Path(f"/proc/{pid}")
-        try:
-            lines = (directory / "status").read_text().splitlines()
-            descriptors = len(os.listdir(directory / "fd"))
-        except OSError:
-            return
-        peak = [line.split()[1] for line in lines if line.startswith("VmHWM:")]
-        if peak:
-            self.memory_mb = max(self.memory_mb, int(peak[0]) / 1024)
-        self.descriptors = max(self.descriptors, descriptors)
-
-    async def watch(self, process):
-        """Measure a process repeatedly until it ends or the task is cancelled."""
-        while process.returncode is None:
-            self.measure(process.pid)
-            await asyncio.sleep(SAMPLE_INTERVAL_SECONDS)
-
-
-def processor_ticks(pid):
-    """Return the processor time of a process in clock ticks; 0 if it has ended."""
-    try:
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    except OSError:
-        return 0
-    return int(fields[11]) + int(fields[12])
-
-
-async def settle(process):
-    """Wait until a process has dealt with what it was sent, or has ended."""
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + MAX_CROWD_SECONDS
-    while process.returncode is None and loop.time() < deadline:
-        before = processor_ticks(process.pid)
-        await asyncio.sleep(SETTLE_SECONDS)
-        if processor_ticks(process.pid) - before < SETTLED_TICKS:
-            return
-
-
 @dataclass(slots=True, kw_only=True)
 class Crowd:
     """Members that send to some ports, each on a connection of its own.
@@ -236,10 +271,8 @@
     ----------
     ports : tuple of int
         Ports on loopback, which the members use in turn.
-    kind : str
-        What the members send.
-    path : str
-        Request target.
+    make_pieces : callable
+        Returns what a member sends, by its number.
     is_slow : bool
         Whether there is a pause after each piece.
     reads : int
@@ -247,8 +280,7 @@
     """
 
     ports: tuple[int, ...]
-    kind: str
-    path: str
+    make_pieces: Callable[[int], Iterator[bytes]]
     is_slow: bool = False
     reads: int = 0
     sockets: list[socket.socket] = field(default_factory=list)
@@ -279,7 +311,7 @@
             port = self.ports[number % len(self.ports)]
             await loop.sock_connect(member, (LOOPBACK, port))
             self.progress += 1
-            for piece in MESSAGES[self.kind](self.path, number):
+            for piece in self.make_pieces(number):
                 await loop.sock_sendall(member, piece)
                 self.progress += 1
                 if self.is_slow:
