Move the bounded HTTP server out of the gateway

The entry and the endpoint process need the account of memory and descriptors as well. Its HTTP server, streams, measurements and metrics are now the package `listeners`, whose metrics have a prefix; the names of the gateway's stay.

--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -11,6 +11,7 @@
 
 from ..clock import Clock
 from ..intake import Kind
+from ..listeners import Intake, serve_application
 from ..locality import DEFAULT_PRICE
 from ..observability import emit
 from ..peers import PeerMesh
@@ -24,7 +25,6 @@
     GATEWAY_STOPPED,
     GATEWAY_STOPPING,
 )
-from .intake import Intake, serve_application
 from .messages import HeaderCodec
 from .metrics import (
     COLD,
@@ -32,6 +32,7 @@
     EVACUATED,
     HELD,
     IN_FLIGHT,
+    INTAKE,
     LIMITED,
     QUARANTINED,
     make_metrics,
@@ -219,7 +220,10 @@
             random=random,
         )
         self.intake = Intake(
-            clock=clock, memory_mb=settings.memory_mb, max_fds=settings.max_fds
+            clock=clock,
+            metrics=INTAKE,
+            memory_mb=settings.memory_mb,
+            max_fds=settings.max_fds,
         )
         self.callers = CallerServer(
             pool=self.pool, account=self.intake.account, clock=clock
--- a/zinniaramp/gateway/metrics.py
+++ b/zinniaramp/gateway/metrics.py
@@ -3,24 +3,22 @@
 from prometheus_client import Counter, Gauge, Histogram
 from tornado.web import Application
 
+from ..listeners import IntakeMetrics
 from ..observability.metrics import MetricsHandler
 
 __all__ = [
     "ADDED_SECONDS",
     "ANSWERS",
-    "BUDGET_BYTES",
     "COLD",
     "COLD_SENDS",
     "CONFIGURATION",
-    "CONNECTIONS",
     "CUT_ANSWERS",
     "EVACUATED",
-    "EVICTIONS",
     "FIRST_EVENT_SECONDS",
     "HELD",
-    "HELD_BYTES",
     "HELD_SECONDS",
     "HOLDS",
+    "INTAKE",
     "IN_FLIGHT",
     "LIMITED",
     "PROMPT_REFUSALS",
@@ -111,23 +109,8 @@
     "zinniaramp_gateway_store_lost", "1 while the store gives no valid response."
 )
 
-HELD_BYTES = Gauge(
-    "zinniaramp_gateway_held_bytes",
-    "Memory charged for the connections of callers and peers and for their requests.",
-)
-BUDGET_BYTES = Gauge(
-    "zinniaramp_gateway_held_limit_bytes",
-    "Memory that may be charged now; less than usual while the process is large.",
-)
-CONNECTIONS = Gauge(
-    "zinniaramp_gateway_connections", "Accepted connections, by listener.", ["kind"]
-)
-EVICTIONS = Counter(
-    "zinniaramp_gateway_evictions",
-    "Connections closed because memory or descriptors ran short, by listener, phase "
-    "and cause.",
-    ["kind", "phase", "cause"],
-)
+INTAKE = IntakeMetrics(prefix="zinniaramp_gateway")
+"""Metrics of the account of memory and descriptors."""
 
 
 def make_metrics() -> Application:
--- a/zinniaramp/gateway/request_reader.py
+++ b/zinniaramp/gateway/request_reader.py
@@ -6,8 +6,8 @@
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 
 from ..intake import FIELD_BYTES, LARGE_BYTES, Phase
+from ..listeners import MeteredStream
 from .hops import announced_length
-from .intake import MeteredStream
 from .matching import CallerRequest, RefusalError
 
 if TYPE_CHECKING:
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -15,10 +15,10 @@
 
 from ..clock import Clock
 from ..intake import Account, Kind, Phase
+from ..listeners import BoundedServer, MeteredStream
 from ..routes import ClientLimits
 from .caller import CallerConnection, UnfinishedCallerConnection
 from .handling import RequestHandler
-from .intake import BoundedServer, MeteredStream
 from .matching import CallerRequest, RefusalError
 from .metrics import ANSWERS
 from .pool import EndpointPool
--- a/zinniaramp/intake/__init__.py
+++ b/zinniaramp/intake/__init__.py
@@ -1,6 +1,7 @@
 """Account of the memory and descriptors that connections hold, and eviction order."""
 
-from .account import FIELD_BYTES, LARGE_BYTES, Account, Holder, Kind, Phase
+from .account import FIELD_BYTES, LARGE_BYTES, Account
+from .holder import Holder, Kind, Phase
 from .limits import IntakeLimits, derive_limits
 
 __all__ = [
--- a/zinniaramp/intake/account.py
+++ b/zinniaramp/intake/account.py
@@ -7,12 +7,12 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from datetime import datetime
-from enum import Enum
 
 from ..clock import Clock
+from .holder import Holder, Kind, Phase
 from .limits import IntakeLimits
 
-__all__ = ["Account", "Holder", "Kind", "Phase"]
+__all__ = ["Account"]
 
 CONNECTION_BYTES = 10 * 1024
 """Memory of one connection without any data; 7 KB were measured."""
@@ -37,38 +37,6 @@
 ordinary requests are served while the allocator keeps free memory."""
 
 
-class Kind(Enum):
-    """Listener that accepted a connection."""
-
-    CALLER = "caller"
-    PEER = "peer"
-    READINESS = "readiness"
-    METRICS = "metrics"
-
-
-class Phase(Enum):
-    """What a connection waits for."""
-
-    REFUSED = "refused"
-    """The request was refused; the rest of its body is read and discarded."""
-
-    HEAD = "head"
-    """No complete header block has arrived on the connection, or only a part of the
-    next one."""
-
-    BODY = "body"
-    """A part of a body has arrived; nothing of the request has been sent."""
-
-    IDLE = "idle"
-    """A request was answered, and nothing of the next one has arrived."""
-
-    ANSWER = "answer"
-    """An answer waits for its caller to read."""
-
-    RUNNING = "running"
-    """The request is being handled; such a connection is never evicted."""
-
-
 DESCRIPTOR_ORDER = (Phase.REFUSED, Phase.HEAD, Phase.BODY, Phase.IDLE, Phase.ANSWER)
 """Order of phases in which connections are closed for their descriptors, the oldest of
 a phase first.  Idle ones come late: their callers may be about to send."""
@@ -77,123 +45,6 @@
 """Phases of the connections that are closed for their memory."""
 
 
-class Holder:
-    """One connection, and what it holds.
-
-    Parameters
-    ----------
-    account : Account
-        Account of the process.
-    kind : Kind
-        Listener that accepted the connection.
-    evict : callable
-        Closes the connection; called at most once, with the phase.
-
-    Attributes
-    ----------
-    phase : Phase
-        What the connection waits for.
-    since : datetime
-        When the phase began.
-    charged : int
-        Bytes of the request and of its answer.
-    buffered : int
-        Bytes that were received and not used yet.
-    is_open : bool
-        Whether the connection counts.
-    is_running : bool
-        Whether its request may have a connection to an endpoint.
-    """
-
-    __slots__ = (
-        "account",
-        "kind",
-        "evict",
-        "phase",
-        "since",
-        "charged",
-        "buffered",
-        "is_open",
-        "is_running",
-    )
-
-    def __init__(
-        self, *, account: "Account", kind: Kind, evict: Callable[[Phase], None]
-    ):
-        self.account = account
-        self.kind = kind
-        self.evict = evict
-        self.phase = Phase.HEAD
-        self.since: datetime = account.clock()
-        self.charged = 0
-        self.buffered = 0
-        self.is_open = True
-        self.is_running = False
-
-    def enter(self, phase: Phase) -> None:
-        """Begin a phase."""
-        if phase is self.phase or not self.is_open:
-            return
-        queues = self.account.queues[self.kind]
-        queues[self.phase].pop(self, None)
-        self.phase = phase
-        self.since = self.account.clock()
-        queues[phase][self] = None
-
-    def receive(self, count: int) -> None:
-        """Charge bytes that were received."""
-        self.buffered += count
-        self.account.add(count)
-        if self.phase is Phase.IDLE:
-            self.enter(Phase.HEAD)
-
-    def set_buffered(self, count: int) -> None:
-        """Set the number of received bytes that were not used yet."""
-        if self.is_open:
-            self.account.add(count - self.buffered)
-            self.buffered = count
-
-    def charge(self, count: int) -> None:
-        """Charge bytes that can't be refused any more."""
-        if self.is_open:
-            self.charged += count
-            self.account.add(count)
-
-    def reserve(self, count: int) -> bool:
-        """Charge bytes if there is room for them, evicting others if necessary.
-
-        Returns
-        -------
-        bool
-            Whether the bytes were charged; if not, refuse the request.
-        """
-        if not self.account.make_room(self, count):
-            return False
-        self.charge(count)
-        return True
-
-    def release(self) -> None:
-        """Give back all that was charged for the request and its answer."""
-        self.account.add(-self.charged)
-        self.charged = 0
-
-    def end_run(self) -> None:
-        """End the request: give back all that was charged for it."""
-        self.release()
-        if self.is_running:
-            self.is_running = False
-            self.account.running -= 1
-
-    def close(self) -> None:
-        """Remove the connection from the account."""
-        if not self.is_open:
-            return
-        self.end_run()
-        self.set_buffered(0)
-        self.is_open = False
-        self.account.remove(self)
-
-
 class Account:
     """Memory and descriptors that the connections of a process hold.
 
--- /dev/null
+++ b/zinniaramp/listeners/server.py
@@ -0,0 +1,102 @@
+"""HTTP servers whose connections are admitted by the account."""
+
+import socket
+from collections.abc import Callable
+from datetime import timedelta
+
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.web import Application
+
+from ..intake import Account, Kind, Phase
+from .streams import MeteredStream, ParseQueue
+
+__all__ = ["BoundedServer", "serve_application"]
+
+READ_BYTES = 32 * 1024
+"""Size of one read, and largest piece of a body.  The library holds up to three pieces
+of a chunked body: 120 of them took 23 MB with pieces of 64 KB."""
+
+MAX_STREAM_BUFFER_BYTES = 256 * 1024
+"""Limit on what a library may buffer of one connection; a header block has 64 KB.  A
+caller that sends more while its header block waits for its turn is disconnected."""
+
+CHECKER_TIMEOUT = timedelta(seconds=30)
+"""Time after which an unused connection of a health checker or scraper is closed."""
+
+CHECKER_HEADER_BYTES = 16 * 1024
+"""Largest header block of a health check or of a request for metrics."""
+
+
+class BoundedServer(HTTPServer):
+    """HTTP server whose connections are admitted by the account.
+
+    Use `make` to create one.
+
+    Attributes
+    ----------
+    account : Account
+        Account of the process.
+    kind : Kind
+        Kind of the listener.
+    make_evict : callable
+        Returns the function that closes a connection which is evicted.
+    on_closed : callable
+        Called with each connection that was closed.
+    """
+
+    account: Account
+    kind: Kind
+
+    @classmethod
+    def make(cls, handler, *, account: Account, kind: Kind, **options):
+        """Return a server for a delegate or application."""
+        server = cls(handler, chunk_size=READ_BYTES, **options)
+        server.account = account
+        server.kind = kind
+        server.parse_queue = ParseQueue()
+        server.make_evict = _make_evict
+        server.on_closed = lambda stream: None
+        return server
+
+    def _handle_connection(self, connection: socket.socket, address: tuple) -> None:
+        stream = MeteredStream(
+            connection,
+            max_buffer_size=MAX_STREAM_BUFFER_BYTES,
+            read_chunk_size=READ_BYTES,
+        )
+        stream.parse_queue = self.parse_queue
+        stream.holder = self.account.open(self.kind, self.make_evict(stream))
+        if stream.holder is None:
+            stream.close()
+            return
+        self.handle_stream(stream, address)
+
+    def on_close(self, server_conn) -> None:
+        """Remove a closed connection from the account."""
+        super().on_close(server_conn)
+        server_conn.stream.holder.close()
+        self.on_closed(server_conn.stream)
+
+
+def _make_evict(stream: IOStream) -> Callable[[Phase], None]:
+    def evict(phase: Phase) -> None:
+        stream.close()
+
+    return evict
+
+
+def serve_application(
+    application: Application, *, account: Account, kind: Kind, port: int, ip: str
+) -> BoundedServer:
+    """Serve requests without bodies, such as health checks, at an address."""
+    server = BoundedServer.make(
+        application,
+        account=account,
+        kind=kind,
+        max_body_size=0,
+        max_header_size=CHECKER_HEADER_BYTES,
+        idle_connection_timeout=CHECKER_TIMEOUT.total_seconds(),
+    )
+    server.listen(port, ip)
+    return server
