Give each socket a receive buffer of its own size

Callers saw nothing of this: the process ended. The kernel lets a receive buffer grow to 6 MB while its connection is read, and what waits in it counts as the process's memory. The account knew only what had been read: with chunks without an end, 200 callers had a gateway of 160 MiB at 204 MiB on a route (86 unread) and at 263 MiB on a path without a route (208 unread).

Connections that wait to be accepted have 8 KiB, accepted ones 16 KiB, or 4 KiB while the usual ones together could exceed the share of the memory above the high-water mark; the kernel may hold twice that. Connections to servers have 32 KiB, to the store and to peers 64 KiB. An announced body of more than 16 KiB gets up to 64 KiB, which is reserved with it, so that it does not take a round trip for each 24 KB. When what waits could lift the process above the mark, it is measured, counts as memory, and its holders are evicted like those of read bytes.

--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -7,8 +7,6 @@
 from datetime import timedelta
 from random import Random
 
-from tornado.netutil import bind_sockets
-
 from ..clock import Clock
 from ..intake import Kind
 from ..listeners import Intake, serve_application
@@ -16,7 +14,7 @@
 from ..observability import emit
 from ..peers import PeerMesh
 from ..registry import Registry
-from ..sockets import Address
+from ..sockets import Address, bind_listeners
 from ..warmup import ColdBounds
 from .cached_segments import CachedSegmentLoader
 from .events import (
@@ -269,7 +267,7 @@
             Socket that already listens for callers; a new one is bound by default.
         """
         callers, readiness = self.settings.callers, self.settings.readiness
-        opened = [listener] if listener else bind_sockets(callers.port, callers.ip)
+        opened = [listener] if listener else bind_listeners(callers.port, callers.ip)
         self.serving = asyncio.create_task(self._serve(opened))
         readiness_app = make_readiness(self.unready_reason, self.list_problems)
         account = self.intake.account
--- a/zinniaramp/gateway/request_reader.py
+++ b/zinniaramp/gateway/request_reader.py
@@ -5,6 +5,12 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 
+from ..buffers import (
+    LARGE_BUFFER_BYTES,
+    USUAL_BUFFER_BYTES,
+    limit_receive_buffer,
+    unread_capacity,
+)
 from ..intake import FIELD_BYTES, LARGE_BYTES, Phase
 from ..listeners import MeteredStream
 from .hops import announced_length
@@ -29,6 +35,10 @@
         so that it is never copied.
     filled : int
         Bytes of the body received so far.
+    working_bytes : int
+        Bytes that are reserved beside the body while it is received.
+    is_widened : bool
+        Whether the connection has a large receive buffer for the body.
     is_refused : bool
         Whether the request was refused; the rest of its body is discarded.
     has_ended : bool
@@ -50,6 +60,8 @@
         self.body = bytearray()
         self.filled = 0
         self.is_chunked = False
+        self.working_bytes = 0
+        self.is_widened = False
         self.is_refused = False
         self.has_ended = False
 
@@ -78,7 +90,12 @@
             if refusal is not None:
                 self._refuse(refusal)
                 return
-        if not self.holder.reserve(length + FIELD_BYTES * len(self.headers)):
+        # Without this a body arrives at two small buffers per round trip.
+        buffer = min(length - self.stream.buffered, LARGE_BUFFER_BYTES)
+        self.is_widened = buffer > USUAL_BUFFER_BYTES
+        self.working_bytes = unread_capacity(buffer) if self.is_widened else 0
+        held = FIELD_BYTES * len(self.headers) + self.working_bytes
+        if not self.holder.reserve(length + held):
             if length or self.is_chunked:
                 self._refuse(RefusalError(503, "memory-short"))
             else:
@@ -86,6 +103,8 @@
             return
         if length > LARGE_BYTES:
             self.body = bytearray(length)
+        if self.is_widened:
+            limit_receive_buffer(self.stream.socket, buffer)
         if self.is_chunked or length > self.stream.buffered:
             self.holder.enter(Phase.BODY)
 
@@ -151,6 +170,10 @@
             # The connection was closed as idle before the headers were parsed.  The
             # caller concludes that the request was not read, so it must not be sent.
             return
+        if self.is_widened:
+            size = self.server.account.receive_buffer()
+            limit_receive_buffer(self.stream.socket, size)
+        self.holder.charge(-self.working_bytes)
         is_large = self.filled > LARGE_BYTES
         body, self.body = self.body, bytearray()
         request = self.request(body if is_large else bytes(body))
--- a/zinniaramp/intake/account.py
+++ b/zinniaramp/intake/account.py
@@ -4,10 +4,12 @@
 its connection.
 """
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Callable, Iterator
 from datetime import datetime
 
+from ..buffers import SMALL_BUFFER_BYTES, USUAL_BUFFER_BYTES, unread_capacity
 from ..clock import Clock
 from .holder import Holder, Kind, Phase
 from .limits import IntakeLimits
@@ -117,7 +119,18 @@
         self.budget = limits.budget
         self.add(0)
 
-    def open(self, kind: Kind, evict: Callable[[Phase], None]) -> Holder | None:
+    def receive_buffer(self) -> int:
+        """Return the size of a new connection's receive buffer, in bytes."""
+        usual = unread_capacity(USUAL_BUFFER_BYTES)
+        is_crowded = self.connections * usual > self.limits.receive_room
+        return SMALL_BUFFER_BYTES if is_crowded else USUAL_BUFFER_BYTES
+
+    def open(
+        self,
+        kind: Kind,
+        evict: Callable[[Phase], None],
+        count_unread: Callable[[], int] = lambda: 0,
+    ) -> Holder | None:
         """Admit a connection, evicting an older one if necessary.
 
         Returns
@@ -136,7 +149,7 @@
             (Kind.CALLER, kind)
         ):
             return None
-        holder = Holder(account=self, kind=kind, evict=evict)
+        holder = Holder(account=self, kind=kind, evict=evict, count_unread=count_unread)
         self.counts[kind] += 1
         self.queues[kind][Phase.HEAD][holder] = None
         self.add(CONNECTION_BYTES)
@@ -197,6 +210,8 @@
     def adjust(self, resident_bytes: int) -> None:
         """Adjust the budget to the measured memory of the process.
 
+        Bytes that the process has not read count as well.
+
         Parameters
         ----------
         resident_bytes : int
@@ -204,12 +219,27 @@
         """
         limits = self.limits
         room = max(
-            limits.high_water - resident_bytes,
+            limits.high_water - resident_bytes - self._measure_unread(resident_bytes),
             limits.budget * MIN_ROOM_SHARE - self.held,
         )
         self.budget = min(limits.budget, self.held + room)
         self.add(0)
 
+    def _measure_unread(self, resident_bytes: int) -> int:
+        """Return how many bytes wait to be read; 0 if they can't exceed the limit.
+
+        The measurement takes a system call for each connection.
+        """
+        most = self.connections * unread_capacity(USUAL_BUFFER_BYTES)
+        if resident_bytes + most <= self.limits.high_water:
+            return 0
+        total = 0
+        for queues in self.queues.values():
+            for holder in itertools.chain.from_iterable(queues.values()):
+                holder.unread = holder.count_unread()
+                total += holder.unread
+        return total
+
     def _used_sockets(self) -> int:
         return self.connections + self.running
 
@@ -248,5 +278,5 @@
 
 def _weight(holder: Holder, now: datetime) -> float:
     """Return the bytes that a connection holds, times the time for which it has."""
-    size = CONNECTION_BYTES + holder.charged + holder.buffered
+    size = CONNECTION_BYTES + holder.charged + holder.buffered + holder.unread
     return size * (now - holder.since).total_seconds()
--- a/zinniaramp/intake/holder.py
+++ b/zinniaramp/intake/holder.py
@@ -54,6 +54,8 @@
         Listener that accepted the connection.
     evict : callable
         Closes the connection; called at most once, with the phase.
+    count_unread : callable
+        Returns how many bytes wait in the connection's receive buffer.
 
     Attributes
     ----------
@@ -65,6 +67,8 @@
         Bytes of the request and of its answer.
     buffered : int
         Bytes that were received and not used yet.
+    unread : int
+        Bytes that waited in the receive buffer when it was last measured.
     is_open : bool
         Whether the connection counts.
     is_running : bool
@@ -75,24 +79,33 @@
         "account",
         "kind",
         "evict",
+        "count_unread",
         "phase",
         "since",
         "charged",
         "buffered",
+        "unread",
         "is_open",
         "is_running",
     )
 
     def __init__(
-        self, *, account: "Account", kind: Kind, evict: Callable[[Phase], None]
+        self,
+        *,
+        account: "Account",
+        kind: Kind,
+        evict: Callable[[Phase], None],
+        count_unread: Callable[[], int],
     ):
         self.account = account
         self.kind = kind
         self.evict = evict
+        self.count_unread = count_unread
         self.phase = Phase.HEAD
         self.since: datetime = account.clock()
         self.charged = 0
         self.buffered = 0
+        self.unread = 0
         self.is_open = True
         self.is_running = False
 
--- a/zinniaramp/intake/limits.py
+++ b/zinniaramp/intake/limits.py
@@ -49,6 +49,8 @@
         callers' requests; infinite if the host names no limit.
     peers, readiness, metrics : float
         Largest number of connections at each of these listeners.
+    receive_room : float
+        Bytes that may wait in the receive buffers of all connections together.
     """
 
     budget: float
@@ -57,6 +59,7 @@
     peers: float
     readiness: float
     metrics: float
+    receive_room: float
 
 
 def derive_limits(
@@ -88,4 +91,5 @@
         # A load balancer's few checkers and a scraper use one connection each.
         readiness=min(64, sockets / 12),
         metrics=min(32, sockets / 24),
+        receive_room=memory * (1 - HIGH_WATER_SHARE),
     )
--- a/zinniaramp/links/handshake.py
+++ b/zinniaramp/links/handshake.py
@@ -16,6 +16,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
 
+from ..buffers import LARGE_BUFFER_BYTES, limit_receive_buffer
 from ..clock import Clock
 from ..contracts import Challenge, Decoder, Hello, Message, RevisionId, Welcome
 from ..observability import emit
@@ -104,6 +105,8 @@
     try:
         async with asyncio.timeout(HANDSHAKE_TIMEOUT.total_seconds()):
             stream = await TCPClient().connect(host, port)
+            if not stream.closed():
+                limit_receive_buffer(stream.socket, LARGE_BUFFER_BYTES)
             connection = Connection(stream=stream, peer=peer, clock=clock)
             return await _perform_dial_handshake(connection, identity)
     except TimeoutError:
--- a/zinniaramp/listeners/server.py
+++ b/zinniaramp/listeners/server.py
@@ -8,7 +8,9 @@
 from tornado.iostream import IOStream
 from tornado.web import Application
 
+from ..buffers import count_unread, limit_receive_buffer
 from ..intake import Account, Kind, Phase
+from ..sockets import bind_listeners
 from .streams import MeteredStream, ParseQueue
 
 __all__ = ["BoundedServer", "serve_application"]
@@ -66,10 +68,13 @@
             read_chunk_size=READ_BYTES,
         )
         stream.parse_queue = self.parse_queue
-        stream.holder = self.account.open(self.kind, self.make_evict(stream))
+        stream.holder = self.account.open(
+            self.kind, self.make_evict(stream), lambda: count_unread(connection)
+        )
         if stream.holder is None:
             stream.close()
             return
+        limit_receive_buffer(connection, self.account.receive_buffer())
         self.handle_stream(stream, address)
 
     def on_close(self, server_conn) -> None:
@@ -98,5 +103,5 @@
         max_header_size=CHECKER_HEADER_BYTES,
         idle_connection_timeout=CHECKER_TIMEOUT.total_seconds(),
     )
-    server.listen(port, ip)
+    server.add_sockets(bind_listeners(port, ip))
     return server
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -8,11 +8,12 @@
 from result import Err
 from tornado.iostream import IOStream, StreamClosedError
 
+from ..buffers import LARGE_BUFFER_BYTES
 from ..observability import emit
 from ..reads import Backoff
 from ..registry import Registry, Snapshot, StoreRevision
 from ..resumption import StreamOrigin
-from ..sockets import Address, open_stream, parse_address
+from ..sockets import Address, bind_listeners, open_stream, parse_address
 from ..warmup import Membership
 from .catch_up import CatchUp
 from .codec import MessageDecoder, MessageError, encode
@@ -194,7 +195,8 @@
 
     def start(self) -> None:
         """Listen for peers and start connecting to the seeds."""
-        self.server.listen(self.own_address.port, self.own_address.ip)
+        own = self.own_address
+        self.server.add_sockets(bind_listeners(own.port, own.ip))
         for seed in self.seeds:
             self.add_peer(str(seed))
 
@@ -275,7 +277,9 @@
     async def _maintain_connection(self, address: Address) -> None:
         backoff = Backoff(first=INITIAL_BACKOFF, limit=MAX_BACKOFF, random=self.random)
         while backoff.failures < MAX_CONNECT_FAILURES or address in self.seeds:
-            opened = await open_stream(address, timeout=CONNECT_TIMEOUT)
+            opened = await open_stream(
+                address, timeout=CONNECT_TIMEOUT, receive_buffer=LARGE_BUFFER_BYTES
+            )
             self.untried.discard(str(address))
             if not isinstance(opened, Err):
                 backoff.reset()
--- a/zinniaramp/peers/server.py
+++ b/zinniaramp/peers/server.py
@@ -8,6 +8,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from ..buffers import count_unread
 from ..intake import Account, Holder, Kind, Phase
 from ..observability import emit
 from ..registry import Snapshot
@@ -69,7 +70,12 @@
         """Handle the messages of a connection until it closes."""
         holder = None
         if self.account is not None:
-            holder = self.account.open(Kind.PEER, lambda phase: stream.close())
+            connection = stream.socket
+            holder = self.account.open(
+                Kind.PEER,
+                lambda phase: stream.close(),
+                lambda: count_unread(connection),
+            )
             if holder is None:
                 stream.close()
                 return None
--- a/zinniaramp/platform/listening.py
+++ b/zinniaramp/platform/listening.py
@@ -1,4 +1,4 @@
-"""Opening of the callers' listener, using only the standard library.
+"""Opening of the callers' listener, without third-party libraries.
 
 Third-party libraries take about 0.3 s to load on the platform's hosts.  Callers that
 connect during this time wait in the listen backlog instead of being refused.
@@ -9,6 +9,8 @@
 import tomllib
 from pathlib import Path
 
+from ..buffers import WAITING_BUFFER_BYTES, limit_receive_buffer
+
 __all__ = ["EarlyListener", "open_listener", "settings_path"]
 
 SETTINGS_VARIABLE = "ZINNIARAMP_NODE_FILE"
@@ -62,6 +64,7 @@
         ip, _, port = document["listen"]["frontend"].rpartition(":")
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         listener.setblocking(False)
+        limit_receive_buffer(listener, WAITING_BUFFER_BYTES)
         listener.bind((ip, int(port)))
         listener.listen(LISTEN_BACKLOG)
     except (OSError, ValueError, KeyError, TypeError, AttributeError) as error:
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -12,6 +12,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from ..buffers import LARGE_BUFFER_BYTES
 from ..reads import (
     MAX_ANSWER_BYTES,
     JsonAnswer,
@@ -82,7 +83,11 @@
 
     async def connect(self, host: str, port: int, *_, **__) -> IOStream:
         """Return a connected stream; `SimpleAsyncHTTPClient` calls this."""
-        opened = await open_stream(Address(ip=host, port=port), timeout=CONNECT_TIMEOUT)
+        opened = await open_stream(
+            Address(ip=host, port=port),
+            timeout=CONNECT_TIMEOUT,
+            receive_buffer=LARGE_BUFFER_BYTES,
+        )
         match opened:
             case Ok(stream):
                 self.latest = stream
--- a/zinniaramp/sockets/__init__.py
+++ b/zinniaramp/sockets/__init__.py
@@ -3,6 +3,7 @@
 from .core import (
     Address,
     ConnectError,
+    bind_listeners,
     count_unacknowledged,
     enable_keepalive,
     open_stream,
@@ -12,6 +13,7 @@
 __all__ = [
     "Address",
     "ConnectError",
+    "bind_listeners",
     "count_unacknowledged",
     "enable_keepalive",
     "open_stream",
--- a/zinniaramp/sockets/core.py
+++ b/zinniaramp/sockets/core.py
@@ -11,11 +11,19 @@
 from result import Err, Ok, Result
 from tornado.gen import with_timeout
 from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
 from tornado.util import TimeoutError as TornadoTimeoutError
 
+from ..buffers import (
+    SERVER_BUFFER_BYTES,
+    WAITING_BUFFER_BYTES,
+    limit_receive_buffer,
+)
+
 __all__ = [
     "Address",
     "ConnectError",
+    "bind_listeners",
     "count_unacknowledged",
     "enable_keepalive",
     "open_stream",
@@ -129,8 +137,20 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def bind_listeners(port: int, ip: str) -> list[socket.socket]:
+    """Listen at an address; waiting connections have small receive buffers."""
+    listeners = bind_sockets(port, ip)
+    for listener in listeners:
+        limit_receive_buffer(listener, WAITING_BUFFER_BYTES)
+    return listeners
+
+
 async def open_stream(
-    address: Address, *, timeout: timedelta, stream_class: type[IOStream] = IOStream
+    address: Address,
+    *,
+    timeout: timedelta,
+    stream_class: type[IOStream] = IOStream,
+    receive_buffer: int = SERVER_BUFFER_BYTES,
 ) -> Result[IOStream, ConnectError]:
     """Connect to an address.
 
@@ -142,6 +162,8 @@
         Longest time to establish the connection.
     stream_class : type
         Class of the stream.
+    receive_buffer : int
+        Size of the receive buffer, in bytes.
 
     Returns
     -------
@@ -150,6 +172,7 @@
     """
     stream = stream_class(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
     enable_keepalive(stream.socket)
+    limit_receive_buffer(stream.socket, receive_buffer)
     try:
         connecting = stream.connect((address.ip, address.port))
         await with_timeout(timeout, connecting, quiet_exceptions=StreamClosedError)
