Charge the pieces in which the library collects a chunked body

With 1,000 callers that send chunks without an end a gateway of 160 MiB reached 161 to 172 MiB, and one of 80 MiB that had been suspended 84 and 85 MiB, with 8 to 10 MiB unread: more was resident than the account knew. The HTTP library holds up to three pieces of the size of a read for each chunked body that it receives.

Each such body is charged for them until it is complete, and a read has 16 KiB instead of 32 KiB: the receive buffers hold little more.

--- a/zinniaramp/gateway/request_reader.py
+++ b/zinniaramp/gateway/request_reader.py
@@ -12,7 +12,7 @@
     unread_capacity,
 )
 from ..intake import FIELD_BYTES, LARGE_BYTES, Phase
-from ..listeners import MeteredStream
+from ..listeners import CHUNKED_BYTES, MeteredStream
 from .hops import announced_length
 from .matching import CallerRequest, RefusalError
 
@@ -93,7 +93,9 @@
         # Without this a body arrives at two small buffers per round trip.
         buffer = min(length - self.stream.buffered, LARGE_BUFFER_BYTES)
         self.is_widened = buffer > USUAL_BUFFER_BYTES
-        self.working_bytes = unread_capacity(buffer) if self.is_widened else 0
+        self.working_bytes = CHUNKED_BYTES if self.is_chunked else 0
+        if self.is_widened:
+            self.working_bytes = unread_capacity(buffer)
         held = FIELD_BYTES * len(self.headers) + self.working_bytes
         if not self.holder.reserve(length + held):
             if length or self.is_chunked:
--- a/zinniaramp/listeners/server.py
+++ b/zinniaramp/listeners/server.py
@@ -15,7 +15,7 @@
 
 __all__ = ["BoundedServer", "serve_application"]
 
-READ_BYTES = 32 * 1024
+READ_BYTES = 16 * 1024
 """Size of one read, and largest piece of a body.  The library holds up to three pieces
 of a chunked body: 120 of them took 23 MB with pieces of 64 KB."""
 
