Tell a caller of a gateway that its body is over the limit

A caller with a body over the limit, announced or in chunks, got the HTTP library's bare 400 without headers, or only a close: the library ends the connection at the limit, and the bytes that it has not read then reset it.

A body of legal size is still read to its end. Of a longer one no more than the limit is read, so that it costs no processor time, and the connection is closed 5 s later or earlier under pressure. The readiness and metrics listeners get the same answers from `BodyLimiter`, which stands between the library and an application; bodies of up to 16 KiB are now ignored there instead of refused.

Two examples of "A changed limit applies to the next request on every connection" expected the library's 400; they expect 413 now, which no other path of the code writes.

--- a/features/gateway/request_limits.feature
+++ b/features/gateway/request_limits.feature
@@ -22,8 +22,8 @@
       | had a request      | max_body_bytes   | 4194304 | 2000000 | body   | 200    |
       | a request in work  | max_body_bytes   | 4194304 | 2000000 | body   | 200    |
       | sent half a header | max_body_bytes   | 4194304 | 2000000 | body   | 200    |
-      | just been opened   | max_body_bytes   | 65536   | 200000  | body   | 400    |
-      | had a request      | max_body_bytes   | 65536   | 200000  | body   | 400    |
+      | just been opened   | max_body_bytes   | 65536   | 200000  | body   | 413    |
+      | had a request      | max_body_bytes   | 65536   | 200000  | body   | 413    |
       | had a request      | max_header_bytes | 65536   | 40000   | header | 200    |
       | just been opened   | max_header_bytes | 65536   | 40000   | header | 200    |
 
--- a/zinniaramp/gateway/hops.py
+++ b/zinniaramp/gateway/hops.py
@@ -2,7 +2,7 @@
 
 from tornado.httputil import HTTPHeaders
 
-__all__ = ["announced_length", "end_to_end_headers"]
+__all__ = ["end_to_end_headers"]
 
 HOP_BY_HOP = frozenset(
     (
@@ -42,9 +42,3 @@
         if lower_name not in HOP_BY_HOP and lower_name not in connection_options:
             forwarded.add(name, value)
     return forwarded
-
-
-def announced_length(headers: HTTPHeaders) -> int:
-    """Return the length of a body in bytes; 0 if no valid one is announced."""
-    value = headers.get("Content-Length", "0")
-    return int(value) if value.isascii() and value.isdigit() else 0
--- a/zinniaramp/gateway/request_reader.py
+++ b/zinniaramp/gateway/request_reader.py
@@ -12,17 +12,26 @@
     unread_capacity,
 )
 from ..intake import FIELD_BYTES, LARGE_BYTES, Phase
-from ..listeners import CHUNKED_BYTES, MeteredStream
-from .hops import announced_length
+from ..listeners import (
+    CHUNKED_BYTES,
+    UNLIMITED_BYTES,
+    BodyBuffer,
+    MeteredStream,
+    RefusedBody,
+    announced_length,
+    keep_framing,
+)
 from .matching import CallerRequest, RefusalError
 
 if TYPE_CHECKING:
     from .server import CallerServer
 
 __all__ = ["RequestReader"]
+TOO_LARGE = RefusalError(413, "body-too-large")
+"""Refusal of a body over the limit."""
 
-FRAMING = ("Content-Length", "Transfer-Encoding")
-"""Header fields that the library needs to read the body of a refused request."""
+MEMORY_SHORT = RefusalError(503, "memory-short")
+"""Refusal of a request for which there is no memory now."""
 
 
 class RequestReader(HTTPMessageDelegate):
@@ -30,17 +39,18 @@
 
     Attributes
     ----------
-    body : bytearray
-        Body received so far; of a large one with a length, that length from the start,
-        so that it is never copied.
-    filled : int
-        Bytes of the body received so far.
+    max_bytes : int
+        Limit on the body that was in force when the headers arrived.
+    body : BodyBuffer
+        Body received so far.
+    reserved : int
+        Bytes of the body for which memory is reserved.
     working_bytes : int
-        Bytes that are reserved beside the body while it is received.
+        Bytes that are reserved beside these while the body is received.
     is_widened : bool
         Whether the connection has a large receive buffer for the body.
-    is_refused : bool
-        Whether the request was refused; the rest of its body is discarded.
+    refused : RefusedBody or None
+        The rest of the body, once the request was refused.
     has_ended : bool
         Whether the complete request was received.
     """
@@ -57,22 +67,22 @@
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.received = server.clock()
-        self.body = bytearray()
-        self.filled = 0
-        self.is_chunked = False
+        self.max_bytes = 0
+        self.body = BodyBuffer()
+        self.reserved = 0
         self.working_bytes = 0
         self.is_widened = False
-        self.is_refused = False
+        self.refused: RefusedBody | None = None
         self.has_ended = False
 
     def headers_received(self, start_line: RequestStartLine, headers: HTTPHeaders):
         """Begin a request; the HTTP library calls this."""
         self.server.idle.discard(self.connection)
-        if self.server.limits is not None:
-            # The connection has the limit that was in force when it began to wait.
-            self.connection.set_max_body_size(self.server.limits.body_bytes)
+        # The library closes a connection without an answer beyond its limit.
+        self.connection.set_max_body_size(UNLIMITED_BYTES)
         self.start_line = start_line
         self.headers = headers
+        self.max_bytes = self.server.max_body_bytes
         self.received = self.server.clock()
         self.stream.settle()
         if self.stream.closed():
@@ -84,30 +94,32 @@
     def _admit(self) -> None:
         """Charge the request, or refuse it before any of its body is read."""
         length = announced_length(self.headers)
-        self.is_chunked = "Transfer-Encoding" in self.headers
-        if self.is_chunked or length > LARGE_BYTES:
+        is_chunked = "Transfer-Encoding" in self.headers
+        if is_chunked or length > LARGE_BYTES:
             refusal = self.server.find_refusal(self.request(b""))
+            if refusal is None and length > self.max_bytes:
+                refusal = TOO_LARGE
             if refusal is not None:
                 self._refuse(refusal)
                 return
         # Without this a body arrives at two small buffers per round trip.
         buffer = min(length - self.stream.buffered, LARGE_BUFFER_BYTES)
         self.is_widened = buffer > USUAL_BUFFER_BYTES
-        self.working_bytes = CHUNKED_BYTES if self.is_chunked else 0
+        self.working_bytes = CHUNKED_BYTES if is_chunked else 0
         if self.is_widened:
             self.working_bytes = unread_capacity(buffer)
         held = FIELD_BYTES * len(self.headers) + self.working_bytes
         if not self.holder.reserve(length + held):
-            if length or self.is_chunked:
-                self._refuse(RefusalError(503, "memory-short"))
+            if length or is_chunked:
+                self._refuse(MEMORY_SHORT)
             else:
                 self._refuse_at_once()
             return
-        if length > LARGE_BYTES:
-            self.body = bytearray(length)
+        self.reserved = length
+        self.body.expect(length)
         if self.is_widened:
             limit_receive_buffer(self.stream.socket, buffer)
-        if self.is_chunked or length > self.stream.buffered:
+        if is_chunked or length > self.stream.buffered:
             self.holder.enter(Phase.BODY)
 
     def _refuse(self, refusal: RefusalError) -> None:
@@ -127,17 +139,10 @@
         self.connection.close()
 
     def drop(self) -> None:
-        """Free what the request holds, and ignore the rest of it.
-
-        The library keeps the headers until its next step, in which it may parse those
-        of all connections: 535 refused requests held 270 MB.
-        """
-        self.is_refused = True
-        self.body = bytearray()
-        framing = [
-            (name, self.headers[name]) for name in FRAMING if name in self.headers
-        ]
-        self.headers.__init__(framing)
+        """Free what the request holds, and ignore the rest of it."""
+        self.refused = RefusedBody(stream=self.stream, max_bytes=self.max_bytes)
+        self.body.drop()
+        keep_framing(self.headers)
 
     def request(self, body: bytes | bytearray) -> CallerRequest:
         """Return the request with a body."""
@@ -148,25 +153,26 @@
             received=self.received,
         )
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes):
         """Add a part of the body; the HTTP library calls this."""
         self.stream.settle()
-        if self.is_refused:
-            return
-        if self.is_chunked and not self.holder.reserve(len(chunk)):
-            self._refuse(RefusalError(503, "memory-short"))
-            return
-        end = self.filled + len(chunk)
-        if end > len(self.body):
-            self.body += chunk
+        if self.refused is not None:
+            return self.refused.discard(chunk)
+        filled = self.body.filled + len(chunk)
+        missing = filled - self.reserved
+        if filled > self.max_bytes:
+            self._refuse(TOO_LARGE)
+        elif missing > 0 and not self.holder.reserve(missing):
+            self._refuse(MEMORY_SHORT)
         else:
-            self.body[self.filled : end] = chunk
-        self.filled = end
+            self.reserved = max(self.reserved, filled)
+            self.body.add(chunk)
+        return None
 
     def finish(self) -> None:
         """Hand the complete request to the server; the HTTP library calls this."""
         self.has_ended = True
-        if self.is_refused:
+        if self.refused is not None:
             return
         if self.connection.stream.closed():
             # The connection was closed as idle before the headers were parsed.  The
@@ -176,7 +182,4 @@
             size = self.server.account.receive_buffer()
             limit_receive_buffer(self.stream.socket, size)
         self.holder.charge(-self.working_bytes)
-        is_large = self.filled > LARGE_BYTES
-        body, self.body = self.body, bytearray()
-        request = self.request(body if is_large else bytes(body))
-        self.server.handle(request, self.connection)
+        self.server.handle(self.request(self.body.take()), self.connection)
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -9,13 +9,13 @@
 
 from result import Err, Ok
 
+from ..listeners import announced_length
 from ..observability import emit
 from ..registry import Endpoint
 from ..routes import RetryPolicy
 from .caller import CallerConnection
 from .continuation import find_end_problem, find_head_problem
 from .events import SEND_ENDED
-from .hops import announced_length
 from .matching import CallerRequest, MatchedRequest
 from .metrics import ADDED_SECONDS, SENDS
 from .outcomes import (
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -1,7 +1,6 @@
 """Listener for callers: reads complete requests and starts a handler for each."""
 
 import asyncio
-import contextlib
 import socket
 from collections.abc import Callable
 from datetime import timedelta
@@ -31,10 +30,8 @@
 keeps the limit with which it began, so a raised limit would not apply to it."""
 
 
-LINGER_SECONDS = 5.0
-"""Longest time for which the rest of a refused body is read and discarded.  A
-connection that is closed with unread bytes is reset, and the caller may lose the
-refusal.  Under pressure the connection is closed earlier."""
+UNCONFIGURED_BODY_BYTES = 1024 * 1024
+"""Largest body that is read while no configuration is known; its request is refused."""
 
 
 class _ConnectionDelegate(HTTPServerConnectionDelegate):
@@ -111,9 +108,13 @@
         self.limits = limits
         parameters = self.http.conn_params
         parameters.max_header_size = max(limits.header_bytes, MIN_HEADER_BYTES)
-        parameters.max_body_size = limits.body_bytes
         parameters.header_timeout = limits.idle_timeout.total_seconds()
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Largest body of a request, in bytes."""
+        return self.limits.body_bytes if self.limits else UNCONFIGURED_BODY_BYTES
+
     def handle(self, request: CallerRequest, connection: HTTP1Connection) -> None:
         """Start a task for a request; closing the connection cancels the task."""
         caller = CallerConnection(
@@ -158,12 +159,7 @@
             pool=self.pool, request=reader.request(b""), caller=caller
         )
         await handler.refuse(refusal)
-        if not stream.closed():
-            with contextlib.suppress(OSError):
-                stream.socket.shutdown(socket.SHUT_WR)
-            asyncio.get_running_loop().call_later(
-                0 if reader.has_ended else LINGER_SECONDS, stream.close
-            )
+        stream.close_slowly(is_read=lambda: reader.has_ended)
 
     def _make_evict(self, stream: MeteredStream) -> Callable[[Phase], None]:
         def evict(phase: Phase) -> None:
--- a/zinniaramp/listeners/server.py
+++ b/zinniaramp/listeners/server.py
@@ -5,12 +5,13 @@
 from datetime import timedelta
 
 from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
+from tornado.httputil import HTTPMessageDelegate
 from tornado.web import Application
 
 from ..buffers import count_unread, limit_receive_buffer
 from ..intake import Account, Kind, Phase
 from ..sockets import bind_listeners
+from .limiting import BodyLimiter, BodyPolicy
 from .streams import MeteredStream, ParseQueue
 
 __all__ = ["BoundedServer", "serve_application"]
@@ -29,6 +30,9 @@
 CHECKER_HEADER_BYTES = 16 * 1024
 """Largest header block of a health check or of a request for metrics."""
 
+CHECKER_BODY_BYTES = 16 * 1024
+"""Largest body of such a request, and of an operator's; none of them needs one."""
+
 
 class BoundedServer(HTTPServer):
     """HTTP server whose connections are admitted by the account.
@@ -41,6 +45,8 @@
         Account of the process.
     kind : Kind
         Kind of the listener.
+    policy : BodyPolicy or None
+        Limits of the requests; None if the handler applies limits of its own.
     make_evict : callable
         Returns the function that closes a connection which is evicted.
     on_closed : callable
@@ -49,11 +55,21 @@
 
     account: Account
     kind: Kind
+    policy: BodyPolicy | None
 
     @classmethod
-    def make(cls, handler, *, account: Account, kind: Kind, **options):
+    def make(
+        cls,
+        handler,
+        *,
+        account: Account,
+        kind: Kind,
+        policy: BodyPolicy | None = None,
+        **options,
+    ):
         """Return a server for a delegate or application."""
         server = cls(handler, chunk_size=READ_BYTES, **options)
+        server.policy = policy
         server.account = account
         server.kind = kind
         server.parse_queue = ParseQueue()
@@ -77,6 +93,19 @@
         limit_receive_buffer(connection, self.account.receive_buffer())
         self.handle_stream(stream, address)
 
+    def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
+        """Return the reader of the next request; the HTTP library calls this."""
+        delegate = self.make_delegate(server_conn, request_conn)
+        if self.policy is None:
+            return delegate
+        return BodyLimiter(
+            delegate=delegate, connection=request_conn, policy=self.policy
+        )
+
+    def make_delegate(self, server_conn, request_conn) -> HTTPMessageDelegate:
+        """Return the handler of the next request."""
+        return super().start_request(server_conn, request_conn)
+
     def on_close(self, server_conn) -> None:
         """Remove a closed connection from the account."""
         super().on_close(server_conn)
@@ -84,8 +113,11 @@
         self.on_closed(server_conn.stream)
 
 
-def _make_evict(stream: IOStream) -> Callable[[Phase], None]:
+def _make_evict(stream: MeteredStream) -> Callable[[Phase], None]:
     def evict(phase: Phase) -> None:
+        # The library frees a body only in its next step, after those of others.
+        if phase is Phase.BODY and not stream.closed():
+            stream.reader.drop()
         stream.close()
 
     return evict
@@ -94,14 +126,15 @@
 def serve_application(
     application: Application, *, account: Account, kind: Kind, port: int, ip: str
 ) -> BoundedServer:
-    """Serve requests without bodies, such as health checks, at an address."""
+    """Serve an application that is not for callers, such as health checks."""
     server = BoundedServer.make(
         application,
         account=account,
         kind=kind,
-        max_body_size=0,
+        policy=BodyPolicy(max_bytes=CHECKER_BODY_BYTES),
         max_header_size=CHECKER_HEADER_BYTES,
         idle_connection_timeout=CHECKER_TIMEOUT.total_seconds(),
+        body_timeout=CHECKER_TIMEOUT.total_seconds(),
     )
     server.add_sockets(bind_listeners(port, ip))
     return server
--- a/zinniaramp/listeners/streams.py
+++ b/zinniaramp/listeners/streams.py
@@ -1,14 +1,17 @@
 """Accepted connections whose received bytes are charged to the account."""
 
 import asyncio
+import contextlib
+import socket
 from collections import deque
+from collections.abc import Callable
 
 from tornado.httputil import HTTPMessageDelegate
 from tornado.iostream import IOStream
 
 from ..intake import Holder
 
-__all__ = ["MeteredStream", "ParseQueue"]
+__all__ = ["LINGER_SECONDS", "MeteredStream", "ParseQueue"]
 
 MANY_FIELDS = 200
 """Header fields above which a block waits for its turn; ordinary ones have a dozen."""
@@ -16,6 +19,10 @@
 FIELD_PAUSE_SECONDS = 20e-6
 """Pause for each field of such a block, about four times what its parsing takes."""
 
+LINGER_SECONDS = 5.0
+"""Longest time for which the connection of a refused request stays open.  Under
+pressure it is closed earlier."""
+
 
 class ParseQueue:
     """Spreads the parsing of header blocks with very many fields over time.
@@ -61,12 +68,47 @@
         Queue for header blocks with very many fields.
     delayed_bytes : int
         Length of such a block while it waits for its turn; else 0.
+    closed_future : asyncio.Future or None
+        Done once the connection is closed, if something waits for that.
     """
 
     holder: Holder | None = None
     parse_queue: ParseQueue
     delayed_bytes = 0
     reader: HTTPMessageDelegate | None = None
+    closed_future: asyncio.Future | None = None
+
+    def closing(self) -> asyncio.Future:
+        """Return a future that is done once the connection is closed."""
+        if self.closed_future is None:
+            self.closed_future = asyncio.get_running_loop().create_future()
+            if self.closed():
+                self.closed_future.set_result(None)
+        return self.closed_future
+
+    def close(self, exc_info=False) -> None:
+        """Close the connection."""
+        super().close(exc_info)
+        if self.closed_future is not None and not self.closed_future.done():
+            self.closed_future.set_result(None)
+
+    def close_slowly(self, *, is_read: Callable[[], bool]) -> None:
+        """End the answers, and close the connection once the caller may have read them.
+
+        A connection that is closed with unread bytes is reset, and the caller may lose
+        the last answer.
+
+        Parameters
+        ----------
+        is_read : callable
+            Returns whether the complete request was received.
+        """
+        if self.closed():
+            return
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+        delay = 0 if is_read() else LINGER_SECONDS
+        asyncio.get_running_loop().call_later(delay, self.close)
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket, and charge what was read."""
