Bound the operators' listener of entries and endpoint processes

An operator's client could end any process of the product's own interface: the listener buffered bodies of up to 100 MB each. 150 callers that sent 24 MB had an entry at 3,856 MiB and an endpoint process at 3,614 MiB, complete bodies of 2 MB at 451 MiB; 600 that sent nothing took all 400 descriptors, and no request was answered any more.

The processes have settings for it, `[limits] memory` (256 MiB, what control may take on a host) and `descriptors` (the limit of the operating system), and an account of both. The listener is the one of the gateway's health checks: bodies over 16 KiB get 413, 64 connections at most are open, and the oldest unused ones give way. Requests without a body are never refused for lack of memory.

--- a/zinniaramp/daemon/core.py
+++ b/zinniaramp/daemon/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import resource
 import secrets
 import sys
 from pathlib import Path
@@ -9,14 +10,16 @@
 from result import Err, Ok
 from tornado.httputil import split_host_and_port
 
-from ..clock import monotonic_clock
+from ..clock import Clock, monotonic_clock
 from ..configuration import RevisionStore
 from ..contracts import RevisionId
 from ..declarations import Declarations, read_declarations
 from ..endpoint import EndpointProcess
 from ..entry import EntryProcess
 from ..hosts import HostView
+from ..intake import Kind
 from ..links import Identity
+from ..listeners import Intake, IntakeMetrics, serve_application
 from ..observability import configure_logging, emit
 from ..settings import Settings, read_settings
 from .events import PROCESS_SETTLED, PROCESS_STARTED
@@ -37,6 +40,9 @@
 _PROCESS_CLASSES = {"entry": EntryProcess, "endpoint": EndpointProcess}
 
 
+INTAKE_METRICS = IntakeMetrics(prefix="zinniaramp")
+"""Metrics of the account of memory and descriptors."""
+
 NO_REVISION = RevisionId(index=0, digest="")
 """Revision of a process until it accepts a published revision."""
 
@@ -67,13 +73,32 @@
     )
 
 
-def _listen(process, view: ProcessView) -> None:
+def _make_intake(settings: Settings, clock: Clock) -> Intake:
+    """Return the account of the process, with the limits of its settings."""
+    descriptors = settings.limits.descriptors
+    if not descriptors:
+        descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return Intake(
+        clock=clock,
+        metrics=INTAKE_METRICS,
+        memory_mb=settings.limits.memory,
+        max_fds=None if descriptors == resource.RLIM_INFINITY else descriptors,
+    )
+
+
+def _listen(process, view: ProcessView, intake: Intake) -> None:
     """Open all listeners of the process; exit with a message if one fails to open."""
     operator = view.settings.listen.operator
     try:
         process.start()
         host, port = split_host_and_port(operator)
-        make_application(view).listen(port, host)
+        serve_application(
+            make_application(view),
+            account=intake.account,
+            kind=Kind.OPERATOR,
+            port=port,
+            ip=host,
+        )
     except OSError as error:
         print(
             f"cannot listen: {error}; correct [listen] or stop the process that "
@@ -91,6 +116,7 @@
     revisions = RevisionStore(initial=_read_initial_declarations(settings), clock=clock)
     hosts = HostView()
     identity = _make_identity(settings, revisions)
+    intake = _make_intake(settings, clock)
     process = _PROCESS_CLASSES[settings.process.role](
         settings=settings,
         identity=identity,
@@ -111,7 +137,8 @@
         shutdown=shutdown,
     )
     followers.start()
-    _listen(process, view)
+    _listen(process, view, intake)
+    intake.start()
     _freeze_startup_objects()
     emit(PROCESS_STARTED, role=identity.role, incarnation=identity.incarnation)
     newest_revision_task = asyncio.create_task(
--- a/zinniaramp/intake/account.py
+++ b/zinniaramp/intake/account.py
@@ -142,6 +142,7 @@
             Kind.PEER: self.limits.peers,
             Kind.READINESS: self.limits.readiness,
             Kind.METRICS: self.limits.metrics,
+            Kind.OPERATOR: self.limits.readiness,
         }.get(kind, float("inf"))
         if self.counts[kind] >= cap and not self._evict_oldest((kind,)):
             return None
--- a/zinniaramp/intake/holder.py
+++ b/zinniaramp/intake/holder.py
@@ -18,6 +18,7 @@
     PEER = "peer"
     READINESS = "readiness"
     METRICS = "metrics"
+    OPERATOR = "operator"
 
 
 class Phase(Enum):
--- a/zinniaramp/intake/limits.py
+++ b/zinniaramp/intake/limits.py
@@ -48,7 +48,8 @@
         Descriptors for the connections of callers and peers, and for the sends of the
         callers' requests; infinite if the host names no limit.
     peers, readiness, metrics : float
-        Largest number of connections at each of these listeners.
+        Largest number of connections at each of these listeners; that of operators has
+        as many as the one for readiness.
     receive_room : float
         Bytes that may wait in the receive buffers of all connections together.
     """
--- a/zinniaramp/settings/core.py
+++ b/zinniaramp/settings/core.py
@@ -14,6 +14,7 @@
 __all__ = [
     "EngineSettings",
     "FleetSettings",
+    "LimitsSettings",
     "ListenSettings",
     "LogSettings",
     "PlatformSettings",
@@ -184,6 +185,26 @@
     )
 
 
+@_section_dataclass
+class LimitsSettings:
+    """``[limits]``: memory and descriptors of the process."""
+
+    memory: int = declare_key(
+        "Memory of the process, with the bytes that it has received and not read. "
+        "Requests beyond it are refused.",
+        unit="MiB",
+        default=256,
+        ge=96,
+        le=1024 * 1024,
+    )
+    descriptors: int = declare_key(
+        "Open descriptors of the process; 0 for the limit of the operating system.",
+        default=0,
+        ge=0,
+        le=1024 * 1024,
+    )
+
+
 @_section_dataclass
 class LogSettings:
     """``[log]``: level and destination of the log."""
@@ -204,6 +225,7 @@
     "engine": EngineSettings,
     "routing": RoutingSettings,
     "scheduling": SchedulingSettings,
+    "limits": LimitsSettings,
     "log": LogSettings,
 }
 
@@ -220,6 +242,7 @@
     engine: EngineSettings | None = Field(default=None)
     routing: RoutingSettings = Field(default_factory=RoutingSettings)
     scheduling: SchedulingSettings = Field(default_factory=SchedulingSettings)
+    limits: LimitsSettings = Field(default_factory=LimitsSettings)
 
 
 def _unknown_section_problem(file: str, section: str) -> Problem:
