Admit connections to an endpoint process by its account

600 callers that send nothing to the listener for streams held all 400 descriptors of an endpoint process until their handshakes timed out. Its ordinary requests were answered all the same, as its entries were connected already; an entry that starts would have waited.

Connections without a finished handshake count in the account and give way to newer ones, a quarter of the sockets at most. An entry that has proved that it has the fleet's key is never evicted, and its connection gets a larger receive buffer.

--- a/zinniaramp/daemon/core.py
+++ b/zinniaramp/daemon/core.py
@@ -123,6 +123,7 @@
         revisions=revisions,
         hosts=hosts,
         clock=clock,
+        account=intake.account,
     )
     followers = Followers(
         settings=settings, revisions=revisions, hosts=hosts, clock=clock
--- a/zinniaramp/endpoint/core.py
+++ b/zinniaramp/endpoint/core.py
@@ -12,10 +12,12 @@
 from ..contracts import Load, Welcome
 from ..declarations import Declarations, class_variants
 from ..hosts import Host, HostState, HostView
+from ..intake import Account, unlimited_account
 from ..links import Identity, Listener
 from ..observability import emit
 from ..scheduling import JobState, Scheduler
 from ..settings import Settings
+from ..sockets import bind_listeners
 from ..tickets import TicketTable
 from ..tickets.tombstones import Tombstones
 from .attempts import Attempt
@@ -74,6 +76,8 @@
         The platform's list of hosts.
     clock : Clock
         The process's clock.
+    account : Account, optional
+        Memory and descriptors that connections may hold; unlimited by default.
     """
 
     def __init__(
@@ -84,7 +88,9 @@
         revisions: RevisionStore,
         hosts: HostView,
         clock: Clock,
+        account: Account | None = None,
     ):
+        self.account = account or unlimited_account(clock)
         self.settings = settings
         self.identity = identity
         self.revisions = revisions
@@ -157,6 +163,7 @@
             welcome=self.welcome,
             serve=self.streams.serve,
             clock=self.clock,
+            account=self.account,
         )
 
     def start(self) -> None:
@@ -168,7 +175,7 @@
             asyncio.create_task(self.run_maintenance()),
         ]
         host, port = split_host_and_port(self.settings.listen.streams)
-        self.listener.listen(port, host)
+        self.listener.add_sockets(bind_listeners(port, host))
 
     def is_ready(self) -> bool:
         """Return whether the process can accept attempts."""
--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -10,6 +10,7 @@
 from ..configuration import RevisionStore
 from ..declarations import Declarations
 from ..hosts import HostView
+from ..intake import Account, unlimited_account
 from ..links import Identity
 from ..observability import emit
 from ..settings import Settings
@@ -62,6 +63,8 @@
         The process's clock.
     random_source : random.Random, optional
         Source of all randomness in routing.
+    account : Account, optional
+        Memory and descriptors that connections may hold; unlimited by default.
 
     Attributes
     ----------
@@ -82,7 +85,9 @@
         hosts: HostView,
         clock: Clock,
         random_source: Random | None = None,
+        account: Account | None = None,
     ):
+        self.account = account or unlimited_account(clock)
         self.settings = settings
         self.revisions = revisions
         self.hosts = hosts
--- a/zinniaramp/intake/__init__.py
+++ b/zinniaramp/intake/__init__.py
@@ -1,6 +1,6 @@
 """Account of the memory and descriptors that connections hold, and eviction order."""
 
-from .account import FIELD_BYTES, LARGE_BYTES, Account
+from .account import FIELD_BYTES, LARGE_BYTES, Account, unlimited_account
 from .holder import Holder, Kind, Phase
 from .limits import IntakeLimits, derive_limits
 
@@ -13,4 +13,5 @@
     "Kind",
     "Phase",
     "derive_limits",
+    "unlimited_account",
 ]
--- a/zinniaramp/intake/account.py
+++ b/zinniaramp/intake/account.py
@@ -12,9 +12,9 @@
 from ..buffers import SMALL_BUFFER_BYTES, USUAL_BUFFER_BYTES, unread_capacity
 from ..clock import Clock
 from .holder import Holder, Kind, Phase
-from .limits import IntakeLimits
+from .limits import IntakeLimits, derive_limits
 
-__all__ = ["Account"]
+__all__ = ["Account", "unlimited_account"]
 
 CONNECTION_BYTES = 10 * 1024
 """Memory of one connection without any data; 7 KB were measured."""
@@ -281,3 +281,9 @@
     """Return the bytes that a connection holds, times the time for which it has."""
     size = CONNECTION_BYTES + holder.charged + holder.buffered + holder.unread
     return size * (now - holder.since).total_seconds()
+
+
+def unlimited_account(clock: Clock) -> Account:
+    """Return an account that admits everything, for a host that names no limits."""
+    limits = derive_limits(memory_mb=None, max_fds=None, resident_bytes=0)
+    return Account(limits=limits, clock=clock)
