Admit callers' requests to an entry by its account

An entry had no account of what its callers hold. 150 callers had it at 406 MiB with chunks without an end, at 602 MiB with complete calls of 2 MB that a service did not answer yet, at 366 MiB with bodies that stop short, and at 348 and 639 MiB while it stopped; 600 that sent nothing took all 400 descriptors. Over 2 MiB a caller got the library's bare 400 or a reset.

The listener is the bounded one: memory for three copies of a body, which is what the forwarding of one takes, is reserved before it is read, and the largest and slowest incomplete bodies and unread answers give way. An answer that is collected for its caller is charged too.

--- a/zinniaramp/entry/callers.py
+++ b/zinniaramp/entry/callers.py
@@ -123,7 +123,7 @@
 
     async def answer_non_streamed(self, call: Call) -> None:
         """Send the answer in a single response when it is complete."""
-        sink = CollectingSink()
+        sink = CollectingSink(reserve=self.holder.reserve)
         run = await self.run(call, sink)
         if run.final_result.error is not None:
             self.set_run_headers(run)
--- a/zinniaramp/entry/core.py
+++ b/zinniaramp/entry/core.py
@@ -10,13 +10,15 @@
 from ..configuration import RevisionStore
 from ..declarations import Declarations
 from ..hosts import HostView
-from ..intake import Account, unlimited_account
+from ..intake import Account, Kind, unlimited_account
 from ..links import Identity
 from ..observability import emit
 from ..settings import Settings
+from ..sockets import bind_listeners
 from .callers import make_application
 from .events import DRAIN_ENDED, DRAIN_STARTED
 from .handling import CallerHandler
+from .limits import CALLER_POLICY
 from .peer_set import PeerSet
 from .router import Router
 from .server import CallerServer
@@ -24,9 +26,6 @@
 
 __all__ = ["EntryProcess"]
 
-MAX_BODY_BYTES = 2 * 1024 * 1024
-"""Largest request body that the HTTP server reads, in bytes."""
-
 MAX_HEADER_BYTES = 32 * 1024
 """Largest request line and headers of a request, in bytes."""
 
@@ -117,14 +116,16 @@
         """Open streams to endpoints and listen for callers."""
         self.peers.start()
         host, port = split_host_and_port(self.settings.listen.callers)
-        self.server = CallerServer(
+        self.server = CallerServer.make(
             make_application(self),
-            max_body_size=MAX_BODY_BYTES,
+            account=self.account,
+            kind=Kind.CALLER,
+            policy=CALLER_POLICY,
             max_header_size=MAX_HEADER_BYTES,
             body_timeout=BODY_TIMEOUT.total_seconds(),
             idle_connection_timeout=IDLE_TIMEOUT.total_seconds(),
         )
-        self.server.listen(port, host)
+        self.server.add_sockets(bind_listeners(port, host))
 
     def is_ready(self) -> bool:
         """Return whether the process accepts requests and a peer is usable."""
--- a/zinniaramp/entry/errors.py
+++ b/zinniaramp/entry/errors.py
@@ -29,6 +29,7 @@
     TICKET_REFUSED = "ticket_refused"
     TICKET_INCARNATION_GONE = "ticket_incarnation_gone"
     OVERLOADED = "overloaded"
+    MEMORY_SHORT = "memory_short"
     NO_ENDPOINT = "no_endpoint"
     DEADLINE_EXCEEDED = "deadline_exceeded"
     ANSWER_FAILED = "answer_failed"
--- a/zinniaramp/entry/handling.py
+++ b/zinniaramp/entry/handling.py
@@ -8,6 +8,7 @@
 from result import Err, Ok
 
 from ..contracts import Outcome
+from ..intake import Holder, Phase
 from ..observability import emit
 from .attempt import Sink
 from .errors import CallerError, ErrorCode, error_body
@@ -16,7 +17,7 @@
 from .runs import RequestResult, RequestRun
 from .sinks import AnswerTooLargeError
 
-__all__ = ["CallerHandler", "UnknownPathHandler"]
+__all__ = ["CallerHandler", "UnknownPathHandler", "error_headers"]
 
 MAX_HEADERS = 64
 """Maximum number of header lines of a request."""
@@ -26,6 +27,18 @@
 TICKET_REPLY_HEADER = "Zinniaramp-Ticket"
 
 
+def error_headers(error: CallerError) -> dict[str, str]:
+    """Return the response headers that describe an error."""
+    headers = {}
+    if error.outcome is not None:
+        headers[OUTCOME_HEADER] = str(error.outcome)
+    if error.retry_after_s > 0:
+        headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+    if error.ticket:
+        headers[TICKET_REPLY_HEADER] = error.ticket
+    return headers
+
+
 class CallerHandler(tornado.web.RequestHandler):
     """Base class of the handlers for callers.
 
@@ -33,6 +46,8 @@
     ----------
     process : EntryProcess
         The process that serves the request.
+    holder : Holder
+        Account of the caller's connection.
     task : asyncio.Task or None
         Task that processes the request; cancelled when the caller disconnects.
     time_limit : asyncio.Timeout or None
@@ -42,6 +57,7 @@
     def initialize(self, process):
         """Set the entry process that serves the request."""
         self.process = process
+        self.holder: Holder = self.request.connection.stream.holder
         self.task: asyncio.Task | None = None
         self.time_limit: asyncio.Timeout | None = None
 
@@ -85,6 +101,13 @@
         if not self.task.cancelled():
             self.task.result()
 
+    def finish(self, chunk=None):
+        """Write the rest of the answer; its caller may take its time to read it."""
+        self.holder.enter(Phase.ANSWER)
+        if isinstance(chunk, bytes):
+            self.holder.charge(len(chunk))
+        return super().finish(chunk)
+
     def stop(self) -> None:
         """End the request with an answer, because the process exits."""
         if self.time_limit is not None:
@@ -157,12 +180,8 @@
     def answer_error(self, error: CallerError) -> None:
         """Send an error response, in the format of the OpenAI API."""
         self.set_status(error.status)
-        if error.outcome is not None:
-            self.set_header(OUTCOME_HEADER, str(error.outcome))
-        if error.retry_after_s > 0:
-            self.set_header("Retry-After", str(math.ceil(error.retry_after_s)))
-        if error.ticket:
-            self.set_header(TICKET_REPLY_HEADER, error.ticket)
+        for name, value in error_headers(error).items():
+            self.set_header(name, value)
         self.finish(error_body(error))
 
     def write_error(self, status_code, **kwargs):
--- a/zinniaramp/entry/resuming.py
+++ b/zinniaramp/entry/resuming.py
@@ -64,7 +64,7 @@
         if start != 0:
             self.answer_error(_offset_unsupported(start))
             return
-        sink = CollectingSink()
+        sink = CollectingSink(reserve=self.holder.reserve)
         result = await self.receive_answer(peer, attempt_id, sink, start)
         if result.kind is not AttemptKind.DONE:
             self.answer_error(_resume_failed(result))
--- a/zinniaramp/entry/server.py
+++ b/zinniaramp/entry/server.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable
 
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPMessageDelegate
 
+from ..listeners import BoundedServer
+
 __all__ = ["CallerServer"]
 
 
-class CallerServer(HTTPServer):
+class CallerServer(BoundedServer):
     """HTTP server that tracks requests in flight for graceful shutdown.
 
     Attributes
@@ -23,10 +24,10 @@
         super().initialize(*args, **kwargs)
         self.in_flight: set[object] = set()
 
-    def start_request(self, server_conn, request_conn) -> HTTPMessageDelegate:
+    def make_delegate(self, server_conn, request_conn) -> HTTPMessageDelegate:
         """Prepare for a request; the previous response has been written."""
         self.in_flight.discard(server_conn)
-        delegate = super().start_request(server_conn, request_conn)
+        delegate = super().make_delegate(server_conn, request_conn)
         return _TrackingDelegate(
             delegate=delegate, on_head=lambda: self.in_flight.add(server_conn)
         )
--- a/zinniaramp/entry/service_calls.py
+++ b/zinniaramp/entry/service_calls.py
@@ -93,7 +93,7 @@
 
     async def answer(self, call: Call) -> None:
         """Send the service's complete answer, or an error."""
-        sink = CollectingSink()
+        sink = CollectingSink(reserve=self.holder.reserve)
         run = await self.run(call, sink)
         if run.final_result.error is not None:
             self.set_run_headers(run)
--- a/zinniaramp/entry/sinks.py
+++ b/zinniaramp/entry/sinks.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from ..contracts import Chunk, Head, Outcome
+from ..intake import Phase
 from .errors import CallerError, error_body
 
 __all__ = ["AnswerTooLargeError", "CollectingSink", "EventSink", "is_error_head"]
@@ -28,6 +29,11 @@
 class CollectingSink:
     """Collects an answer until it is complete.
 
+    Parameters
+    ----------
+    reserve : callable
+        Returns whether there is memory for some more bytes, and charges them.
+
     Attributes
     ----------
     payloads : list of bytes
@@ -38,7 +44,8 @@
         Total size of the payloads, in bytes.
     """
 
-    def __init__(self):
+    def __init__(self, *, reserve: Callable[[int], bool]):
+        self.reserve = reserve
         self.payloads: list[bytes] = []
         self.answer_head: Head | None = None
         self.size = 0
@@ -56,17 +63,18 @@
         Raises
         ------
         AnswerTooLargeError
-            If the answer exceeds `MAX_COLLECTED_BYTES`.
+            If the answer exceeds `MAX_COLLECTED_BYTES`, or there is no memory for it.
         """
-        for chunk in chunks:
-            self.size += len(chunk.payload)
-            self.payloads.append(chunk.payload)
-        if self.size > MAX_COLLECTED_BYTES:
+        added = sum(len(chunk.payload) for chunk in chunks)
+        self.size += added
+        if self.size > MAX_COLLECTED_BYTES or not self.reserve(added):
             raise AnswerTooLargeError
+        self.payloads.extend(chunk.payload for chunk in chunks)
 
     def reset(self) -> bool:
         """Drop the answer and return true, since none of it has reached the caller."""
-        self.__init__()
+        self.reserve(-self.size)
+        self.__init__(reserve=self.reserve)
         return True
 
 
@@ -133,7 +141,10 @@
         """Flush the handler and wait until the data is written to the socket."""
         flushed: asyncio.Future = self.handler.flush()
         if not flushed.done():
+            holder = self.handler.holder
+            holder.enter(Phase.ANSWER)
             await flushed
+            holder.enter(Phase.RUNNING)
 
     def reset(self) -> bool:
         """Drop the head and error body; return whether the response has not started."""
--- a/zinniaramp/entry/ticket_calls.py
+++ b/zinniaramp/entry/ticket_calls.py
@@ -80,7 +80,11 @@
 
     async def answer(self, call: Call) -> None:
         """Send a ticket, or an error with a retry delay."""
-        run = RequestRun(router=self.process.router, call=call, sink=CollectingSink())
+        run = RequestRun(
+            router=self.process.router,
+            call=call,
+            sink=CollectingSink(reserve=self.holder.reserve),
+        )
         issued = await issue_ticket(run.router, call, run.first_id.request)
         if issued is None:
             final = await run.resolve_failure()
