Reserve memory for the parsed values of a chat request

The memory of the values is estimated from the commas, colons and brackets of the body and reserved before it is parsed, and they are freed before the request runs.

--- a/features/intake/own_interface.feature
+++ b/features/intake/own_interface.feature
@@ -82,3 +82,9 @@
     When 40 calls of the largest size are sent to the callers of entry-0 one after another
     Then each call is answered
     And the processes live within their limits
+
+  Scenario: A calm entry accepts a chat request of the largest size, whatever it contains
+    Given 1 entry processes and endpoints with 1024 descriptors
+    When 3 times "many small values" are sent to the callers of entry-0
+    Then each call is answered
+    And the processes live within their limits
--- a/features/steps/intake_own_steps.py
+++ b/features/steps/intake_own_steps.py
@@ -15,7 +15,7 @@
 
 from features.gateway.exchanges import read_reply
 from features.gateway.rig import LOOPBACK
-from features.intake.crowds import MESSAGES, OWN_BODY_BYTES, filler, own_request
+from features.intake.crowds import MESSAGES, own_request
 from features.intake.measurements import Subject
 from features.steps.intake_steps import STOP_DELAY_SECONDS, Place, make_crowd
 from features.support.processes import fetch_json
@@ -226,17 +226,17 @@
 
 @when("{count:d} calls of the largest size are sent to {place} one after another")
 def send_calls(context, count, place):
-    port = context.places[place].ports[0]
+    send_repeatedly(context, count, "complete calls", place)
+
+
+@when('{count:d} times "{kind}" are sent to {place}')
+def send_repeatedly(context, count, kind, place):
+    target = context.places[place]
 
     async def send():
         return [
-            await exchange(
-                port,
-                own_request(
-                    "/services/ledger/entries", OWN_BODY_BYTES, filler(OWN_BODY_BYTES)
-                ),
-            )
-            for _ in range(count)
+            await exchange(target.ports[0], MESSAGES[kind](target.path, number))
+            for number in range(count)
         ]
 
     context.replies = context.run(send())
--- a/zinniaramp/entry/callers.py
+++ b/zinniaramp/entry/callers.py
@@ -10,6 +10,7 @@
 from .completion import assemble_completion
 from .errors import CallerError, unknown_model
 from .handling import OUTCOME_HEADER, CallerHandler, UnknownPathHandler
+from .limits import memory_short, parsed_size
 from .requests import (
     TICKET_HEADER,
     Call,
@@ -35,19 +36,37 @@
 
     async def post(self):
         """Route the request and send its answer."""
-        arrived = self.process.clock()
-        chat = self.checked(parse_body(ChatRequest, self.request.body))
-        if chat is None:
+        parsed = self.checked(self.parse(self.process.clock()))
+        if parsed is None:
             return
-        declarations = self.process.revisions.current()
-        call = self.checked(self.build_call(chat, declarations, arrived))
-        if call is None:
-            return
-        if chat.stream:
+        call, is_streamed = parsed
+        if is_streamed:
             await self.run_task(self.answer_streamed(call))
         else:
             await self.run_task(self.answer_non_streamed(call))
 
+    def parse(self, arrived) -> Result[tuple[Call, bool], CallerError]:
+        """Return the validated request and whether its answer is streamed.
+
+        The parsed values can take many times the memory of the body.  There must be
+        room for two copies: the validated one and that from which a body is written
+        again.  They are not kept while the request runs.
+        """
+        limit = self.process.account.limits.budget
+        size = min(2 * parsed_size(self.request.body), limit)
+        if not self.holder.reserve(size):
+            return Err(memory_short())
+        try:
+            match parse_body(ChatRequest, self.request.body):
+                case Ok(chat):
+                    declarations = self.process.revisions.current()
+                    call = self.build_call(chat, declarations, arrived)
+                    return call.map(lambda one: (one, bool(chat.stream)))
+                case error:
+                    return error
+        finally:
+            self.holder.charge(-size)
+
     def build_call(
         self, chat: ChatRequest, declarations: Declarations, arrived
     ) -> Result[Call, CallerError]:
--- a/zinniaramp/entry/limits.py
+++ b/zinniaramp/entry/limits.py
@@ -8,7 +8,7 @@
 from .errors import CallerError, ErrorCode, error_body
 from .handling import error_headers
 
-__all__ = ["CALLER_POLICY", "MAX_BODY_BYTES", "memory_short"]
+__all__ = ["CALLER_POLICY", "MAX_BODY_BYTES", "memory_short", "parsed_size"]
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
 """Largest request body that the HTTP server reads, in bytes."""
@@ -16,6 +16,46 @@
 BODY_COPIES = 3
 """Copies of a body in memory: as received, as forwarded, and in the stream's buffer."""
 
+ENTRY_BYTES = 9
+"""Memory of one place in a list or an object, with what they allocate ahead."""
+
+SCALAR_BYTES = 56
+"""Memory of a short string, which takes more than a number."""
+
+LIST_BYTES = 64
+"""Memory of a list, with the header for garbage collection."""
+
+OBJECT_BYTES = 232
+"""Memory of an object with up to five entries."""
+
+
+def parsed_size(body: bytes) -> int:
+    """Return an estimate of the memory that the values of a JSON document take.
+
+    The sizes are those of 64-bit CPython.
+
+    Parameters
+    ----------
+    body : bytes
+        The document.  Each value but the first follows a comma, a colon or an opening
+        bracket; those in strings are counted too.
+
+    Returns
+    -------
+    int
+        Bytes; an estimate from above unless lists are nested in each other.
+    """
+    entries = body.count(b",") + body.count(b":")
+    lists, objects = body.count(b"["), body.count(b"{")
+    scalars = max(0, entries + body.count(b":") - lists - objects)
+    return (
+        len(body)
+        + ENTRY_BYTES * entries
+        + SCALAR_BYTES * scalars
+        + LIST_BYTES * lists
+        + OBJECT_BYTES * objects
+    )
+
 
 def memory_short() -> CallerError:
     """Return the error for a request for which there is no memory now."""
