Collect a server's complete answer in one buffer

A gateway with 160 MiB reached 160 MiB with callers that don't read answers of 8 MB, though 82 MiB were charged at most: the answer was collected in pieces of 16 KB, which the allocator keeps when they are free, and was twice in memory while they were joined.

It is now written into one buffer of the announced length, as the bodies of requests are; such a buffer returns to the host as soon as it is free.

--- a/zinniaramp/gateway/outcomes.py
+++ b/zinniaramp/gateway/outcomes.py
@@ -61,7 +61,7 @@
         Cause of a failure, for the log; empty on success.
     head : AnswerHead or None
         Status and headers that may be forwarded to the caller.
-    body : bytes
+    body : bytes or bytearray
         Body that may be forwarded to the caller.
     is_closed : bool
         Whether the endpoint closed the connection before the end of a framed answer, or
@@ -73,7 +73,7 @@
     outcome: SendOutcome
     problem: str = ""
     head: AnswerHead | None = None
-    body: bytes = b""
+    body: bytes | bytearray = b""
     is_closed: bool = False
     answer_bytes: int = 0
 
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -9,7 +9,7 @@
 
 from result import Err, Ok
 
-from ..listeners import announced_length
+from ..listeners import BodyBuffer, announced_length
 from ..observability import emit
 from ..registry import Endpoint
 from ..routes import RetryPolicy
@@ -310,24 +310,25 @@
         return await answer.next()
 
     async def _read_body(self, answer: Answer, result: SendResult) -> SendResult:
-        parts, size = [], 0
+        body = BodyBuffer()
         held = min(announced_length(result.head.headers), MAX_BUFFERED_BYTES)
         if held:
             await self.caller.hold(held)
+            body.expect(held)
         while True:
             message = await self._next_message(answer)
             if isinstance(message, AnswerChunk):
-                parts.append(message.data)
-                size += len(message.data)
+                size = body.filled + len(message.data)
                 if size > held:
                     await self.caller.hold(size - held)
                     held = size
+                body.add(message.data)
                 if size > MAX_BUFFERED_BYTES:
                     problem = f"body with more than {MAX_BUFFERED_BYTES} bytes"
                     return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
                 continue
             if isinstance(message, AnswerEnd) and message.is_complete:
-                result.body = b"".join(parts)
+                result.body = body.take()
                 return result
             return make_incomplete(result, message)
 
