Reserve memory for bodies at all listeners alike

A body at an entry arrived at two small buffers per round trip, 42 of them for 1 MB, as only the gateway's reader widened the connection; and the pieces of a chunked body were charged there alone. Both readers now use `BodyReservation`. A closed connection no longer refers to its reader, so that neither waits for the garbage collector.

--- a/zinniaramp/entry/handling.py
+++ b/zinniaramp/entry/handling.py
@@ -222,6 +222,7 @@
 _TOO_LARGE = CallerError(
     status=502,
     code=ErrorCode.ANSWER_TOO_LARGE,
-    message="the answer is too large for a single response; request a stream",
+    message="the answer is too large for a single response, or for the memory that is "
+    "left; request a stream",
     outcome=Outcome.UNKNOWN,
 )
--- a/zinniaramp/gateway/request_reader.py
+++ b/zinniaramp/gateway/request_reader.py
@@ -5,20 +5,15 @@
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, HTTPMessageDelegate, RequestStartLine
 
-from ..buffers import (
-    LARGE_BUFFER_BYTES,
-    USUAL_BUFFER_BYTES,
-    limit_receive_buffer,
-    unread_capacity,
-)
-from ..intake import FIELD_BYTES, LARGE_BYTES, Phase
+from ..intake import LARGE_BYTES, Phase
 from ..listeners import (
-    CHUNKED_BYTES,
     UNLIMITED_BYTES,
     BodyBuffer,
+    BodyReservation,
     MeteredStream,
     RefusedBody,
     announced_length,
+    is_chunked,
     keep_framing,
 )
 from .matching import CallerRequest, RefusalError
@@ -27,6 +22,7 @@
     from .server import CallerServer
 
 __all__ = ["RequestReader"]
+
 TOO_LARGE = RefusalError(413, "body-too-large")
 """Refusal of a body over the limit."""
 
@@ -43,12 +39,8 @@
         Limit on the body that was in force when the headers arrived.
     body : BodyBuffer
         Body received so far.
-    reserved : int
-        Bytes of the body for which memory is reserved.
-    working_bytes : int
-        Bytes that are reserved beside these while the body is received.
-    is_widened : bool
-        Whether the connection has a large receive buffer for the body.
+    reservation : BodyReservation
+        Memory of the request while it is received.
     refused : RefusedBody or None
         The rest of the body, once the request was refused.
     has_ended : bool
@@ -69,9 +61,7 @@
         self.received = server.clock()
         self.max_bytes = 0
         self.body = BodyBuffer()
-        self.reserved = 0
-        self.working_bytes = 0
-        self.is_widened = False
+        self.reservation = BodyReservation(stream=self.stream)
         self.refused: RefusedBody | None = None
         self.has_ended = False
 
@@ -94,32 +84,22 @@
     def _admit(self) -> None:
         """Charge the request, or refuse it before any of its body is read."""
         length = announced_length(self.headers)
-        is_chunked = "Transfer-Encoding" in self.headers
-        if is_chunked or length > LARGE_BYTES:
+        is_unannounced = is_chunked(self.headers)
+        if is_unannounced or length > LARGE_BYTES:
             refusal = self.server.find_refusal(self.request(b""))
             if refusal is None and length > self.max_bytes:
                 refusal = TOO_LARGE
             if refusal is not None:
                 self._refuse(refusal)
                 return
-        # Without this a body arrives at two small buffers per round trip.
-        buffer = min(length - self.stream.buffered, LARGE_BUFFER_BYTES)
-        self.is_widened = buffer > USUAL_BUFFER_BYTES
-        self.working_bytes = CHUNKED_BYTES if is_chunked else 0
-        if self.is_widened:
-            self.working_bytes = unread_capacity(buffer)
-        held = FIELD_BYTES * len(self.headers) + self.working_bytes
-        if not self.holder.reserve(length + held):
-            if length or is_chunked:
+        if not self.reservation.begin(self.headers):
+            if length or is_unannounced:
                 self._refuse(MEMORY_SHORT)
             else:
                 self._refuse_at_once()
             return
-        self.reserved = length
         self.body.expect(length)
-        if self.is_widened:
-            limit_receive_buffer(self.stream.socket, buffer)
-        if is_chunked or length > self.stream.buffered:
+        if is_unannounced or length > self.stream.buffered:
             self.holder.enter(Phase.BODY)
 
     def _refuse(self, refusal: RefusalError) -> None:
@@ -159,13 +139,11 @@
         if self.refused is not None:
             return self.refused.discard(chunk)
         filled = self.body.filled + len(chunk)
-        missing = filled - self.reserved
         if filled > self.max_bytes:
             self._refuse(TOO_LARGE)
-        elif missing > 0 and not self.holder.reserve(missing):
+        elif not self.reservation.extend(filled):
             self._refuse(MEMORY_SHORT)
         else:
-            self.reserved = max(self.reserved, filled)
             self.body.add(chunk)
         return None
 
@@ -178,8 +156,5 @@
             # The connection was closed as idle before the headers were parsed.  The
             # caller concludes that the request was not read, so it must not be sent.
             return
-        if self.is_widened:
-            size = self.server.account.receive_buffer()
-            limit_receive_buffer(self.stream.socket, size)
-        self.holder.charge(-self.working_bytes)
+        self.reservation.end()
         self.server.handle(self.request(self.body.take()), self.connection)
--- a/zinniaramp/gateway/server.py
+++ b/zinniaramp/gateway/server.py
@@ -188,7 +188,6 @@
     def _forget_closed(self, stream: MeteredStream) -> None:
         if stream.reader is not None:
             self.idle.discard(stream.reader.connection)
-            stream.reader = None
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current answer."""
--- a/zinniaramp/listeners/__init__.py
+++ b/zinniaramp/listeners/__init__.py
@@ -1,10 +1,11 @@
 """HTTP listeners that keep within the memory and descriptors of a process."""
 
 from .bodies import (
-    CHUNKED_BYTES,
     BodyBuffer,
+    BodyReservation,
     RefusedBody,
     announced_length,
+    is_chunked,
     keep_framing,
 )
 from .limiting import (
@@ -21,10 +22,10 @@
 from .streams import MeteredStream
 
 __all__ = [
-    "CHUNKED_BYTES",
     "UNLIMITED_BYTES",
     "BodyBuffer",
     "BodyPolicy",
+    "BodyReservation",
     "BoundedServer",
     "Intake",
     "IntakeMetrics",
@@ -34,6 +35,7 @@
     "RefusedBody",
     "announced_length",
     "draw_retry_seconds",
+    "is_chunked",
     "keep_framing",
     "refuse_as_json",
     "serve_application",
--- a/zinniaramp/listeners/bodies.py
+++ b/zinniaramp/listeners/bodies.py
@@ -4,14 +4,21 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ..intake import LARGE_BYTES
+from ..buffers import (
+    LARGE_BUFFER_BYTES,
+    USUAL_BUFFER_BYTES,
+    limit_receive_buffer,
+    unread_capacity,
+)
+from ..intake import FIELD_BYTES, LARGE_BYTES
 from .streams import MeteredStream
 
 __all__ = [
-    "CHUNKED_BYTES",
     "BodyBuffer",
+    "BodyReservation",
     "RefusedBody",
     "announced_length",
+    "is_chunked",
     "keep_framing",
 ]
 
@@ -29,6 +36,11 @@
     return int(value) if value.isascii() and value.isdigit() else 0
 
 
+def is_chunked(headers: HTTPHeaders) -> bool:
+    """Return whether a body arrives in chunks, without an announced length."""
+    return "Transfer-Encoding" in headers
+
+
 def keep_framing(headers: HTTPHeaders) -> None:
     """Remove all fields of a refused request that the library does not need.
 
@@ -40,6 +52,74 @@
     headers.__init__(framing)
 
 
+class BodyReservation:
+    """Memory of one request while its body is received.
+
+    Beside the body it holds what the library collects of a chunked one, and a larger
+    receive buffer for an announced one, which would otherwise arrive at two small
+    buffers per round trip.
+
+    Parameters
+    ----------
+    stream : MeteredStream
+        Connection of the request.
+    copies : int
+        Number of times that the body is in memory while its request is handled.
+
+    Attributes
+    ----------
+    body_bytes : int
+        Bytes of the body for which memory is reserved.
+    working_bytes : int
+        Bytes that are reserved until the body is complete.
+    is_widened : bool
+        Whether the connection has a larger receive buffer.
+    """
+
+    __slots__ = ("stream", "copies", "body_bytes", "working_bytes", "is_widened")
+
+    def __init__(self, *, stream: MeteredStream, copies: int = 1):
+        self.stream = stream
+        self.copies = copies
+        self.body_bytes = 0
+        self.working_bytes = 0
+        self.is_widened = False
+
+    def begin(self, headers: HTTPHeaders) -> bool:
+        """Reserve memory for a request; return whether there is room for it."""
+        length = announced_length(headers)
+        buffer = min(length - self.stream.buffered, LARGE_BUFFER_BYTES)
+        self.is_widened = buffer > USUAL_BUFFER_BYTES
+        if self.is_widened:
+            self.working_bytes = unread_capacity(buffer)
+        elif is_chunked(headers):
+            self.working_bytes = CHUNKED_BYTES
+        held = FIELD_BYTES * len(headers) + self.working_bytes
+        if not self.stream.holder.reserve(length * self.copies + held):
+            return False
+        self.body_bytes = length
+        if self.is_widened:
+            limit_receive_buffer(self.stream.socket, buffer)
+        return True
+
+    def extend(self, size: int) -> bool:
+        """Reserve memory for a body of some size, if it was not announced."""
+        missing = size - self.body_bytes
+        if missing > 0:
+            if not self.stream.holder.reserve(missing * self.copies):
+                return False
+            self.body_bytes = size
+        return True
+
+    def end(self) -> None:
+        """Give back what is not needed once the body is complete."""
+        holder = self.stream.holder
+        holder.charge(-self.working_bytes)
+        if self.is_widened and not self.stream.closed():
+            size = holder.account.receive_buffer()
+            limit_receive_buffer(self.stream.socket, size)
+
+
 class BodyBuffer:
     """Collects the body of one request.
 
--- a/zinniaramp/listeners/limiting.py
+++ b/zinniaramp/listeners/limiting.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from random import Random
+from random import uniform
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
@@ -17,7 +17,14 @@
 )
 
 from ..intake import FIELD_BYTES, Phase
-from .bodies import BodyBuffer, RefusedBody, announced_length, keep_framing
+from .bodies import (
+    BodyBuffer,
+    BodyReservation,
+    RefusedBody,
+    announced_length,
+    is_chunked,
+    keep_framing,
+)
 from .streams import MeteredStream
 
 __all__ = [
@@ -68,12 +75,9 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
-_random = Random()
-
-
 def draw_retry_seconds() -> float:
     """Return when a caller may come back that found no memory, in seconds."""
-    return _random.uniform(MIN_RETRY_SECONDS, MAX_RETRY_SECONDS)
+    return uniform(MIN_RETRY_SECONDS, MAX_RETRY_SECONDS)
 
 
 def refuse_as_json(refusal: Refusal) -> RefusalAnswer:
@@ -125,8 +129,8 @@
 
     Attributes
     ----------
-    reserved : int
-        Bytes of the body for which memory is reserved.
+    reservation : BodyReservation
+        Memory of the request while it is received.
     refused : RefusedBody or None
         What follows a refusal.
     has_ended : bool
@@ -150,7 +154,7 @@
         if self.holder.phase is not Phase.HEAD:
             self.holder.enter(Phase.IDLE)
         self.body = BodyBuffer()
-        self.reserved = 0
+        self.reservation = BodyReservation(stream=self.stream, copies=policy.copies)
         self.refused: RefusedBody | None = None
         self.has_ended = False
 
@@ -159,23 +163,22 @@
         self.stream.settle()
         self.connection.set_max_body_size(UNLIMITED_BYTES)
         length = announced_length(headers)
-        has_body = length > 0 or "Transfer-Encoding" in headers
-        head_bytes = FIELD_BYTES * len(headers)
+        has_body = length > 0 or is_chunked(headers)
+        refusal = None
         if length > self.policy.max_bytes:
             refusal = Refusal.TOO_LARGE
         elif not has_body and not self.policy.refuses_heads:
-            self.holder.charge(head_bytes)
-            return self.delegate.headers_received(start_line, headers)
-        elif not self._reserve(length, head_bytes):
+            self.holder.charge(FIELD_BYTES * len(headers))
+        elif not self.reservation.begin(headers):
             refusal = Refusal.MEMORY_SHORT
-        else:
-            self.body.expect(length)
-            if has_body:
-                self.holder.enter(Phase.BODY)
-            return self.delegate.headers_received(start_line, headers)
-        keep_framing(headers)
-        self._refuse(refusal)
-        return None
+        if refusal is not None:
+            keep_framing(headers)
+            self._refuse(refusal)
+            return None
+        self.body.expect(length)
+        if has_body:
+            self.holder.enter(Phase.BODY)
+        return self.delegate.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes):
         """Add a part of the body; the HTTP library calls this."""
@@ -185,7 +188,7 @@
         filled = self.body.filled + len(chunk)
         if filled > self.policy.max_bytes:
             self._refuse_started(Refusal.TOO_LARGE)
-        elif filled > self.reserved and not self._reserve(filled - self.reserved):
+        elif not self.reservation.extend(filled):
             self._refuse_started(Refusal.MEMORY_SHORT)
         else:
             self.body.add(chunk)
@@ -196,6 +199,7 @@
         self.has_ended = True
         if self.refused is not None:
             return
+        self.reservation.end()
         self.holder.enter(self.policy.phase)
         body = self.body.take()
         if body:
@@ -214,12 +218,6 @@
             self.delegate.on_connection_close()
             self._write_refusal(Refusal.MEMORY_SHORT)
 
-    def _reserve(self, length: int, header_bytes: int = 0) -> bool:
-        if not self.holder.reserve(length * self.policy.copies + header_bytes):
-            return False
-        self.reserved += length
-        return True
-
     def _refuse_started(self, refusal: Refusal) -> None:
         self.delegate.on_connection_close()
         self._refuse(refusal)
--- a/zinniaramp/listeners/server.py
+++ b/zinniaramp/listeners/server.py
@@ -109,8 +109,11 @@
     def on_close(self, server_conn) -> None:
         """Remove a closed connection from the account."""
         super().on_close(server_conn)
-        server_conn.stream.holder.close()
-        self.on_closed(server_conn.stream)
+        stream = server_conn.stream
+        stream.holder.close()
+        self.on_closed(stream)
+        # The reader refers to the connection, and garbage is collected rarely.
+        stream.reader = None
 
 
 def _make_evict(stream: MeteredStream) -> Callable[[Phase], None]:
