--- a/zinniaramp/entry/limits.py
+++ b/zinniaramp/entry/limits.py
@@ -16,7 +16,7 @@
 BODY_COPIES = 3
 """Copies of a body in memory: as received, as forwarded, and in the stream's buffer."""
 
-ENTRY_BYTES = 9
+PLACE_BYTES = 9
 """Memory of one place in a list or an object, with what they allocate ahead."""
 
 SCALAR_BYTES = 56
@@ -43,14 +43,14 @@
     Returns
     -------
     int
-        Bytes; an estimate from above unless lists are nested in each other.
+        Bytes; the estimate errs upwards for text, whose punctuation it counts.
     """
     entries = body.count(b",") + body.count(b":")
     lists, objects = body.count(b"["), body.count(b"{")
     scalars = max(0, entries + body.count(b":") - lists - objects)
     return (
         len(body)
-        + ENTRY_BYTES * entries
+        + PLACE_BYTES * entries
         + SCALAR_BYTES * scalars
         + LIST_BYTES * lists
         + OBJECT_BYTES * objects
@@ -75,7 +75,7 @@
 )
 
 
-def refuse(refusal: Refusal) -> RefusalAnswer:
+def make_refusal(refusal: Refusal) -> RefusalAnswer:
     """Return the answer to a request that is refused before it is handled."""
     error = _TOO_LARGE if refusal is Refusal.TOO_LARGE else memory_short()
     body = json.dumps(error_body(error)).encode()
@@ -87,6 +87,6 @@
     copies=BODY_COPIES,
     refuses_heads=True,
     phase=Phase.RUNNING,
-    refuse=refuse,
+    refuse=make_refusal,
 )
 """Limits of the listener for callers."""
--- a/zinniaramp/gateway/sending.py
+++ b/zinniaramp/gateway/sending.py
@@ -9,10 +9,11 @@
 
 from result import Err, Ok
 
-from ..listeners import BodyBuffer, announced_length
+from ..listeners import announced_length
 from ..observability import emit
 from ..registry import Endpoint
 from ..routes import RetryPolicy
+from .body_collector import BodyCollector
 from .caller import CallerConnection
 from .continuation import find_end_problem, find_head_problem
 from .events import SEND_ENDED
@@ -310,27 +311,20 @@
         return await answer.next()
 
     async def _read_body(self, answer: Answer, result: SendResult) -> SendResult:
-        body = BodyBuffer()
-        held = min(announced_length(result.head.headers), MAX_BUFFERED_BYTES)
-        if held:
-            await self.caller.hold(held)
-            body.expect(held)
+        length = announced_length(result.head.headers)
+        collector = BodyCollector(hold=self.caller.hold)
+        await collector.expect(min(length, MAX_BUFFERED_BYTES))
         while True:
             message = await self._next_message(answer)
-            if isinstance(message, AnswerChunk):
-                size = body.filled + len(message.data)
-                if size > held:
-                    await self.caller.hold(size - held)
-                    held = size
-                body.add(message.data)
-                if size > MAX_BUFFERED_BYTES:
-                    problem = f"body with more than {MAX_BUFFERED_BYTES} bytes"
-                    return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
-                continue
             if isinstance(message, AnswerEnd) and message.is_complete:
-                result.body = body.take()
+                result.body = collector.body.take()
                 return result
-            return make_incomplete(result, message)
+            if not isinstance(message, AnswerChunk):
+                return make_incomplete(result, message)
+            await collector.add(message.data)
+            if collector.body.filled > MAX_BUFFERED_BYTES:
+                problem = f"body with more than {MAX_BUFFERED_BYTES} bytes"
+                return SendResult(outcome=SendOutcome.UNKNOWN, problem=problem)
 
     async def _relay_stream(self, answer: Answer, result: SendResult) -> SendResult:
         has_begun = self.relay.last_event_id is not None or self.caller.has_started
--- a/zinniaramp/links/listener.py
+++ b/zinniaramp/links/listener.py
@@ -58,11 +58,11 @@
             stream.close()
             return
         try:
-            await self.open_stream(stream, address, holder)
+            await self.perform_handshake(stream, address, holder)
         finally:
             holder.close()
 
-    async def open_stream(self, stream, address, holder: Holder) -> None:
+    async def perform_handshake(self, stream, address, holder: Holder) -> None:
         """Perform the handshake and serve the stream if it succeeds."""
         opened = await accept(
             stream,
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -11,28 +11,17 @@
 from ..buffers import LARGE_BUFFER_BYTES
 from ..observability import emit
 from ..reads import Backoff
-from ..registry import Registry, Snapshot, StoreRevision
+from ..registry import Registry, StoreRevision
 from ..resumption import StreamOrigin
 from ..sockets import Address, bind_listeners, open_stream, parse_address
 from ..warmup import Membership
 from .catch_up import CatchUp
-from .codec import MessageDecoder, MessageError, encode
-from .events import (
-    ITEMS_RECEIVED_FROM_PEER,
-    PEER_CONNECTED,
-    PEER_DISCONNECTED,
-    PEER_SENT_INVALID_DATA,
-)
-from .messages import (
-    Heartbeat,
-    Hello,
-    LoadEvent,
-    Message,
-    OriginAnswer,
-    SendEnded,
-)
+from .codec import encode
+from .events import PEER_CONNECTED, PEER_DISCONNECTED
+from .messages import Heartbeat, Hello, LoadEvent, Message, SendEnded
 from .origin_requests import OriginRequests
-from .server import MAX_READ_BYTES, PEER_TIMEOUT, MeshServer
+from .replies import read_replies
+from .server import PEER_TIMEOUT, MeshServer
 
 __all__ = ["PeerMesh"]
 
@@ -296,7 +285,13 @@
         self.write_queues[name] = bytearray(b"".join(map(encode, first)))
         self.write_events[name] = asyncio.Event()
         self.origin_requests.ask_connected(name)
-        read_task = asyncio.create_task(self._read_replies(name, stream))
+        reading = read_replies(
+            name,
+            stream,
+            registry=self.registry,
+            origin_requests=self.origin_requests,
+        )
+        read_task = asyncio.create_task(reading)
         problem = ""
         try:
             await self._write_messages(name, stream)
@@ -346,40 +341,6 @@
             return
         await asyncio.sleep(FLUSH_DELAY.total_seconds())
 
-    async def _read_replies(self, name: str, stream: IOStream) -> None:
-        """Apply a peer's replies to requests for items and for origins."""
-        decoder = MessageDecoder()
-        while True:
-            try:
-                data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
-                messages = decoder.feed(data)
-            except StreamClosedError:
-                return
-            except MessageError as error:
-                emit(PEER_SENT_INVALID_DATA, peer=name, problem=str(error))
-                stream.close()
-                return
-            for message in messages:
-                match message:
-                    case Snapshot():
-                        self._apply_snapshot(name, message)
-                    case OriginAnswer():
-                        self.origin_requests.apply(name, message)
-
-    def _apply_snapshot(self, name: str, snapshot: Snapshot) -> None:
-        before = self.registry.cache.revision
-        if snapshot.revision <= before:
-            return
-        self.registry.apply(snapshot)
-        emit(
-            ITEMS_RECEIVED_FROM_PEER,
-            peer=name,
-            era=snapshot.revision.era,
-            before=before.number,
-            revision=snapshot.revision.number,
-            items=len(snapshot.items),
-        )
-
     def record_heartbeat(self, name: str, heartbeat: Heartbeat) -> None:
         """Record a peer's revision; catch up if the local watch does not deliver it.
 
