Give a crowd's step more time than a crowd may take

A crowd sends for up to 12 s, and the wait for the process to read it lasts up to 12 s more; on a busy machine both do. The bounds on memory and descriptors had held until then. A step of these features now has 60 s, which only ends one that hangs.

--- a/features/steps/intake_own_steps.py
+++ b/features/steps/intake_own_steps.py
@@ -17,7 +17,12 @@
 from features.gateway.rig import LOOPBACK
 from features.intake.crowds import MESSAGES, own_request
 from features.intake.measurements import Subject
-from features.steps.intake_steps import STOP_DELAY_SECONDS, Place, make_crowd
+from features.steps.intake_steps import (
+    STEP_SECONDS,
+    STOP_DELAY_SECONDS,
+    Place,
+    make_crowd,
+)
 from features.support.processes import fetch_json
 from zinniaramp.standins.fleet import MODEL, FleetOptions, bring_up, is_alive
 
@@ -34,8 +39,6 @@
 """
 MEMORY_MB = 256
 """Default memory of a process; what control may take on a host."""
-RUN_SECONDS = 30
-"""Timeout of a step."""
 TRY_PAUSE_SECONDS = 0.1
 """Pause before an ordinary caller that was refused tries again."""
 DAEMONS = ("entry", "endpoint")
@@ -57,7 +60,7 @@
     declarations = context.directory / "own.ini"
     declarations.write_text(DECLARATIONS)
     context.runner = asyncio.Runner()
-    context.run = lambda step: context.runner.run(asyncio.wait_for(step, RUN_SECONDS))
+    context.run = lambda step: context.runner.run(asyncio.wait_for(step, STEP_SECONDS))
     context.crowd, context.subjects, context.places = None, [], {}
     with descriptor_limit(descriptors):
         # The environment's hook ends the processes that are listed in this directory.
--- a/features/steps/intake_steps.py
+++ b/features/steps/intake_steps.py
@@ -21,6 +21,8 @@
 ORDINARY_PATH = "/read/x"
 TRY_PAUSE_SECONDS = 0.1
 """Pause before an ordinary caller that was refused tries again."""
+STEP_SECONDS = 60
+"""Timeout of a step, far above what a crowd and the reading of its bytes may take."""
 STOP_DELAY_SECONDS = 0.3
 """Time for which a crowd has sent when the process is told to stop."""
 UNCONFIGURED_STATUS = 503
@@ -64,7 +66,7 @@
     rig = context.rig = Rig()
     context.end_fleet = lambda: close(context)
     context.crowd, context.subjects = None, []
-    context.run = rig.run
+    context.run = lambda step: rig.runner.run(asyncio.wait_for(step, STEP_SECONDS))
 
     async def start():
         await rig.start()
