Log how large answers of the store arrive

Events 1919 and 1920 say so for answers of 64 KiB and more; 1913 has the bytes that had arrived, 1900 the time of decoding, 2103 the bytes of a peer's copy, and 2104 names the copies that a gateway sends. No decision changes.

--- a/features/steps/gateway_versions_steps.py
+++ b/features/steps/gateway_versions_steps.py
@@ -8,6 +8,7 @@
 from features.gateway.exchanges import read_reply, request
 from features.gateway.rig import HOST_BOUNDS
 from features.steps.gateway_steps import first_server_behaves
+from zinniaramp.clock import monotonic_clock
 from zinniaramp.gateway.core import MIN_GATEWAY_COUNT
 from zinniaramp.platform.store import make_store_source
 from zinniaramp.resumption import StreamOrigin, StreamOrigins, origin_key
@@ -108,7 +109,9 @@
 @when("the history of the servers is read")
 def read_history(context):
     rig = context.rig
-    source = make_store_source(Address(ip="127.0.0.1", port=rig.store.port))
+    source = make_store_source(
+        Address(ip="127.0.0.1", port=rig.store.port), clock=monotonic_clock()
+    )
     context.history = rig.run(source.read_history()).ok_value
 
 
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -113,7 +113,7 @@
             clock=self.clock,
         )
         self.follower = StoreFollower(
-            source=make_store_source(settings.store),
+            source=make_store_source(settings.store, clock=self.clock),
             registry=self.registry,
             clock=self.clock,
             random=random,
--- a/zinniaramp/peers/events.py
+++ b/zinniaramp/peers/events.py
@@ -4,6 +4,7 @@
 
 __all__ = [
     "ITEMS_RECEIVED_FROM_PEER",
+    "ITEMS_SENT_TO_PEER",
     "PEER_CONNECTED",
     "PEER_DISCONNECTED",
     "PEER_SENT_INVALID_DATA",
@@ -37,6 +38,14 @@
     name="items-from-peer",
     level="INFO",
     meaning="Another gateway process had a newer revision of the store and sent the "
-    "missing items.",
-    fields=("peer", "era", "before", "revision", "items"),
+    "missing items, in a message of `bytes` bytes.",
+    fields=("peer", "era", "before", "revision", "items", "bytes"),
+)
+ITEMS_SENT_TO_PEER = declare_event(
+    number=2104,
+    name="items-to-peer",
+    level="INFO",
+    meaning="Another gateway process has asked for the items that changed after "
+    "revision `after`; they are sent in `bytes` bytes.",
+    fields=("peer", "after", "revision", "bytes"),
 )
--- a/zinniaramp/peers/replies.py
+++ b/zinniaramp/peers/replies.py
@@ -30,6 +30,7 @@
         Receives the origins.
     """
     decoder = MessageDecoder()
+    received = 0
     while True:
         try:
             data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
@@ -40,15 +41,19 @@
             emit(PEER_SENT_INVALID_DATA, peer=name, problem=str(error))
             stream.close()
             return
+        received += len(data)
         for message in messages:
             match message:
                 case Snapshot():
-                    _apply_snapshot(name, message, registry)
+                    _apply_snapshot(name, message, registry, received)
                 case OriginAnswer():
                     origin_requests.apply(name, message)
+            received = 0
 
 
-def _apply_snapshot(name: str, snapshot: Snapshot, registry: Registry) -> None:
+def _apply_snapshot(
+    name: str, snapshot: Snapshot, registry: Registry, size: int
+) -> None:
     before = registry.cache.revision
     if snapshot.revision <= before:
         return
@@ -60,4 +65,5 @@
         before=before.number,
         revision=snapshot.revision.number,
         items=len(snapshot.items),
+        bytes=size,
     )
--- a/zinniaramp/peers/server.py
+++ b/zinniaramp/peers/server.py
@@ -14,7 +14,7 @@
 from ..registry import Snapshot
 from ..sockets import enable_keepalive
 from .codec import MessageDecoder, MessageError, encode
-from .events import PEER_DISCONNECTED, PEER_SENT_INVALID_DATA
+from .events import ITEMS_SENT_TO_PEER, PEER_DISCONNECTED, PEER_SENT_INVALID_DATA
 from .messages import (
     Heartbeat,
     Hello,
@@ -126,7 +126,15 @@
                 if hello is not None:
                     mesh.record_heartbeat(hello.address, message)
             case ItemsRequest(after=after):
-                changes = encode(mesh.registry.cache.changes_since(after))
+                cache = mesh.registry.cache
+                changes = encode(cache.changes_since(after))
+                emit(
+                    ITEMS_SENT_TO_PEER,
+                    peer=connection,
+                    after=after.number,
+                    revision=cache.revision.number,
+                    bytes=len(changes),
+                )
                 await self._write(stream, changes)
             case OriginRequest(key=key):
                 answer = OriginAnswer(key=key, origin=mesh.find_origin(key))
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -13,12 +13,14 @@
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from ..buffers import LARGE_BUFFER_BYTES
+from ..clock import Clock
 from ..reads import (
     MAX_ANSWER_BYTES,
     JsonAnswer,
     ReadAnswer,
     ReadError,
     ReadJson,
+    Transfer,
     make_answer_reader,
     make_http_reader,
 )
@@ -155,15 +157,20 @@
     return make_http_reader(_make_client(_DirectConnections()))
 
 
-def make_store_source(address: Address) -> Source:
+def make_store_source(address: Address, *, clock: Clock) -> Source:
     """Return the functions that read and watch the store at an address."""
     read = make_answer_reader(_make_client(_DirectConnections()))
+    # The follower makes one of these calls at a time.
+    transfer = Transfer(clock=clock)
+    read_page = make_answer_reader(
+        _make_client(_DirectConnections()), transfer=transfer
+    )
     watch_connections = _DirectConnections()
-    read_watch = make_answer_reader(_make_client(watch_connections))
+    read_watch = make_answer_reader(_make_client(watch_connections), transfer=transfer)
     base = f"http://{address}"
 
     async def read_all() -> Result[Snapshot, ReadError]:
-        return await _read_pages(read, base)
+        return await _read_pages(read_page, base)
 
     async def watch(
         after: StoreRevision, wait: timedelta
@@ -201,6 +208,7 @@
         watch=watch,
         read_revision=read_revision,
         read_history=read_history,
+        transfer=transfer,
     )
 
 
--- a/zinniaramp/reads/__init__.py
+++ b/zinniaramp/reads/__init__.py
@@ -13,14 +13,17 @@
     polling_interval,
 )
 from .heads import has_whole_head
+from .transfers import LARGE_ANSWER_BYTES, Transfer
 
 __all__ = [
+    "LARGE_ANSWER_BYTES",
     "MAX_ANSWER_BYTES",
     "Backoff",
     "JsonAnswer",
     "ReadAnswer",
     "ReadError",
     "ReadJson",
+    "Transfer",
     "has_whole_head",
     "make_answer_reader",
     "make_http_reader",
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -13,6 +13,8 @@
 from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import StreamClosedError
 
+from .transfers import Transfer
+
 __all__ = [
     "MAX_ANSWER_BYTES",
     "Backoff",
@@ -102,13 +104,17 @@
     return timedelta(seconds=seconds)
 
 
-def make_answer_reader(client: AsyncHTTPClient) -> ReadAnswer:
+def make_answer_reader(
+    client: AsyncHTTPClient, *, transfer: Transfer | None = None
+) -> ReadAnswer:
     """Return a function that reads JSON with one GET, without retries or redirects.
 
     Parameters
     ----------
     client : AsyncHTTPClient
         Client that sends the requests.
+    transfer : Transfer, optional
+        Records the progress of the answers; then one call may run at a time.
 
     Returns
     -------
@@ -120,13 +126,21 @@
         url: str, timeout: timedelta
     ) -> Result[JsonAnswer, ReadError]:
         received: list[str] = []
+        body = bytearray()
+        if transfer is not None:
+            transfer.start()
         try:
             response = await client.fetch(
                 url,
                 connect_timeout=min(CONNECT_TIMEOUT, timeout).total_seconds(),
                 request_timeout=timeout.total_seconds(),
                 follow_redirects=False,
-                header_callback=received.append,
+                header_callback=_make_receiver(
+                    received.append, transfer.record_header if transfer else None
+                ),
+                streaming_callback=_make_receiver(
+                    body.extend, transfer.record_bytes if transfer else None
+                ),
             )
         except HTTPError as error:
             wait = parse_retry_after(error.response.headers) if error.response else None
@@ -141,11 +155,11 @@
             )
         except (OSError, HTTPInputError, StreamClosedError) as error:
             return Err(ReadError(f"{url}: {error!r}", has_begun=_has_begun(received)))
-        if len(response.body) > MAX_ANSWER_BYTES:
+        if len(body) > MAX_ANSWER_BYTES:
             problem = f"{url}: more than {MAX_ANSWER_BYTES} bytes"
             return Err(ReadError(problem, has_begun=True))
         try:
-            document = json.loads(response.body)
+            document = json.loads(body)
         except (ValueError, RecursionError) as error:
             return Err(ReadError(f"{url}: not JSON: {error}"))
         return Ok(JsonAnswer(document=document, headers=response.headers))
@@ -153,6 +167,19 @@
     return read_answer
 
 
+def _make_receiver(
+    collect: Callable[[Any], None], record: Callable[[Any], None] | None
+) -> Callable[[Any], None]:
+    """Return a callback that collects a part of an answer and records its arrival."""
+
+    def receive(part: Any) -> None:
+        collect(part)
+        if record is not None:
+            record(part)
+
+    return receive
+
+
 def _has_begun(header_lines: list[str]) -> bool:
     """Return whether the lines of a header block begin with a status of success."""
     return bool(header_lines) and header_lines[0].split()[1:2] == ["200"]
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -332,11 +332,12 @@
 
     def _decode_and_apply(self, item: Item) -> None:
         self.refused.pop(item.key, None)
+        began_at = self.clock()
         match self.decode(item):
             case Ok(Endpoint() as endpoint):
                 self._register(item, endpoint)
             case Ok(Configuration() as configuration):
-                self._activate(configuration)
+                self._activate(configuration, self.clock() - began_at)
             case Ok(Evacuation() as evacuation):
                 era = self.cache.revision.era
                 if self.evacuations.apply(item.key, evacuation, era):
@@ -398,7 +399,7 @@
             self.held_until[name] = self.clock() + wait
             emit(ENDPOINT_HELD, endpoint=name, seconds=wait.total_seconds())
 
-    def _activate(self, configuration: Configuration) -> None:
+    def _activate(self, configuration: Configuration, decoding: timedelta) -> None:
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             emit(
@@ -408,7 +409,11 @@
             )
             return
         self.configuration = configuration
-        emit(CONFIGURATION_IN_FORCE, version=configuration.version)
+        emit(
+            CONFIGURATION_IN_FORCE,
+            version=configuration.version,
+            decode_ms=decoding // timedelta(milliseconds=1),
+        )
 
     def _end_evacuation(self, item: Item) -> None:
         cache, current = self.cache, self.evacuations.in_force[item.key]
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -15,6 +15,8 @@
     "EVACUATION_REVOKED",
     "HISTORY_READ",
     "ITEM_REFUSED",
+    "LARGE_ANSWER_BEGAN",
+    "LARGE_ANSWER_ENDED",
     "PEER_UNUSABLE",
     "STORE_ANSWER_OLD",
     "STORE_LOST",
@@ -28,8 +30,9 @@
     number=1900,
     name="configuration-in-force",
     level="INFO",
-    meaning="A version of the configuration was activated.",
-    fields=("version",),
+    meaning="A version of the configuration was activated; its document was decoded in "
+    "`decode_ms`.",
+    fields=("version", "decode_ms"),
 )
 CONFIGURATION_OLD = declare_event(
     number=1901,
@@ -131,8 +134,16 @@
     level="WARNING",
     meaning="The store has a later revision than the watch that was sent `waited_ms` "
     "ago has delivered; the watch is ended.  Another one follows, after a read of all "
-    "items unless a peer has sent those that were missing.",
-    fields=("era", "revision", "store_era", "store_revision", "waited_ms"),
+    "items unless a peer has sent those that were missing.  `received` bytes of its "
+    "answer had arrived.",
+    fields=(
+        "era",
+        "revision",
+        "store_era",
+        "store_revision",
+        "waited_ms",
+        "received",
+    ),
 )
 HISTORY_READ = declare_event(
     number=1914,
@@ -174,3 +185,19 @@
     "centre; it stays in force for `seconds` unless it is published again and removed.",
     fields=("data_center", "seconds"),
 )
+LARGE_ANSWER_BEGAN = declare_event(
+    number=1919,
+    name="large-answer-began",
+    level="INFO",
+    meaning="The headers of an answer of the store with `bytes` bytes have arrived; it "
+    "may take long on a narrow link.",
+    fields=("era", "revision", "bytes"),
+)
+LARGE_ANSWER_ENDED = declare_event(
+    number=1920,
+    name="large-answer-ended",
+    level="INFO",
+    meaning="An answer that was announced by 1919 is complete, `took_ms` after its "
+    "headers; or it was ended because of a `problem`, with `received` of its bytes.",
+    fields=("bytes", "received", "took_ms", "problem"),
+)
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -2,18 +2,20 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import datetime, timedelta
 from random import Random
 
 from result import Err, Ok, Result
 
-from ..clock import Clock
+from ..clock import Clock, monotonic_clock
 from ..observability import emit
-from ..reads import Backoff, ReadError
+from ..reads import Backoff, ReadError, Transfer
 from .core import Registry
 from .events import (
     HISTORY_READ,
+    LARGE_ANSWER_BEGAN,
+    LARGE_ANSWER_ENDED,
     STORE_LOST,
     STORE_REGAINED,
     WATCH_OVERDUE,
@@ -79,6 +81,9 @@
         Returns the store's current revision.
     read_history : callable
         Returns the changes of the endpoints' entries that the store still has.
+    transfer : Transfer
+        Progress of the answer to the latest call of `read_all` or `watch`, of which one
+        runs at a time.
     """
 
     read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
@@ -87,6 +92,9 @@
     ]
     read_revision: Callable[[], Awaitable[Result[StoreRevision, ReadError]]]
     read_history: Callable[[], Awaitable[Result[History, ReadError]]]
+    transfer: Transfer = field(
+        default_factory=lambda: Transfer(clock=monotonic_clock())
+    )
 
 
 class StoreFollower:
@@ -125,6 +133,8 @@
         Time of the latest answer to a read of the revision.
     overdue_timer : asyncio.TimerHandle or None
         Ends the waiting watch unless it delivers a reported revision by then.
+    large_answer_began_at : datetime or None
+        Time at which the headers of a large answer arrived; None if none is arriving.
     """
 
     __slots__ = (
@@ -141,6 +151,7 @@
         "settled_at",
         "answered_at",
         "overdue_timer",
+        "large_answer_began_at",
     )
 
     def __init__(
@@ -165,12 +176,16 @@
         self.settled_at: datetime | None = None
         self.answered_at: datetime | None = None
         self.overdue_timer: asyncio.TimerHandle | None = None
+        self.large_answer_began_at: datetime | None = None
         registry.freshness.on_report.append(self._check_watch)
+        source.transfer.on_large.append(self._record_large_answer)
 
     async def run(self) -> None:
         """Replicate the store until cancelled."""
         while True:
-            match await self._read_next():
+            read = await self._read_next()
+            self._record_end_of_answer(read)
+            match read:
                 case None:
                     continue
                 case Ok(None):
@@ -206,6 +221,38 @@
             watch.cancel()
             self._forget_watch()
 
+    def _record_large_answer(self) -> None:
+        """Log that a large answer has begun to arrive."""
+        self.large_answer_began_at = self.clock()
+        emit(
+            LARGE_ANSWER_BEGAN,
+            era=self._last_revision.era,
+            revision=self._last_revision.number,
+            bytes=self.source.transfer.size,
+        )
+
+    def _record_end_of_answer(
+        self, read: Result[Snapshot | None, ReadError] | None
+    ) -> None:
+        """Log how a large answer ended, if the last call had one."""
+        began_at, self.large_answer_began_at = self.large_answer_began_at, None
+        if began_at is None:
+            return
+        match read:
+            case None:
+                problem = "ended here"
+            case Err(error):
+                problem = str(error)
+            case Ok():
+                problem = ""
+        emit(
+            LARGE_ANSWER_ENDED,
+            bytes=self.source.transfer.size,
+            received=self.source.transfer.received,
+            took_ms=(self.clock() - began_at) // MILLISECOND,
+            problem=problem,
+        )
+
     def _forget_watch(self) -> None:
         self.watch = None
         if self.overdue_timer is not None:
@@ -320,6 +367,7 @@
             store_era=revision.era,
             store_revision=revision.number,
             waited_ms=age // MILLISECOND,
+            received=self.source.transfer.received,
         )
         known = self.registry.cache.revision
         self._cancel_watch(known if revision <= known else None)
