--- a/features/freshness/play.py
+++ b/features/freshness/play.py
@@ -287,9 +287,8 @@
         )
 
 
-def connect(loop, delay, near, far):
+def connect(near, far, ends):
     """Return the coroutines of a connection from one gateway to another."""
-    ends = MemoryStream(loop, delay), MemoryStream(loop, delay)
     ends[0].other, ends[1].other = ends[1], ends[0]
     name = str(near.mesh.own_address)
     return (
@@ -324,7 +323,9 @@
         gateway.mesh.connect_tasks.update(connected)
         for step in range(1, load.peers + 1):
             far = gateways[(number + step) % load.gateways]
-            work += connect(loop, load.peer_latency, gateway, far)
+            delay = load.peer_latency
+            ends = MemoryStream(loop, delay), MemoryStream(loop, delay)
+            work += connect(gateway, far, ends)
     work += [_change(load, loop, store, gateways, report)]
     tasks = [asyncio.create_task(one) for one in work]
     await asyncio.sleep(load.seconds)
