Don't end an answer of the store while it arrives

Each time limit of a copy was fixed and didn't depend on its size: 0.15 s after a peer's report for a watch, 2 s for a page, 1 s for a peer's copy. An answer that wasn't complete by then counted as none: it was ended, and another copy was sent over the same link, where several of them kept each other from arriving.

The sign of life is now that bytes arrive. An answer that has begun is given up when it has had none for 1.5 s; a watch whose answer arrives isn't ended, no peer is asked for items meanwhile, and a peer that sends is waited for. A gateway writes copies in pieces beside the reading of the peer's messages, one at a time, so that its heartbeats don't wait behind them.

--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -231,13 +231,16 @@
             revision=self.revision, items=tuple(items), is_complete=is_complete
         )
         transfer.start()
-        await asyncio.sleep(STORE_SECONDS)
-        size = answer_bytes(items)
-        transfer.record_header(f"Content-Length: {size}")
-        for start in range(0, size, PIECE_BYTES):
-            piece = bytes(min(PIECE_BYTES, size - start))
-            await asyncio.sleep(host.down.carry(len(piece)))
-            transfer.record_bytes(piece)
+        try:
+            await asyncio.sleep(STORE_SECONDS)
+            size = answer_bytes(items)
+            transfer.record_header(f"Content-Length: {size}")
+            for start in range(0, size, PIECE_BYTES):
+                piece = bytes(min(PIECE_BYTES, size - start))
+                await asyncio.sleep(host.down.carry(len(piece)))
+                transfer.record_bytes(piece)
+        finally:
+            transfer.finish()
         return Ok(snapshot)
 
 
@@ -266,8 +269,13 @@
     store = LinkStore(load, loop, hosts)
     seeded = Load(seed=load.seed)
     gateways = [
-        SimulatedGateway(number=number, store=store, loop=loop, load=seeded)
-        for number in range(load.gateways)
+        SimulatedGateway(
+            number=host.number,
+            store=store,
+            loop=loop,
+            load=seeded,
+        )
+        for host in hosts
     ]
     work = [one.follower.run() for one in gateways]
     work += [one.checker.run() for one in gateways]
--- /dev/null
+++ b/features/gateway/large_configurations.feature
@@ -0,0 +1,22 @@
+Feature: Large configurations over narrow links
+  A large configuration has 1,700 routes; its answer takes about 3 s on the link between
+  the store and the gateway.
+
+  Background:
+    Given a store with the usual configuration
+    And the servers "s-1 s-2" are listed
+
+  Scenario: An answer that takes longer than a timeout is not ended while it arrives
+    Given a gateway behind a narrow link
+    When a large configuration with version 9 is published
+    Then the gateway has version 9 from one answer, and has not lost the store
+
+  Scenario: A gateway that starts behind a narrow link gets a large configuration
+    Given a large configuration with version 9
+    When a gateway starts behind a narrow link
+    Then the gateway has version 9 from one answer, and has not lost the store
+
+  Scenario: An answer that stops arriving is read again
+    Given a gateway behind a narrow link
+    When the link loses an answer with a large configuration after 200000 bytes
+    Then the gateway has version 9
--- /dev/null
+++ b/features/steps/large_configurations_steps.py
@@ -0,0 +1,91 @@
+"""Steps for large configurations that arrive over narrow links."""
+
+from behave import given, then, when
+
+from features.gateway.configurations import configuration, route
+from features.support.narrow_link import NarrowLink
+from zinniaramp.sockets import Address
+
+LARGE_ROUTES = 1700
+LINK_BYTES_PER_SECOND = 200_000
+
+
+def large_configuration(version):
+    """Return a configuration with many routes beside the usual ones."""
+    document = configuration(version)
+    document["routes"] += [
+        route(f"more-{number}", "safe") for number in range(LARGE_ROUTES)
+    ]
+    return document
+
+
+def make_link(context):
+    """Return a narrow link to the store."""
+    link = context.link = NarrowLink(
+        port=context.rig.store.port, bytes_per_second=LINK_BYTES_PER_SECOND
+    )
+    context.add_cleanup(link.stop)
+    return Address(ip="127.0.0.1", port=link.port)
+
+
+async def add_gateway(context, *, wait=True, **fields):
+    """Start a gateway behind a narrow link."""
+    return await context.rig.add_daemon(store=make_link(context), wait=wait, **fields)
+
+
+def wait_for_watches(rig):
+    """Wait until the watch of every gateway waits at the store."""
+    count = len(rig.daemons)
+    rig.run(rig.wait_until(lambda: len(rig.store.waiting) == count))
+
+
+@given("a gateway behind a narrow link")
+def start_gateway(context):
+    context.rig.run(add_gateway(context))
+    wait_for_watches(context.rig)
+
+
+@given("a large configuration with version {version:d}")
+def put_large(context, version):
+    context.rig.store.put("op/config", large_configuration(version))
+
+
+@when("a gateway starts behind a narrow link")
+def start_late_gateway(context):
+    context.rig.run(add_gateway(context, wait=False))
+
+
+@when("a large configuration with version {version:d} is published")
+def publish_large(context, version):
+    context.carried_before = context.link.carried
+    put_large(context, version)
+
+
+@when("the link loses an answer with a large configuration after {count:d} bytes")
+def lose_answer(context, count):
+    context.link.stalls_at = context.link.carried + count
+    publish_large(context, 9)
+
+
+@then("the gateway has version {version:d}")
+def wait_for_version(context, version):
+    rig = context.rig
+    registry = rig.daemons[-1].registry
+    rig.run(
+        rig.wait_until(
+            lambda: (
+                registry.configuration is not None
+                and registry.configuration.version == version
+            )
+        )
+    )
+
+
+@then("the gateway has version {version:d} from one answer, and has not lost the store")
+def check_one_answer(context, version):
+    wait_for_version(context, version)
+    rig = context.rig
+    assert not rig.logged_events("store-lost")
+    assert not rig.logged_events("watch-overdue")
+    (ended,) = rig.logged_events("large-answer-ended")
+    assert ended["received"] == ended["bytes"], ended
--- a/zinniaramp/peers/catch_up.py
+++ b/zinniaramp/peers/catch_up.py
@@ -19,19 +19,20 @@
 CATCH_UP_SPREAD = timedelta(milliseconds=200)
 """Time over which processes that miss the same change spread their requests."""
 
-ITEMS_TIMEOUT = timedelta(seconds=1)
-"""Time after which missing items are requested from another peer.
+MAX_COPY_TIME = timedelta(seconds=6)
+"""Longest time for which a peer may send the items; another one is asked after it.  A
+copy of 4 MB takes as long at 5 Mbit/s."""
 
-A configuration of 1,700 routes has about 0.5 MB, which take 0.4 s at 10 Mbit/s.
-"""
-
-ITEMS_POLL_INTERVAL = timedelta(milliseconds=20)
+POLL_INTERVAL = timedelta(milliseconds=20)
 """Interval at which the arrival of requested items is checked."""
 
 
 class CatchUp:
     """Requests missing items from one peer after another until all are known.
 
+    None is requested while the store's answer arrives, and another peer is asked only
+    when the one before has stopped sending.
+
     Parameters
     ----------
     registry : Registry
@@ -79,20 +80,27 @@
     async def _run(self) -> None:
         spread = self.random.uniform(0, CATCH_UP_SPREAD.total_seconds())
         await asyncio.sleep(CATCH_UP_DELAY.total_seconds() + spread)
+        copies = self.registry.copies
         asked: set[str] = set()
         while peers := self.newer():
+            if copies.is_store_sending:
+                await asyncio.sleep(POLL_INTERVAL.total_seconds())
+                continue
             # A peer that has not answered is asked again only after all others.
             asked = asked if set(peers) - asked else set()
             name = self.random.choice([one for one in peers if one not in asked])
             asked.add(name)
             before = self.registry.cache.revision
+            copies.expect(name)
             self.send(name, ItemsRequest(after=before))
             await self._wait_for_items(before)
+            copies.end()
 
     async def _wait_for_items(self, before: StoreRevision) -> None:
-        """Wait until the known revision rises or the time for an answer is over."""
-        deadline = asyncio.get_running_loop().time() + ITEMS_TIMEOUT.total_seconds()
+        """Wait until the known revision rises, or the peer stops sending."""
+        deadline = asyncio.get_running_loop().time() + MAX_COPY_TIME.total_seconds()
         while self.registry.cache.revision <= before:
-            if asyncio.get_running_loop().time() >= deadline:
+            is_over = asyncio.get_running_loop().time() >= deadline
+            if is_over or not self.registry.copies.is_peer_sending:
                 return
-            await asyncio.sleep(ITEMS_POLL_INTERVAL.total_seconds())
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
--- a/zinniaramp/peers/replies.py
+++ b/zinniaramp/peers/replies.py
@@ -42,6 +42,7 @@
             stream.close()
             return
         received += len(data)
+        registry.copies.record_bytes(name)
         for message in messages:
             match message:
                 case Snapshot():
--- a/zinniaramp/peers/server.py
+++ b/zinniaramp/peers/server.py
@@ -11,7 +11,7 @@
 from ..buffers import count_unread
 from ..intake import Account, Holder, Kind, Phase
 from ..observability import emit
-from ..registry import Snapshot
+from ..registry import Snapshot, StoreRevision
 from ..sockets import enable_keepalive
 from .codec import MessageDecoder, MessageError, encode
 from .events import ITEMS_SENT_TO_PEER, PEER_DISCONNECTED, PEER_SENT_INVALID_DATA
@@ -23,6 +23,7 @@
     OriginAnswer,
     OriginRequest,
 )
+from .writer import ReplyWriter
 
 if TYPE_CHECKING:
     from .core import PeerMesh
@@ -57,12 +58,15 @@
     ----------
     account : Account or None
         Account that admits connections; None admits all.
+    encoded : tuple or None
+        Revisions between which a peer last missed changes, and these changes.
     """
 
     def __init__(self, mesh: "PeerMesh"):
         super().__init__(max_buffer_size=2 * MAX_INBOUND_BYTES)
         self.mesh = mesh
         self.account: Account | None = None
+        self.encoded: tuple[tuple[StoreRevision, StoreRevision], bytes] | None = None
 
     def handle_stream(
         self, stream: IOStream, address: tuple
@@ -103,18 +107,23 @@
     async def _read_messages(
         self, connection: str, stream: IOStream, holder: Holder | None = None
     ) -> None:
+        writer = ReplyWriter(stream=stream)
+        writing = asyncio.create_task(writer.run())
         decoder = MessageDecoder(max_bytes=MAX_INBOUND_BYTES)
-        while True:
-            async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
-                data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
-            messages = decoder.feed(data)
-            if holder is not None:
-                _charge(holder, data, messages)
-            for message in messages:
-                await self._handle_message(connection, message, stream)
+        try:
+            while True:
+                async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
+                    data = await stream.read_bytes(MAX_READ_BYTES, partial=True)
+                messages = decoder.feed(data)
+                if holder is not None:
+                    _charge(holder, data, messages)
+                for message in messages:
+                    self._handle_message(connection, message, writer)
+        finally:
+            writing.cancel()
 
-    async def _handle_message(
-        self, connection: str, message: Message, stream: IOStream
+    def _handle_message(
+        self, connection: str, message: Message, writer: ReplyWriter
     ) -> None:
         mesh = self.mesh
         match message:
@@ -126,29 +135,39 @@
                 if hello is not None:
                     mesh.record_heartbeat(hello.address, message)
             case ItemsRequest(after=after):
-                cache = mesh.registry.cache
-                changes = encode(cache.changes_since(after))
-                emit(
-                    ITEMS_SENT_TO_PEER,
-                    peer=connection,
-                    after=after.number,
-                    revision=cache.revision.number,
-                    bytes=len(changes),
-                )
-                await self._write(stream, changes)
+                self._send_items(connection, after, writer)
             case OriginRequest(key=key):
                 answer = OriginAnswer(key=key, origin=mesh.find_origin(key))
-                await self._write(stream, encode(answer))
+                writer.send(encode(answer))
             case Snapshot() | OriginAnswer():
                 raise MessageError("reply that was not requested")
             case _:
                 mesh.on_load_event(connection, message)
 
-    @staticmethod
-    async def _write(stream: IOStream, data: bytes) -> None:
-        """Write an answer; raise `TimeoutError` if the peer does not read it."""
-        async with asyncio.timeout(PEER_TIMEOUT.total_seconds()):
-            await stream.write(data)
+    def _send_items(
+        self, connection: str, after: StoreRevision, writer: ReplyWriter
+    ) -> None:
+        """Send the items that changed after a revision, one copy at a time."""
+        if writer.items:
+            return
+        cache = self.mesh.registry.cache
+        data = self._encode_changes(after)
+        writer.send_items(data)
+        emit(
+            ITEMS_SENT_TO_PEER,
+            peer=connection,
+            after=after.number,
+            revision=cache.revision.number,
+            bytes=len(data),
+        )
+
+    def _encode_changes(self, after: StoreRevision) -> bytes:
+        """Encode the changes after a revision, which several peers may miss at once."""
+        cache = self.mesh.registry.cache
+        key = after, cache.revision
+        if self.encoded is None or self.encoded[0] != key:
+            self.encoded = key, encode(cache.changes_since(after))
+        return self.encoded[1]
 
     def _add_peers(self, addresses: tuple[str, ...]) -> None:
         try:
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store: range reads and watches."""
 
-import asyncio
 import binascii
 from base64 import b64decode
 from datetime import timedelta
@@ -12,7 +11,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from ..buffers import LARGE_BUFFER_BYTES
+from ..buffers import LARGE_BUFFER_BYTES, SERVER_BUFFER_BYTES
 from ..clock import Clock
 from ..reads import (
     MAX_ANSWER_BYTES,
@@ -23,6 +22,7 @@
     Transfer,
     make_answer_reader,
     make_http_reader,
+    make_transfer_reader,
 )
 from ..registry.follower import Source
 from ..registry.items import History, Item, Snapshot, StoreRevision
@@ -35,14 +35,18 @@
 """Timeout of a connection attempt; the store answers in about 4 ms."""
 
 RANGE_TIMEOUT = timedelta(seconds=2)
-"""Timeout of one page; a slow store takes about 400 ms, 100 times the usual time."""
+"""Time by which one page has to begin; a slow store takes about 400 ms."""
 
 REVISION_TIMEOUT = timedelta(seconds=1.5)
 """Timeout of a read of the revision.  A slow store takes about 400 ms; on the link of a
 machine that counts as reachable, packets wait up to 500 ms each way."""
 
 WATCH_MARGIN = timedelta(seconds=1.5)
-"""Time added to the requested wait of a watch to get its timeout."""
+"""Time after the requested wait of a watch by which its answer has to begin."""
+
+COPY_BUFFER_BYTES = SERVER_BUFFER_BYTES
+"""Receive buffer of the connections on which configurations arrive.  As many bytes wait
+on the link ahead of the callers' requests: 0.05 s at 5 Mbit/s."""
 
 MAX_PAGES = 100
 """Maximum number of pages of one range read; a page holds up to 500 items."""
@@ -74,23 +78,36 @@
 
     The connections use keep-alive probes.
 
+    Parameters
+    ----------
+    receive_buffer : int, optional
+        Size of the connections' receive buffers, in bytes.
+
     Attributes
     ----------
     latest : IOStream or None
         The connection that was opened last.
+    closings : int
+        Number of calls of `close_latest`.
     """
 
-    def __init__(self):
+    def __init__(self, *, receive_buffer: int = LARGE_BUFFER_BYTES):
+        self.receive_buffer = receive_buffer
         self.latest: IOStream | None = None
+        self.closings = 0
 
     async def connect(self, host: str, port: int, *_, **__) -> IOStream:
         """Return a connected stream; `SimpleAsyncHTTPClient` calls this."""
+        closings = self.closings
         opened = await open_stream(
             Address(ip=host, port=port),
             timeout=CONNECT_TIMEOUT,
-            receive_buffer=LARGE_BUFFER_BYTES,
+            receive_buffer=self.receive_buffer,
         )
         match opened:
+            case Ok(stream) if closings != self.closings:
+                stream.close()
+                raise StreamClosedError()
             case Ok(stream):
                 self.latest = stream
                 return stream
@@ -101,7 +118,8 @@
         """Do nothing, because each call closes its own connection."""
 
     def close_latest(self) -> None:
-        """Close the connection that was opened last."""
+        """Close the connection that was opened last, or is being opened."""
+        self.closings += 1
         if self.latest is not None:
             self.latest.close()
 
@@ -158,38 +176,27 @@
 
 
 def make_store_source(address: Address, *, clock: Clock) -> Source:
-    """Return the functions that read and watch the store at an address."""
+    """Return the functions that read and watch the store at an address.
+
+    Parameters
+    ----------
+    address : Address
+        Address of the store.
+    clock : Clock
+        The process's clock.
+    """
     read = make_answer_reader(_make_client(_DirectConnections()))
-    # The follower makes one of these calls at a time.
     transfer = Transfer(clock=clock)
-    read_page = make_answer_reader(
-        _make_client(_DirectConnections()), transfer=transfer
-    )
-    watch_connections = _DirectConnections()
-    read_watch = make_answer_reader(_make_client(watch_connections), transfer=transfer)
+    read_copy = _make_copy_reader(transfer)
     base = f"http://{address}"
 
     async def read_all() -> Result[Snapshot, ReadError]:
-        return await _read_pages(read_page, base)
+        return await _read_pages(read_copy, base)
 
     async def watch(
         after: StoreRevision, wait: timedelta
     ) -> Result[Snapshot | None, ReadError]:
-        wait_ms = wait // timedelta(milliseconds=1)
-        query = urlencode(
-            {"prefix": ALL_KEYS_PREFIX, "after": after.number, "wait_ms": wait_ms}
-        )
-        url = f"{base}/kv-watch?{query}"
-        reading = asyncio.ensure_future(read_watch(url, wait + WATCH_MARGIN))
-        try:
-            answer = await asyncio.shield(reading)
-        except asyncio.CancelledError:
-            # The client has no other way to end a call before its timeout.
-            watch_connections.close_latest()
-            raise
-        if answer.is_err() and answer.err_value.status == HTTP_GONE:
-            return Ok(None)
-        return answer.and_then(partial(_parse_snapshot, field="events"))
+        return await _watch(read_copy, base, ALL_KEYS_PREFIX, after, wait)
 
     async def read_revision() -> Result[StoreRevision, ReadError]:
         query = urlencode({"prefix": NO_KEY_PREFIX})
@@ -212,6 +219,27 @@
     )
 
 
+def _make_copy_reader(transfer: Transfer) -> ReadAnswer:
+    """Return a reader for answers of any size, one at a time."""
+    connections = _DirectConnections(receive_buffer=COPY_BUFFER_BYTES)
+    client = _make_client(connections)
+    return make_transfer_reader(
+        client, transfer=transfer, close=connections.close_latest
+    )
+
+
+async def _watch(
+    read: ReadAnswer, base: str, prefix: str, after: StoreRevision, wait: timedelta
+) -> Result[Snapshot | None, ReadError]:
+    """Wait for the changes of keys with a prefix; None if the history is gone."""
+    wait_ms = wait // timedelta(milliseconds=1)
+    query = urlencode({"prefix": prefix, "after": after.number, "wait_ms": wait_ms})
+    answer = await read(f"{base}/kv-watch?{query}", wait + WATCH_MARGIN)
+    if answer.is_err() and answer.err_value.status == HTTP_GONE:
+        return Ok(None)
+    return answer.and_then(partial(_parse_snapshot, field="events"))
+
+
 async def _read_history(
     read: ReadAnswer, base: str, newest: StoreRevision
 ) -> Result[History, ReadError]:
--- a/zinniaramp/reads/__init__.py
+++ b/zinniaramp/reads/__init__.py
@@ -9,6 +9,7 @@
     ReadJson,
     make_answer_reader,
     make_http_reader,
+    make_transfer_reader,
     parse_retry_after,
     polling_interval,
 )
@@ -27,6 +28,7 @@
     "has_whole_head",
     "make_answer_reader",
     "make_http_reader",
+    "make_transfer_reader",
     "parse_retry_after",
     "polling_interval",
 ]
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -1,5 +1,6 @@
 """JSON reads over HTTP with timeouts, the backoff after failures, polling intervals."""
 
+import asyncio
 import json
 import math
 from collections.abc import Awaitable, Callable
@@ -9,7 +10,7 @@
 from typing import Any
 
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPError
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPResponse
 from tornado.httputil import HTTPHeaders, HTTPInputError
 from tornado.iostream import StreamClosedError
 
@@ -24,6 +25,7 @@
     "ReadJson",
     "make_answer_reader",
     "make_http_reader",
+    "make_transfer_reader",
     "parse_retry_after",
     "polling_interval",
 ]
@@ -104,17 +106,13 @@
     return timedelta(seconds=seconds)
 
 
-def make_answer_reader(
-    client: AsyncHTTPClient, *, transfer: Transfer | None = None
-) -> ReadAnswer:
+def make_answer_reader(client: AsyncHTTPClient) -> ReadAnswer:
     """Return a function that reads JSON with one GET, without retries or redirects.
 
     Parameters
     ----------
     client : AsyncHTTPClient
         Client that sends the requests.
-    transfer : Transfer, optional
-        Records the progress of the answers; then one call may run at a time.
 
     Returns
     -------
@@ -125,59 +123,135 @@
     async def read_answer(
         url: str, timeout: timedelta
     ) -> Result[JsonAnswer, ReadError]:
-        received: list[str] = []
+        lines: list[str] = []
+        fetching = client.fetch(
+            url,
+            connect_timeout=min(CONNECT_TIMEOUT, timeout).total_seconds(),
+            request_timeout=timeout.total_seconds(),
+            follow_redirects=False,
+            header_callback=lines.append,
+        )
+        response = await _await_response(fetching, url, lines)
+        return response.and_then(lambda one: _parse(url, one.body, one.headers))
+
+    return read_answer
+
+
+def make_transfer_reader(
+    client: AsyncHTTPClient, *, transfer: Transfer, close: Callable[[], None]
+) -> ReadAnswer:
+    """Return a function like that of `make_answer_reader`, for answers of any size.
+
+    Its timeout is the one of the answer's beginning.  An answer that has begun is given
+    up when no more bytes arrive for `STALL_TIMEOUT`.
+
+    Parameters
+    ----------
+    client : AsyncHTTPClient
+        Client that sends the requests, one at a time.
+    transfer : Transfer
+        Progress of the answers.
+    close : callable
+        Closes the connection of the current call.
+    """
+
+    async def read_answer(
+        url: str, timeout: timedelta
+    ) -> Result[JsonAnswer, ReadError]:
+        lines: list[str] = []
         body = bytearray()
-        if transfer is not None:
-            transfer.start()
+        has_ended = False
+
+        def receive_header(line: str) -> None:
+            lines.append(line)
+            if not has_ended:
+                transfer.record_header(line)
+
+        def receive_body(chunk: bytes) -> None:
+            # What is left of a call that was ended must not count for the next one.
+            if not has_ended:
+                body.extend(chunk)
+                transfer.record_bytes(chunk)
+
+        transfer.start()
+        fetching = client.fetch(
+            url,
+            connect_timeout=min(CONNECT_TIMEOUT, timeout).total_seconds(),
+            request_timeout=0,
+            follow_redirects=False,
+            header_callback=receive_header,
+            streaming_callback=receive_body,
+        )
+        call = asyncio.ensure_future(_await_response(fetching, url, lines))
         try:
-            response = await client.fetch(
-                url,
-                connect_timeout=min(CONNECT_TIMEOUT, timeout).total_seconds(),
-                request_timeout=timeout.total_seconds(),
-                follow_redirects=False,
-                header_callback=_make_receiver(
-                    received.append, transfer.record_header if transfer else None
-                ),
-                streaming_callback=_make_receiver(
-                    body.extend, transfer.record_bytes if transfer else None
-                ),
-            )
-        except HTTPError as error:
-            wait = parse_retry_after(error.response.headers) if error.response else None
-            problem = f"{url}: {error}"
-            return Err(
-                ReadError(
-                    problem,
-                    status=error.code,
-                    retry_after=wait,
-                    has_begun=_has_begun(received),
-                )
-            )
-        except (OSError, HTTPInputError, StreamClosedError) as error:
-            return Err(ReadError(f"{url}: {error!r}", has_begun=_has_begun(received)))
-        if len(body) > MAX_ANSWER_BYTES:
-            problem = f"{url}: more than {MAX_ANSWER_BYTES} bytes"
-            return Err(ReadError(problem, has_begun=True))
-        try:
-            document = json.loads(body)
-        except (ValueError, RecursionError) as error:
-            return Err(ReadError(f"{url}: not JSON: {error}"))
-        return Ok(JsonAnswer(document=document, headers=response.headers))
+            await _wait_for_progress(call, transfer, timeout, close)
+        finally:
+            if not call.done():
+                # The client has no other way to end a call before its timeout.
+                close()
+            has_ended = True
+            transfer.finish()
+        return (await call).and_then(lambda one: _parse(url, body, one.headers))
 
     return read_answer
 
 
-def _make_receiver(
-    collect: Callable[[Any], None], record: Callable[[Any], None] | None
-) -> Callable[[Any], None]:
-    """Return a callback that collects a part of an answer and records its arrival."""
+async def _wait_for_progress(
+    call: asyncio.Future,
+    transfer: Transfer,
+    timeout: timedelta,
+    close: Callable[[], None],
+) -> None:
+    """Wait for the end of a call; close its connection if nothing arrives in time."""
+    beginning = asyncio.ensure_future(transfer.begun.wait())
+    try:
+        await asyncio.wait(
+            [call, beginning],
+            timeout=timeout.total_seconds(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        beginning.cancel()
+    while not call.done():
+        left = transfer.time_left()
+        if left <= timedelta():
+            close()
+            await asyncio.wait([call])
+        else:
+            await asyncio.wait([call], timeout=left.total_seconds())
+
+
+async def _await_response(
+    fetching: Awaitable[HTTPResponse], url: str, lines: list[str]
+) -> Result[HTTPResponse, ReadError]:
+    """Return the response to a call, whose header lines are collected beside it."""
+    try:
+        return Ok(await fetching)
+    except HTTPError as error:
+        wait = parse_retry_after(error.response.headers) if error.response else None
+        return Err(
+            ReadError(
+                f"{url}: {error}",
+                status=error.code,
+                retry_after=wait,
+                has_begun=_has_begun(lines),
+            )
+        )
+    except (OSError, HTTPInputError, StreamClosedError) as error:
+        return Err(ReadError(f"{url}: {error!r}", has_begun=_has_begun(lines)))
 
-    def receive(part: Any) -> None:
-        collect(part)
-        if record is not None:
-            record(part)
 
-    return receive
+def _parse(
+    url: str, body: bytes | bytearray, headers: HTTPHeaders
+) -> Result[JsonAnswer, ReadError]:
+    if len(body) > MAX_ANSWER_BYTES:
+        problem = f"{url}: more than {MAX_ANSWER_BYTES} bytes"
+        return Err(ReadError(problem, has_begun=True))
+    try:
+        document = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return Err(ReadError(f"{url}: not JSON: {error}"))
+    return Ok(JsonAnswer(document=document, headers=headers))
 
 
 def _has_begun(header_lines: list[str]) -> bool:
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -11,6 +11,7 @@
 from ..observability import emit
 from ..routes import Configuration
 from ..sockets import Address
+from .copies import Copies
 from .evacuations import Evacuation, Evacuations
 from .events import (
     CONFIGURATION_IN_FORCE,
@@ -144,6 +145,8 @@
         Latest known revision of each item.
     freshness : Freshness
         How recently the store has confirmed the items.
+    copies : Copies
+        Copies of missing items that are on their way.
     configuration : Configuration or None
         The active configuration.
     endpoints : dict of Endpoint
@@ -187,6 +190,7 @@
         "clock",
         "cache",
         "freshness",
+        "copies",
         "configuration",
         "endpoints",
         "leaving",
@@ -219,6 +223,7 @@
         self.cache = ItemCache()
         self.freshness = Freshness(cache=self.cache, clock=clock)
         self.freshness.on_return.append(self.start_lapse_grace)
+        self.copies = Copies(clock=clock)
         self.configuration: Configuration | None = None
         self.endpoints: dict[str, Endpoint] = {}
         self.leaving: set[str] = set()
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -134,16 +134,9 @@
     level="WARNING",
     meaning="The store has a later revision than the watch that was sent `waited_ms` "
     "ago has delivered; the watch is ended.  Another one follows, after a read of all "
-    "items unless a peer has sent those that were missing.  `received` bytes of its "
-    "answer had arrived.",
-    fields=(
-        "era",
-        "revision",
-        "store_era",
-        "store_revision",
-        "waited_ms",
-        "received",
-    ),
+    "items unless a peer has sent those that were missing.  Nothing of its answer had "
+    "arrived.",
+    fields=("era", "revision", "store_era", "store_revision", "waited_ms"),
 )
 HISTORY_READ = declare_event(
     number=1914,
@@ -190,7 +183,8 @@
     name="large-answer-began",
     level="INFO",
     meaning="The headers of an answer of the store with `bytes` bytes have arrived; it "
-    "may take long on a narrow link.",
+    "may take long on a narrow link.  It answers the watch after `revision`, or a read "
+    "of all items if that is 0.",
     fields=("era", "revision", "bytes"),
 )
 LARGE_ANSWER_ENDED = declare_event(
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -14,14 +14,13 @@
 from .core import Registry
 from .events import (
     HISTORY_READ,
-    LARGE_ANSWER_BEGAN,
-    LARGE_ANSWER_ENDED,
     STORE_LOST,
     STORE_REGAINED,
     WATCH_OVERDUE,
     WATCH_RENEWED,
 )
 from .items import NO_REVISION, History, Snapshot, StoreRevision
+from .large_answers import LargeAnswers
 
 __all__ = ["Source", "StoreFollower"]
 
@@ -133,8 +132,8 @@
         Time of the latest answer to a read of the revision.
     overdue_timer : asyncio.TimerHandle or None
         Ends the waiting watch unless it delivers a reported revision by then.
-    large_answer_began_at : datetime or None
-        Time at which the headers of a large answer arrived; None if none is arriving.
+    large_answers : LargeAnswers
+        Logs how large answers arrive.
     """
 
     __slots__ = (
@@ -151,7 +150,7 @@
         "settled_at",
         "answered_at",
         "overdue_timer",
-        "large_answer_began_at",
+        "large_answers",
     )
 
     def __init__(
@@ -176,15 +175,16 @@
         self.settled_at: datetime | None = None
         self.answered_at: datetime | None = None
         self.overdue_timer: asyncio.TimerHandle | None = None
-        self.large_answer_began_at: datetime | None = None
+        self.large_answers = LargeAnswers(transfer=source.transfer)
+        registry.copies.transfer = source.transfer
         registry.freshness.on_report.append(self._check_watch)
-        source.transfer.on_large.append(self._record_large_answer)
+        source.transfer.on_large.append(lambda: self.large_answers.begin(self.revision))
 
     async def run(self) -> None:
         """Replicate the store until cancelled."""
         while True:
             read = await self._read_next()
-            self._record_end_of_answer(read)
+            self._end_answer(read)
             match read:
                 case None:
                     continue
@@ -221,37 +221,15 @@
             watch.cancel()
             self._forget_watch()
 
-    def _record_large_answer(self) -> None:
-        """Log that a large answer has begun to arrive."""
-        self.large_answer_began_at = self.clock()
-        emit(
-            LARGE_ANSWER_BEGAN,
-            era=self._last_revision.era,
-            revision=self._last_revision.number,
-            bytes=self.source.transfer.size,
-        )
-
-    def _record_end_of_answer(
-        self, read: Result[Snapshot | None, ReadError] | None
-    ) -> None:
-        """Log how a large answer ended, if the last call had one."""
-        began_at, self.large_answer_began_at = self.large_answer_began_at, None
-        if began_at is None:
-            return
+    def _end_answer(self, read: Result[Snapshot | None, ReadError] | None) -> None:
+        """Record how the answer to the last call ended."""
         match read:
             case None:
-                problem = "ended here"
+                self.large_answers.end("the watch was ended")
             case Err(error):
-                problem = str(error)
+                self.large_answers.end(str(error))
             case Ok():
-                problem = ""
-        emit(
-            LARGE_ANSWER_ENDED,
-            bytes=self.source.transfer.size,
-            received=self.source.transfer.received,
-            took_ms=(self.clock() - began_at) // MILLISECOND,
-            problem=problem,
-        )
+                self.large_answers.end("")
 
     def _forget_watch(self) -> None:
         self.watch = None
@@ -320,7 +298,7 @@
     def _check_watch(self, revision: StoreRevision) -> None:
         """Check whether the watch that waits is alive, as the store has a revision."""
         self._renew_doubtful_watch()
-        if not self._is_waiting() or self.overdue_timer or revision <= self.revision:
+        if not self._is_silent() or self.overdue_timer or revision <= self.revision:
             return
         earliest = self.watch_sent_at + MAX_ROUND_TRIP - self.clock()
         wait = max(WATCH_GRACE, earliest)
@@ -335,7 +313,7 @@
             return
         self.lost_call_sent_at = None
         self.settled_at = confirmed
-        if not self._is_waiting() or self.watch_sent_at > confirmed:
+        if not self._is_silent() or self.watch_sent_at > confirmed:
             return
         age = self.clock() - self.watch_sent_at
         emit(
@@ -349,15 +327,15 @@
     def end_watch(self, revision: StoreRevision) -> None:
         """End the waiting watch, because it has not delivered a revision.
 
-        If the revision is known here from a peer, another watch follows; else all items
-        are read.
+        One whose answer arrives is not ended, however long that takes.  If the revision
+        is known here from a peer, another watch follows; else all items are read.
 
         Parameters
         ----------
         revision : StoreRevision
             Revision that the store has.
         """
-        if not self._is_waiting():
+        if not self._is_silent():
             return
         age = self.clock() - self.watch_sent_at
         emit(
@@ -367,7 +345,6 @@
             store_era=revision.era,
             store_revision=revision.number,
             waited_ms=age // MILLISECOND,
-            received=self.source.transfer.received,
         )
         known = self.registry.cache.revision
         self._cancel_watch(known if revision <= known else None)
@@ -382,6 +359,10 @@
         """Return whether a watch waits; one whose answer is here does not."""
         return self.watch is not None and not self.watch.done()
 
+    def _is_silent(self) -> bool:
+        """Return whether a watch waits of whose answer nothing has arrived."""
+        return self._is_waiting() and not self.source.transfer.is_arriving
+
     def _is_old(self, snapshot: Snapshot) -> bool:
         return snapshot.revision.era < self.registry.cache.revision.era
 
