Watch endpoints beside a large answer

While a large answer to a watch arrives, the endpoints' entries are watched on a connection of their own. Their changes are applied without raising the known revision, as the large change before them is still missing. A watch of their own all the time would cost each gateway another call at each change.

--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -193,6 +193,13 @@
             changes = [one for one in self.changes if one.revision > after.number]
             return await self._deliver(host, transfer, changes, False)
 
+        async def watch_endpoints(after, wait):
+            await self._wait(after, wait, ENDPOINTS)
+            newer = (one for one in self.changes if one.revision > after.number)
+            changes = [one for one in newer if one.key.startswith(ENDPOINTS)]
+            own = Transfer(clock=self.loop.clock)
+            return await self._deliver(host, own, changes, False)
+
         async def read_revision():
             await self._reach(host)
             await asyncio.sleep(STORE_SECONDS + host.down.carry(ANSWER_BYTES))
@@ -206,6 +213,7 @@
             watch=watch,
             read_revision=read_revision,
             read_history=read_history,
+            watch_endpoints=watch_endpoints,
             transfer=transfer,
         )
 
--- a/features/gateway/large_configurations.feature
+++ b/features/gateway/large_configurations.feature
@@ -16,6 +16,12 @@
     When a gateway starts behind a narrow link
     Then the gateway has version 9 from one answer, and has not lost the store
 
+  Scenario: An endpoint that leaves while a large configuration arrives is known before it
+    Given a gateway behind a narrow link
+    When a large configuration with version 9 is published
+    And the server "s-1" reports that it is draining once the configuration arrives
+    Then the gateway stops to use "s-1" before it has version 9
+
   Scenario: An answer that stops arriving is read again
     Given a gateway behind a narrow link
     When the link loses an answer with a large configuration after 200000 bytes
--- a/features/steps/large_configurations_steps.py
+++ b/features/steps/large_configurations_steps.py
@@ -61,6 +61,13 @@
     put_large(context, version)
 
 
+@when('the server "{name}" reports that it is draining once the configuration arrives')
+def drain_during_answer(context, name):
+    rig = context.rig
+    rig.run(rig.wait_until(lambda: rig.logged_events("large-answer-began")))
+    rig.publish(name, state="draining")
+
+
 @when("the link loses an answer with a large configuration after {count:d} bytes")
 def lose_answer(context, count):
     context.link.stalls_at = context.link.carried + count
@@ -89,3 +96,17 @@
     assert not rig.logged_events("watch-overdue")
     (ended,) = rig.logged_events("large-answer-ended")
     assert ended["received"] == ended["bytes"], ended
+
+
+@then('the gateway stops to use "{name}" before it has version {version:d}')
+def check_order(context, name, version):
+    rig = context.rig
+    registry = rig.daemons[0].registry
+
+    def is_used():
+        return name in [one.id for one in registry.ready("plain")]
+
+    rig.run(rig.wait_until(lambda: not is_used()))
+    assert registry.configuration.version < version
+    wait_for_version(context, version)
+    assert not is_used()
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -188,6 +188,7 @@
     read = make_answer_reader(_make_client(_DirectConnections()))
     transfer = Transfer(clock=clock)
     read_copy = _make_copy_reader(transfer)
+    read_endpoints = _make_copy_reader(Transfer(clock=clock))
     base = f"http://{address}"
 
     async def read_all() -> Result[Snapshot, ReadError]:
@@ -198,6 +199,11 @@
     ) -> Result[Snapshot | None, ReadError]:
         return await _watch(read_copy, base, ALL_KEYS_PREFIX, after, wait)
 
+    async def watch_endpoints(
+        after: StoreRevision, wait: timedelta
+    ) -> Result[Snapshot | None, ReadError]:
+        return await _watch(read_endpoints, base, ENDPOINT_PREFIX, after, wait)
+
     async def read_revision() -> Result[StoreRevision, ReadError]:
         query = urlencode({"prefix": NO_KEY_PREFIX})
         answer = await read(f"{base}/kv-range?{query}", REVISION_TIMEOUT)
@@ -215,6 +221,7 @@
         watch=watch,
         read_revision=read_revision,
         read_history=read_history,
+        watch_endpoints=watch_endpoints,
         transfer=transfer,
     )
 
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -3,6 +3,7 @@
 from ..observability import declare_event
 
 __all__ = [
+    "CHANGES_AHEAD",
     "CONFIGURATION_IN_FORCE",
     "CONFIGURATION_OLD",
     "ENDPOINT_GONE",
@@ -195,3 +196,11 @@
     "headers; or it was ended because of a `problem`, with `received` of its bytes.",
     fields=("bytes", "received", "took_ms", "problem"),
 )
+CHANGES_AHEAD = declare_event(
+    number=1921,
+    name="changes-ahead",
+    level="INFO",
+    meaning="Changes of endpoints up to revision `ahead` have arrived while a large "
+    "answer with the changes after `revision` is on its way.",
+    fields=("era", "revision", "ahead", "items"),
+)
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -20,7 +20,7 @@
     WATCH_RENEWED,
 )
 from .items import NO_REVISION, History, Snapshot, StoreRevision
-from .large_answers import LargeAnswers
+from .large_answers import LargeAnswers, WatchEndpoints
 
 __all__ = ["Source", "StoreFollower"]
 
@@ -83,6 +83,9 @@
     transfer : Transfer
         Progress of the answer to the latest call of `read_all` or `watch`, of which one
         runs at a time.
+    watch_endpoints : callable or None
+        Like `watch`, for the changes of the endpoints' entries only, beside another
+        call; None if that is not possible.
     """
 
     read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
@@ -94,6 +97,7 @@
     transfer: Transfer = field(
         default_factory=lambda: Transfer(clock=monotonic_clock())
     )
+    watch_endpoints: WatchEndpoints | None = None
 
 
 class StoreFollower:
@@ -133,7 +137,7 @@
     overdue_timer : asyncio.TimerHandle or None
         Ends the waiting watch unless it delivers a reported revision by then.
     large_answers : LargeAnswers
-        Logs how large answers arrive.
+        What is done while a large answer is on its way.
     """
 
     __slots__ = (
@@ -175,7 +179,11 @@
         self.settled_at: datetime | None = None
         self.answered_at: datetime | None = None
         self.overdue_timer: asyncio.TimerHandle | None = None
-        self.large_answers = LargeAnswers(transfer=source.transfer)
+        self.large_answers = LargeAnswers(
+            registry=registry,
+            transfer=source.transfer,
+            watch_endpoints=source.watch_endpoints,
+        )
         registry.copies.transfer = source.transfer
         registry.freshness.on_report.append(self._check_watch)
         source.transfer.on_large.append(lambda: self.large_answers.begin(self.revision))
