Take large changes from a peer with a wide link, compressed

A configuration of 1,400 routes has 0.75 MB in the store's answer, which fills a link of 5 Mbit/s for 1.2 s beside the callers' requests, at each change. Routes are alike: zlib at level 1 leaves 25 KB of the same items.

Messages between gateways of 32 KiB and more are compressed. A gateway tells its peers the rate of its link. One that has a peer with a link at least four times as wide holds a large answer of the store for up to 0.4 s: it doesn't read on, so that the sender stops after a buffer. Once a peer has announced the revision, it is asked at once, and the held answer is dropped; else the answer is read.

--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -246,7 +246,7 @@
             for start in range(0, size, PIECE_BYTES):
                 piece = bytes(min(PIECE_BYTES, size - start))
                 await asyncio.sleep(host.down.carry(len(piece)))
-                transfer.record_bytes(piece)
+                await transfer.record_bytes(piece)
         finally:
             transfer.finish()
         return Ok(snapshot)
@@ -282,6 +282,7 @@
             store=store,
             loop=loop,
             load=seeded,
+            link_mbps=host.down.rate / MEGABIT,
         )
         for host in hosts
     ]
--- a/features/freshness/play.py
+++ b/features/freshness/play.py
@@ -253,7 +253,7 @@
 class SimulatedGateway:
     """A gateway's registry, its reads of the store and its mesh."""
 
-    def __init__(self, *, number, store, loop, load):
+    def __init__(self, *, number, store, loop, load, link_mbps=None):
         random = Random(load.seed * 1000 + number)
         self.registry = Registry(
             decode=lambda _item: Ok(None),
@@ -266,6 +266,7 @@
             registry=self.registry,
             clock=loop.clock,
             random=random,
+            has_wider_peer=lambda: self.mesh.has_wider_peer(),
         )
         self.mesh = PeerMesh(
             own_address=Address(ip=f"10.0.{number // 250}.{number % 250}", port=8000),
@@ -276,6 +277,7 @@
             find_origin=lambda _: None,
             current_events=tuple,
             random=random,
+            link_mbps=link_mbps,
         )
         self.registry.on_change.append(self.mesh.announce_revision)
         self.checker = RevisionChecker(
--- a/features/gateway/large_configurations.feature
+++ b/features/gateway/large_configurations.feature
@@ -26,3 +26,8 @@
     Given a gateway behind a narrow link
     When the link loses an answer with a large configuration after 200000 bytes
     Then the gateway has version 9
+
+  Scenario: A peer with a wide link replaces the answer that a narrow one would take long for
+    Given a gateway with a wide link, and one behind a narrow link
+    When a large configuration with version 9 is published
+    Then the gateway has version 9 from its peer, and under half of the answer
--- a/features/gateway/rig.py
+++ b/features/gateway/rig.py
@@ -11,7 +11,7 @@
 
 from features.gateway.exchanges import read_reply, request
 from zinniaramp.daemon.gateway_daemon import Daemon
-from zinniaramp.platform.settings import HostBounds, HostSettings
+from zinniaramp.platform.settings import HostBounds, HostLimits, HostSettings
 from zinniaramp.registry import StoreRevision
 from zinniaramp.sockets import Address
 from zinniaramp.standins.platform import (
@@ -200,7 +200,14 @@
         self.store.put(f"servers/{name}", entry)
 
     async def add_daemon(
-        self, *, seeds=(), wait=True, bounds=HOST_BOUNDS, listener=None, store=None
+        self,
+        *,
+        seeds=(),
+        wait=True,
+        bounds=HOST_BOUNDS,
+        listener=None,
+        store=None,
+        link_mbps=None,
     ):
         """Start a gateway daemon and, by default, wait until it is ready."""
         ports = [free_port() for _ in range(4)]
@@ -221,6 +228,7 @@
                 bounds, cold_overshoot=self.cold_overshoot, cold_slack=self.cold_slack
             ),
             regions=self.regions,
+            limits=HostLimits(link_mbps=link_mbps),
         )
         daemon = Daemon(
             settings=settings, read_settings=lambda: Ok(settings), listener=listener
--- a/features/steps/large_configurations_steps.py
+++ b/features/steps/large_configurations_steps.py
@@ -8,6 +8,8 @@
 
 LARGE_ROUTES = 1700
 LINK_BYTES_PER_SECOND = 200_000
+WIDE_MBPS, NARROW_MBPS = 100.0, 1.6
+"""Rates of the links in the settings; the narrow one is the one that is played."""
 
 
 def large_configuration(version):
@@ -55,6 +57,21 @@
     context.rig.run(add_gateway(context, wait=False))
 
 
+@given("a gateway with a wide link, and one behind a narrow link")
+def start_two_gateways(context):
+    rig = context.rig
+
+    async def start():
+        wide = await rig.add_daemon(link_mbps=WIDE_MBPS)
+        narrow = await add_gateway(
+            context, link_mbps=NARROW_MBPS, seeds=[wide.settings.peers]
+        )
+        await rig.wait_until(narrow.gateway.mesh.has_wider_peer)
+
+    rig.run(start())
+    wait_for_watches(rig)
+
+
 @when("a large configuration with version {version:d} is published")
 def publish_large(context, version):
     context.carried_before = context.link.carried
@@ -110,3 +127,14 @@
     assert registry.configuration.version < version
     wait_for_version(context, version)
     assert not is_used()
+
+
+@then("the gateway has version {version:d} from its peer, and under half of the answer")
+def check_replaced(context, version):
+    wait_for_version(context, version)
+    rig = context.rig
+    (copy,) = [one for one in rig.logged_events("items-from-peer") if one["items"]]
+    sizes = [one["bytes"] for one in rig.logged_events("large-answer-began")]
+    assert copy["bytes"] < sizes[0] / 4, (copy, sizes)
+    carried = context.link.carried - context.carried_before
+    assert carried < sizes[0] / 2, (carried, sizes)
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -63,6 +63,7 @@
         regions=settings.regions,
         memory_mb=settings.limits.memory_mb,
         max_fds=settings.limits.max_fds,
+        link_mbps=settings.limits.link_mbps,
         transfer_price=settings.transfer_price,
         holds_prompts=settings.holds_prompts,
     )
@@ -118,6 +119,7 @@
             clock=self.clock,
             random=random,
             history_length=settings.store_history,
+            has_wider_peer=lambda: self.gateway.mesh.has_wider_peer(),
         )
         barrier = ReadBarrier(
             cache=self.registry.cache, read_revision=self.follower.read_revision
--- a/zinniaramp/gateway/core.py
+++ b/zinniaramp/gateway/core.py
@@ -98,6 +98,8 @@
         Region of each data centre.
     memory_mb, max_fds : float or None
         Memory in MiB and descriptors of the host; None if they are not limited.
+    link_mbps : float or None
+        Rate of the host's link in Mbit/s; None if it is not known.
     transfer_price : float
         Price of 1,000 bytes between data centres, in milliseconds of waiting.
     holds_prompts : bool
@@ -119,6 +121,7 @@
     regions: Mapping[str, str] = field(default_factory=dict)
     memory_mb: float | None = None
     max_fds: float | None = None
+    link_mbps: float | None = None
     transfer_price: float = DEFAULT_PRICE
     holds_prompts: bool = False
 
@@ -236,6 +239,7 @@
             current_events=peer_events.current,
             find_origin=lambda key: self.pool.resumption.find_known(key),
             random=random,
+            link_mbps=settings.link_mbps,
         )
         self.mesh.server.account = self.intake.account
         self.pool.resumption = StreamResumption(
--- a/zinniaramp/peers/catch_up.py
+++ b/zinniaramp/peers/catch_up.py
@@ -79,7 +79,7 @@
 
     async def _run(self) -> None:
         spread = self.random.uniform(0, CATCH_UP_SPREAD.total_seconds())
-        await asyncio.sleep(CATCH_UP_DELAY.total_seconds() + spread)
+        await self._wait_for_store(CATCH_UP_DELAY.total_seconds() + spread)
         copies = self.registry.copies
         asked: set[str] = set()
         while peers := self.newer():
@@ -96,6 +96,15 @@
             await self._wait_for_items(before)
             copies.end()
 
+    async def _wait_for_store(self, seconds: float) -> None:
+        """Wait for the store's own answer, unless it is held for a peer's copy."""
+        deadline = asyncio.get_running_loop().time() + seconds
+        while not self.registry.copies.is_store_held:
+            left = deadline - asyncio.get_running_loop().time()
+            if left <= 0:
+                return
+            await asyncio.sleep(min(left, POLL_INTERVAL.total_seconds()))
+
     async def _wait_for_items(self, before: StoreRevision) -> None:
         """Wait until the known revision rises, or the peer stops sending."""
         deadline = asyncio.get_running_loop().time() + MAX_COPY_TIME.total_seconds()
--- a/zinniaramp/peers/codec.py
+++ b/zinniaramp/peers/codec.py
@@ -1,6 +1,7 @@
 """Encoding of the messages between gateway processes as MessagePack arrays."""
 
 import math
+import zlib
 from datetime import timedelta
 
 import msgpack
@@ -39,6 +40,14 @@
 One item may have up to a megabyte.
 """
 
+MIN_COMPRESSED_BYTES = 32 * 1024
+"""Size from which a message is compressed.  Only copies of the store's items are so
+large; a greeting that names 1,000 peers has 22 KB."""
+
+COMPRESSION_LEVEL = 1
+"""Level of zlib.  The routes of a configuration are alike, so that the fastest level
+leaves a tenth of it or less."""
+
 MILLISECOND = timedelta(milliseconds=1)
 """Unit of durations in messages."""
 
@@ -67,7 +76,8 @@
     _STREAM_BEGAN,
     _ORIGIN_REQUEST,
     _ORIGIN_ANSWER,
-) = range(16)
+    _COMPRESSED,
+) = range(17)
 
 
 def _revision_fields(revision: StoreRevision) -> list:
@@ -82,7 +92,13 @@
     match message:
         case Hello():
             peers = list(message.known_peers)
-            return [_HELLO, message.address, message.data_center, peers]
+            return [
+                _HELLO,
+                message.address,
+                message.data_center,
+                peers,
+                message.link_mbps,
+            ]
         case Heartbeat():
             age_ms = None if message.age is None else message.age // MILLISECOND
             return [_HEARTBEAT, *_revision_fields(message.revision), age_ms]
@@ -145,8 +161,11 @@
 
 
 def encode(message: Message) -> bytes:
-    """Serialize a message."""
-    return msgpack.packb(_as_array(message), unicode_errors=TEXT_ERRORS)
+    """Serialize a message, and compress it if it is large."""
+    data = msgpack.packb(_as_array(message), unicode_errors=TEXT_ERRORS)
+    if len(data) < MIN_COMPRESSED_BYTES:
+        return data
+    return msgpack.packb([_COMPRESSED, zlib.compress(data, COMPRESSION_LEVEL)])
 
 
 def _decode_snapshot(era, number, items: list, is_complete) -> Snapshot:
@@ -215,10 +234,11 @@
 
 
 _DECODERS = {
-    _HELLO: lambda address, data_center, known_peers: Hello(
+    _HELLO: lambda address, data_center, known_peers, link_mbps: Hello(
         address=str(address),
         data_center=str(data_center),
         known_peers=tuple(str(peer) for peer in known_peers),
+        link_mbps=None if link_mbps is None else float(link_mbps),
     ),
     _HEARTBEAT: _decode_heartbeat,
     _ITEMS_REQUEST: lambda *fields: ItemsRequest(after=_decode_revision(*fields)),
@@ -256,9 +276,10 @@
         Largest size of received bytes that are not decoded yet.
     """
 
-    __slots__ = ("unpacker",)
+    __slots__ = ("max_bytes", "unpacker")
 
     def __init__(self, *, max_bytes: int = MAX_MESSAGE_BYTES):
+        self.max_bytes = max_bytes
         self.unpacker = msgpack.Unpacker(
             max_buffer_size=max_bytes, unicode_errors=TEXT_ERRORS
         )
@@ -274,7 +295,7 @@
         """
         try:
             self.unpacker.feed(data)
-            return [_DECODERS[kind](*fields) for kind, *fields in self.unpacker]
+            return [self._decode(*message) for message in self.unpacker]
         except (
             msgpack.UnpackException,
             msgpack.BufferFull,
@@ -282,5 +303,16 @@
             OverflowError,
             TypeError,
             ValueError,
+            zlib.error,
         ) as error:
             raise MessageError(repr(error)) from error
+
+    def _decode(self, kind, *fields) -> Message:
+        if kind != _COMPRESSED:
+            return _DECODERS[kind](*fields)
+        decompressor = zlib.decompressobj()
+        data = decompressor.decompress(*fields, self.max_bytes)
+        if not decompressor.eof:
+            raise ValueError(f"message of more than {self.max_bytes} bytes")
+        kind, *fields = msgpack.unpackb(data, unicode_errors=TEXT_ERRORS)
+        return _DECODERS[kind](*fields)
--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -67,6 +67,10 @@
 A connection whose peer reads too slowly is closed and opened again.
 """
 
+WIDER_LINK_RATIO = 4.0
+"""Ratio of two links' rates from which a copy over the wider one, and on in compressed
+form, takes much less time than over the narrower one."""
+
 LoadListener = Callable[[str, LoadEvent | None], None]
 """Receives a connection's name and a load event, or None when the connection closed."""
 
@@ -97,6 +101,8 @@
         Returns where a stream began, by its key, or None if it is not known here.
     random : Random
         Source of jitter.
+    link_mbps : float or None
+        Rate of the link of this host in Mbit/s; None if it is not known.
 
     Attributes
     ----------
@@ -131,6 +137,7 @@
         "find_origin",
         "origin_requests",
         "random",
+        "link_mbps",
         "known",
         "membership",
         "connect_tasks",
@@ -155,7 +162,9 @@
         current_events: Callable[[], Iterable[LoadEvent]],
         find_origin: Callable[[bytes], StreamOrigin | None],
         random: Random,
+        link_mbps: float | None = None,
     ):
+        self.link_mbps = link_mbps
         self.own_address = own_address
         self.data_center = data_center
         self.seeds = seeds
@@ -309,6 +318,7 @@
             address=str(self.own_address),
             data_center=self.data_center,
             known_peers=tuple(known),
+            link_mbps=self.link_mbps,
         )
 
     async def _write_messages(self, name: str, stream: IOStream) -> None:
@@ -359,19 +369,33 @@
         self.catch_up.start_if_behind(revision)
 
     def _newer_peers(self) -> list[str]:
-        """Return the connected peers with a later revision, the nearest if any."""
+        """Return the connected peers with a later revision, the best ones if any.
+
+        These are the nearest, and those with a wide link among them.
+        """
         current = self.registry.cache.revision
         newer = [
             name
             for name, revision in self.peer_revisions.items()
             if revision > current and name in self.write_queues
         ]
-        near = {
-            hello.address
-            for hello in self.inbound_peers.values()
-            if hello.data_center == self.data_center
-        }
-        return [name for name in newer if name in near] or newer
+        hellos = self.inbound_peers.values()
+        near = {one.address for one in hellos if one.data_center == self.data_center}
+        wide = {one.address for one in hellos if self._has_wider_link(one)}
+        newer = [name for name in newer if name in near] or newer
+        return [name for name in newer if name in wide] or newer
+
+    def _has_wider_link(self, peer: Hello) -> bool:
+        if self.link_mbps is None or peer.link_mbps is None:
+            return False
+        return peer.link_mbps >= WIDER_LINK_RATIO * self.link_mbps
+
+    def has_wider_peer(self) -> bool:
+        """Return whether a connected peer has a much wider link than this host."""
+        return any(
+            self._has_wider_link(one) and one.address in self.write_queues
+            for one in self.inbound_peers.values()
+        )
 
     def announce_revision(self) -> None:
         """Send the current revision to all peers without waiting for the heartbeat."""
--- a/zinniaramp/peers/messages.py
+++ b/zinniaramp/peers/messages.py
@@ -44,11 +44,14 @@
         Data centre of the sender.
     known_peers : tuple of str
         Addresses of all gateway processes that the sender has heard of.
+    link_mbps : float or None
+        Rate of the link of the sender's host in Mbit/s; None if it is not known.
     """
 
     address: str
     data_center: str
     known_peers: tuple[str, ...]
+    link_mbps: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
--- a/zinniaramp/platform/settings.py
+++ b/zinniaramp/platform/settings.py
@@ -64,10 +64,13 @@
         Resident memory in MiB; None if it is not limited.
     max_fds : float or None
         Open descriptors; None if they are not limited.
+    link_mbps : float or None
+        Rate of the host's link in Mbit/s; None if it is not known.
     """
 
     memory_mb: float | None = None
     max_fds: float | None = None
+    link_mbps: float | None = None
 
 
 @dataclass(slots=True, kw_only=True, frozen=True)
@@ -221,6 +224,7 @@
     return HostLimits(
         memory_mb=fields.optional_number("memory_mb"),
         max_fds=fields.optional_number("max_fds"),
+        link_mbps=fields.optional_number("link_mbps"),
     )
 
 
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -167,11 +167,11 @@
             if not has_ended:
                 transfer.record_header(line)
 
-        def receive_body(chunk: bytes) -> None:
+        async def receive_body(chunk: bytes) -> None:
             # What is left of a call that was ended must not count for the next one.
             if not has_ended:
                 body.extend(chunk)
-                transfer.record_bytes(chunk)
+                await transfer.record_bytes(chunk)
 
         transfer.start()
         fetching = client.fetch(
--- a/zinniaramp/reads/transfers.py
+++ b/zinniaramp/reads/transfers.py
@@ -19,7 +19,8 @@
 class Transfer:
     """Progress of the answer to the latest call of a reader.
 
-    An answer arrives as long as its bytes do, however many there are.
+    An answer arrives as long as its bytes do, however many there are.  The receiver may
+    hold it: the sender stops once the buffers are full.
 
     Parameters
     ----------
@@ -38,6 +39,8 @@
         after the end of the call.
     begun : asyncio.Event
         Set once an answer has begun to arrive.
+    released : asyncio.Event
+        Cleared while the answer is held.
     on_large : list of callable
         Called when the headers of a large answer have arrived.
     """
@@ -48,6 +51,7 @@
         "received",
         "progressed_at",
         "begun",
+        "released",
         "on_large",
     )
 
@@ -57,6 +61,8 @@
         self.received = 0
         self.progressed_at: datetime | None = None
         self.begun = asyncio.Event()
+        self.released = asyncio.Event()
+        self.released.set()
         self.on_large: list[Callable[[], None]] = []
 
     def start(self) -> None:
@@ -69,6 +75,7 @@
     def finish(self) -> None:
         """Record that the call has ended."""
         self.progressed_at = None
+        self.released.set()
 
     def record_header(self, line: str) -> None:
         """Record a line of the answer's header block."""
@@ -82,10 +89,26 @@
                 for listener in self.on_large:
                     listener()
 
-    def record_bytes(self, chunk: bytes) -> None:
-        """Record bytes of the answer's body."""
+    async def record_bytes(self, chunk: bytes) -> None:
+        """Record bytes of the answer's body; return when more may be read."""
         self.progressed_at = self.clock()
         self.received += len(chunk)
+        await self.released.wait()
+
+    def hold(self) -> None:
+        """Read no more of the answer until it is released."""
+        self.released.clear()
+
+    def release(self) -> None:
+        """Go on to read the answer."""
+        if self.is_held:
+            self.progressed_at = self.clock()
+            self.released.set()
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the answer is held."""
+        return not self.released.is_set()
 
     @property
     def is_arriving(self) -> bool:
@@ -99,4 +122,6 @@
         """
         if self.progressed_at is None:
             return timedelta()
+        if self.is_held:
+            return STALL_TIMEOUT
         return self.progressed_at + STALL_TIMEOUT - self.clock()
--- a/zinniaramp/registry/copies.py
+++ b/zinniaramp/registry/copies.py
@@ -16,8 +16,9 @@
 class Copies:
     """Which copies of missing items are on their way.
 
-    A large copy fills a narrow link for seconds, so a process takes one at a time: no
-    peer is asked while the store's answer arrives.
+    A large copy fills a narrow link for seconds, so a process takes one at a time: the
+    store's answer waits for a peer's copy, or no peer is asked while the store's answer
+    arrives.
 
     Parameters
     ----------
@@ -63,7 +64,13 @@
             self.clock() - self.peer_progressed_at < PEER_SILENCE
         )
 
+    @property
+    def is_store_held(self) -> bool:
+        """Whether the store's answer waits for a peer's copy."""
+        return self.transfer is not None and self.transfer.is_held
+
     @property
     def is_store_sending(self) -> bool:
         """Whether the store's answer arrives."""
-        return self.transfer is not None and self.transfer.is_arriving
+        transfer = self.transfer
+        return transfer is not None and transfer.is_arriving and not transfer.is_held
--- a/zinniaramp/registry/events.py
+++ b/zinniaramp/registry/events.py
@@ -185,8 +185,8 @@
     level="INFO",
     meaning="The headers of an answer of the store with `bytes` bytes have arrived; it "
     "may take long on a narrow link.  It answers the watch after `revision`, or a read "
-    "of all items if that is 0.",
-    fields=("era", "revision", "bytes"),
+    "of all items if that is 0.  If `is_held`, it waits for a peer's smaller copy.",
+    fields=("era", "revision", "bytes", "is_held"),
 )
 LARGE_ANSWER_ENDED = declare_event(
     number=1920,
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -115,6 +115,8 @@
         Source of jitter.
     history_length : timedelta
         Time for which the store keeps its changes.
+    has_wider_peer : callable, optional
+        Returns whether a connected peer has a much wider link than this process.
 
     Attributes
     ----------
@@ -165,6 +167,7 @@
         clock: Clock,
         random: Random,
         history_length: timedelta = timedelta(),
+        has_wider_peer: Callable[[], bool] = lambda: False,
     ):
         self.source = source
         self.history_length = history_length
@@ -183,6 +186,8 @@
             registry=registry,
             transfer=source.transfer,
             watch_endpoints=source.watch_endpoints,
+            has_wider_peer=has_wider_peer,
+            on_replaced=self._end_replaced_watch,
         )
         registry.copies.transfer = source.transfer
         registry.freshness.on_report.append(self._check_watch)
@@ -357,6 +362,11 @@
         known = self.registry.cache.revision
         self._cancel_watch(known if revision <= known else None)
 
+    def _end_replaced_watch(self) -> None:
+        """End the watch whose answer a peer has replaced, and watch on from there."""
+        if self._is_waiting():
+            self._cancel_watch(self.registry.cache.revision)
+
     def _cancel_watch(self, revision: StoreRevision | None) -> None:
         """Cancel the waiting watch, and determine where the next call continues."""
         self.watch.cancel()
--- a/zinniaramp/registry/large_answers.py
+++ b/zinniaramp/registry/large_answers.py
@@ -14,6 +14,15 @@
 
 __all__ = ["LargeAnswers", "WatchEndpoints"]
 
+HOLD_TIME = timedelta(milliseconds=400)
+"""Time for which an answer is held until a peer has its content.
+
+The links of such peers are several times as wide, and their copies are compressed, so
+that the items are here long before the answer would be."""
+
+POLL_INTERVAL = timedelta(milliseconds=20)
+"""Interval at which the arrival of a peer's copy is checked."""
+
 WATCH_WAIT = timedelta(seconds=20)
 """Long-poll timeout of a watch of the endpoints' entries."""
 
@@ -27,10 +36,11 @@
 
 
 class LargeAnswers:
-    """Keeps changes of endpoints from waiting for a large answer.
+    """Keeps changes of endpoints, and other traffic, from waiting for a large answer.
 
     While the answer to a watch arrives, changes of the endpoints' entries are watched
-    on a connection of their own.
+    on a connection of their own.  If a peer has a much wider link, the answer is held
+    at first, and dropped once that peer has sent a compressed copy.
 
     Parameters
     ----------
@@ -40,21 +50,30 @@
         Progress of the answers.
     watch_endpoints : callable or None
         Watches the endpoints' entries; None if that is not possible.
+    has_wider_peer : callable
+        Returns whether a connected peer has a much wider link than this process.
+    on_replaced : callable
+        Called when a peer has sent what a held answer has.
 
     Attributes
     ----------
     began_at : datetime or None
         Time at which the headers of the answer arrived; None if there is none.
-    endpoint_task : asyncio.Task or None
-        The watch of the endpoints' entries; None if there is none.
+    hold_until : datetime or None
+        Time until which answers are held; None if none was since the last complete one.
+    tasks : list of asyncio.Task
+        The watch of the endpoints' entries, and the wait for a peer's copy.
     """
 
     __slots__ = (
         "registry",
         "transfer",
         "watch_endpoints",
+        "has_wider_peer",
+        "on_replaced",
         "began_at",
-        "endpoint_task",
+        "hold_until",
+        "tasks",
     )
 
     def __init__(
@@ -63,12 +82,17 @@
         registry: Registry,
         transfer: Transfer,
         watch_endpoints: WatchEndpoints | None,
+        has_wider_peer: Callable[[], bool],
+        on_replaced: Callable[[], None],
     ):
         self.registry = registry
         self.transfer = transfer
         self.watch_endpoints = watch_endpoints
+        self.has_wider_peer = has_wider_peer
+        self.on_replaced = on_replaced
         self.began_at: datetime | None = None
-        self.endpoint_task: asyncio.Task | None = None
+        self.hold_until: datetime | None = None
+        self.tasks: list[asyncio.Task] = []
 
     def begin(self, watched: StoreRevision | None) -> None:
         """Record that the headers of a large answer have arrived.
@@ -79,22 +103,30 @@
             Revision of the watch that it answers; None if it is a page of all items.
         """
         self.began_at = self.transfer.clock()
+        is_held = watched is not None and self._may_hold()
         emit(
             LARGE_ANSWER_BEGAN,
             era=watched.era if watched else 0,
             revision=watched.number if watched else 0,
             bytes=self.transfer.size,
+            is_held=is_held,
         )
-        if watched is not None and self.watch_endpoints is not None:
-            following = self._follow_endpoints(watched)
-            self.endpoint_task = asyncio.create_task(following)
+        if watched is None:
+            return
+        if is_held:
+            self.transfer.hold()
+            self.tasks.append(asyncio.create_task(self._hold(watched)))
+        if self.watch_endpoints is not None:
+            self.tasks.append(asyncio.create_task(self._follow_endpoints(watched)))
 
     def end(self, problem: str) -> None:
         """Record that the call has ended; do nothing if its answer was not large."""
-        if self.endpoint_task is not None:
-            self.endpoint_task.cancel()
-            self.endpoint_task = None
+        for task in self.tasks:
+            task.cancel()
+        self.tasks.clear()
         began_at, self.began_at = self.began_at, None
+        if not problem:
+            self.hold_until = None
         if began_at is None:
             return
         emit(
@@ -105,6 +137,30 @@
             problem=problem,
         )
 
+    def _may_hold(self) -> bool:
+        """Return whether to hold an answer, which a peer may be about to replace."""
+        if self.registry.copies.is_peer_sending:
+            return True
+        if not self.has_wider_peer():
+            return False
+        now = self.transfer.clock()
+        if self.hold_until is None:
+            self.hold_until = now + HOLD_TIME
+        return now < self.hold_until
+
+    async def _hold(self, watched: StoreRevision) -> None:
+        """Hold the answer until a peer has sent the items, or none will in time."""
+        while self.registry.cache.revision <= watched:
+            is_over = self.hold_until is None or (
+                self.transfer.clock() >= self.hold_until
+            )
+            if is_over and not self.registry.copies.is_peer_sending:
+                self.transfer.release()
+                return
+            await asyncio.sleep(POLL_INTERVAL.total_seconds())
+        self.hold_until = None
+        self.on_replaced()
+
     async def _follow_endpoints(self, after: StoreRevision) -> None:
         """Apply the changes of endpoints that the answer would delay."""
         while True:
