Don't end an answer of the own services while it arrives

These reads are now given up when no bytes arrive for 1.5 s, like those of the platform's store; 3 s are the time by which an answer has to begin. libcurl has no call for that, so the connection is shut down.

--- a/features/configuration/follower.feature
+++ b/features/configuration/follower.feature
@@ -45,3 +45,10 @@
     When "attempts = 3" is published as "attempts = 4"
     Then the process has 4 attempts in force
     And the service was read at most 20 times a second
+
+  Scenario: A large revision comes into force although it takes longer than a timeout
+    Given a configuration service with the declarations of kilometerwerk
+    And a process that follows it over a narrow link
+    When "attempts = 3" is published as "attempts = 4" with 3000 workspaces more
+    Then the process has 4 attempts in force
+    And the service was read once for it
--- a/features/platform_bench.py
+++ b/features/platform_bench.py
@@ -21,7 +21,7 @@
 from zinniaramp.contracts import RevisionId
 from zinniaramp.declarations import read_declarations
 from zinniaramp.hosts import HostListFollower, HostView
-from zinniaramp.reads import make_http_reader
+from zinniaramp.reads.curl import make_curl_reader
 from zinniaramp.standins import configuration, hosts
 from zinniaramp.standins.serving import Controls, Faults
 
@@ -105,7 +105,9 @@
     def make_json_reader(self):
         """Return the function with which followers fetch JSON over HTTP."""
         return self.run_in_loop(
-            lambda: make_http_reader(CurlAsyncHTTPClient(force_instance=True))
+            lambda: make_curl_reader(
+                CurlAsyncHTTPClient(force_instance=True), clock=self.clock
+            )
         )
 
     def start_task(self, run):
@@ -197,13 +199,13 @@
         ).unwrap()
         return RevisionStore(initial=initial, clock=self.clock)
 
-    def start_follower(self, *, name="host-1", view=None):
-        """Start a follower with a new store."""
+    def start_follower(self, *, name="host-1", view=None, port=None):
+        """Start a follower with a new store, by default without a link between."""
         self.store = self.new_store()
         read_json = self.make_json_reader()
         self.follower = self.run_in_loop(
             lambda: ConfigurationFollower(
-                url=f"http://127.0.0.1:{self.port}",
+                url=f"http://127.0.0.1:{port or self.port}",
                 name=name,
                 data_centre="dc-1",
                 store=self.store,
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -7,11 +7,13 @@
 from behave import given, then, when
 
 from features.platform_bench import DECLARATIONS, WAIT_LIMIT_SECONDS, ConfigurationBench
+from features.support.narrow_link import NarrowLink
 from zinniaramp.configuration import handle_revision_message, is_reader
 from zinniaramp.contracts import Ping
 from zinniaramp.hosts import Host, HostView
 
 ATTEMPTS = "attempts = 3"
+LINK_BYTES_PER_SECOND = 100_000
 
 
 def attempts_in_force(store):
@@ -33,6 +35,17 @@
         bench.wait_until(lambda: bench.store.revision().index == 3)
 
 
+@given("a process that follows it over a narrow link")
+def follow_over_link(context):
+    bench = context.bench
+    context.link = bench.run_in_loop(
+        lambda: NarrowLink(port=bench.port, bytes_per_second=LINK_BYTES_PER_SECOND)
+    )
+    context.add_cleanup(context.link.stop)
+    bench.start_follower(port=context.link.port)
+    bench.wait_until(lambda: bench.store.revision().index == 3)
+
+
 @given("a process that follows it, but is not a reader")
 def start_non_reader(context):
     hosts = {
@@ -78,6 +91,21 @@
     context.bench.publish(DECLARATIONS.replace(old, new))
 
 
+@when('"{old}" is published as "{new}" with {count:d} workspaces more')
+def publish_large(context, old, new, count):
+    more = [f"[workspace more-{number}]\n" for number in range(count)]
+    context.carried_before = context.link.carried
+    context.bench.publish("\n".join([DECLARATIONS.replace(old, new), *more]))
+
+
+@then("the service was read once for it")
+def check_read_once(context):
+    carried = context.link.carried - context.carried_before
+    size = sum(section.size() for section in context.bench.store.sections)
+    assert carried < 2 * size, (carried, size)
+    assert not context.bench.events_named("configuration-unreachable")
+
+
 @when("the service becomes stale")
 def make_stale(context):
     context.bench.set_faults(stale=True)
--- a/zinniaramp/daemon/followers.py
+++ b/zinniaramp/daemon/followers.py
@@ -8,7 +8,7 @@
 from ..clock import Clock
 from ..configuration import ConfigurationFollower, RevisionStore
 from ..hosts import HostListFollower, HostView
-from ..reads import make_http_reader
+from ..reads.curl import make_curl_reader
 from ..settings import Settings
 from .tasks import supervise
 
@@ -51,7 +51,7 @@
         self.tasks: list[asyncio.Task] = []
         platform, process = settings.platform, settings.process
         client = CurlAsyncHTTPClient(force_instance=True, max_clients=MAX_CLIENTS)
-        read_json = make_http_reader(client)
+        read_json = make_curl_reader(client, clock=clock)
         self.configuration: ConfigurationFollower | None = None
         if platform.configuration:
             self.configuration = ConfigurationFollower(
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -138,7 +138,11 @@
 
 
 def make_transfer_reader(
-    client: AsyncHTTPClient, *, transfer: Transfer, close: Callable[[], None]
+    client: AsyncHTTPClient,
+    *,
+    transfer: Transfer,
+    close: Callable[[], None],
+    prepare: Callable[[Any], None] | None = None,
 ) -> ReadAnswer:
     """Return a function like that of `make_answer_reader`, for answers of any size.
 
@@ -153,6 +157,8 @@
         Progress of the answers.
     close : callable
         Closes the connection of the current call.
+    prepare : callable, optional
+        Receives the handle of each call of a client that uses libcurl.
     """
 
     async def read_answer(
@@ -167,11 +173,12 @@
             if not has_ended:
                 transfer.record_header(line)
 
-        async def receive_body(chunk: bytes) -> None:
-            # What is left of a call that was ended must not count for the next one.
-            if not has_ended:
-                body.extend(chunk)
-                await transfer.record_bytes(chunk)
+        def receive_body(chunk: bytes) -> Awaitable | None:
+            if has_ended:
+                # What is left of a call that was ended must not count for the next one.
+                return None
+            body.extend(chunk)
+            return transfer.record_bytes(chunk)
 
         transfer.start()
         fetching = client.fetch(
@@ -181,6 +188,7 @@
             follow_redirects=False,
             header_callback=receive_header,
             streaming_callback=receive_body,
+            prepare_curl_callback=prepare,
         )
         call = asyncio.ensure_future(_await_response(fetching, url, lines))
         try:
--- a/zinniaramp/reads/transfers.py
+++ b/zinniaramp/reads/transfers.py
@@ -1,7 +1,7 @@
 """Progress of answers that take long on a narrow link."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from datetime import datetime, timedelta
 
 from ..clock import Clock
@@ -89,11 +89,17 @@
                 for listener in self.on_large:
                     listener()
 
-    async def record_bytes(self, chunk: bytes) -> None:
-        """Record bytes of the answer's body; return when more may be read."""
+    def record_bytes(self, chunk: bytes) -> Awaitable | None:
+        """Record bytes of the answer's body.
+
+        Returns
+        -------
+        Awaitable or None
+            What to wait for before more is read, if the answer is held.
+        """
         self.progressed_at = self.clock()
         self.received += len(chunk)
-        await self.released.wait()
+        return self.released.wait() if self.is_held else None
 
     def hold(self) -> None:
         """Read no more of the answer until it is released."""
