--- a/features/gateway/large_configurations.feature
+++ b/features/gateway/large_configurations.feature
@@ -31,6 +31,15 @@
     When a large configuration is decoded beside another task
     Then the task has run 30 times meanwhile, and the configuration is decoded once
 
+  Scenario Outline: A changed route of a large configuration is decoded again: <field>
+    When a large configuration is decoded, and then one whose route has <field> = <value>
+    Then the second one is <result>, and has the other routes of the first one
+
+    Examples:
+      | field      | value | result  |
+      | timeout_ms | 7000  | valid   |
+      | priority   | true  | refused |
+
   Scenario: A peer with a wide link replaces the answer that a narrow one would take long for
     Given a gateway with a wide link, and one behind a narrow link
     When a large configuration with version 9 is published
--- a/features/steps/large_configurations_steps.py
+++ b/features/steps/large_configurations_steps.py
@@ -4,10 +4,11 @@
 import json
 
 from behave import given, then, when
+from result import Ok
 
 from features.gateway.configurations import configuration, route
 from features.support.narrow_link import NarrowLink
-from zinniaramp.platform.documents import DocumentDecoder
+from zinniaramp.platform.decoder import DocumentDecoder
 from zinniaramp.registry import Item, Snapshot, StoreRevision
 from zinniaramp.sockets import Address
 
@@ -176,3 +177,46 @@
     assert context.turns >= count, context.turns
     assert context.decoded is context.prepared
     assert context.decoded.ok_value.version == 9
+
+
+def decode_with(decoder, document, revision):
+    """Return the result of decoding a configuration with a decoder."""
+    value = json.dumps(document).encode()
+    item = Item(key="op/config", revision=revision, value=value)
+    snapshot = Snapshot(
+        revision=StoreRevision(era=0, number=revision), items=(item,), is_complete=False
+    )
+    asyncio.run(decoder.prepare(snapshot))
+    return decoder.decode(item)
+
+
+@when(
+    "a large configuration is decoded, and then one whose route has {field} = {value}"
+)
+def decode_two(context, field, value):
+    decoder = DocumentDecoder()
+    document = large_configuration(9)
+    context.first = decode_with(decoder, document, 9)
+    document["version"] = 10
+    document["routes"][-1][field] = json.loads(value)
+    context.second = decode_with(decoder, document, 10)
+    context.changed = document["routes"][-1]
+
+
+@then("the second one is {result}, and has the other routes of the first one")
+def check_second(context, result):
+    assert isinstance(context.second, Ok) == (result == "valid"), context.second
+    if result == "refused":
+        return
+    pairs = zip(
+        *(
+            sorted(
+                (route for routes in one.ok_value.routes.values() for route in routes),
+                key=lambda route: route.name,
+            )
+            for one in (context.first, context.second)
+        ),
+        strict=True,
+    )
+    other = {second.name for first, second in pairs if second is not first}
+    assert other == {context.changed["name"]}, other
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -16,7 +16,7 @@
 from ..gateway.metrics import STORE_AGE, STORE_LOST
 from ..observability import LogWriter, configure_logging, emit
 from ..platform.cached_segments import make_cached_segment_reader
-from ..platform.documents import DocumentDecoder
+from ..platform.decoder import DocumentDecoder
 from ..platform.headers import make_header_codec
 from ..platform.listening import EarlyListener
 from ..platform.settings import HostSettings, SettingsError, read_host_settings
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -1,6 +1,5 @@
 """Decoding of the store's documents: the configuration and the endpoint entries."""
 
-import asyncio
 import json
 from collections.abc import Generator
 from datetime import timedelta
@@ -8,10 +7,9 @@
 
 from result import Err, Ok, Result
 
-from ..reads import LARGE_ANSWER_BYTES
 from ..registry.core import DecodedItem, Endpoint, EndpointState, ItemError
 from ..registry.evacuations import Evacuation
-from ..registry.items import Item, Snapshot
+from ..registry.items import Item
 from ..routes import (
     ClientLimits,
     Configuration,
@@ -24,7 +22,7 @@
 )
 from ..sockets import parse_address
 
-__all__ = ["ENDPOINT_PREFIX", "DocumentDecoder", "decode_item"]
+__all__ = ["ENDPOINT_PREFIX", "decode_in_parts", "decode_item"]
 
 CONFIGURATION_KEY = "op/config"
 """Key of the current configuration."""
@@ -204,13 +202,18 @@
 
 
 def _parse_routes(
-    document: _Document,
+    document: _Document, known: dict[str, Route]
 ) -> Generator[None, None, dict[str, tuple[Route, ...]]]:
+    """Parse the routes; those that are known by their text are not parsed again."""
     by_host: dict[str, list[Route]] = {}
     for number, route_document in enumerate(document.parts("routes")):
         if number % ROUTES_AT_ONCE == 0:
             yield
-        route = _parse_route(route_document)
+        # Unlike a comparison of the fields, the text tells 1 from true.
+        text = repr(route_document.fields)
+        route = known.get(text)
+        if route is None:
+            route = known[text] = _parse_route(route_document)
         by_host.setdefault(route.host, []).append(route)
     # The longest prefix is matched first.
     for routes in by_host.values():
@@ -259,10 +262,10 @@
 
 
 def _parse_configuration(
-    document: _Document,
+    document: _Document, known: dict[str, Route]
 ) -> Generator[None, None, Configuration]:
     services = [_parse_service(part) for part in document.parts("services")]
-    routes = yield from _parse_routes(document)
+    routes = yield from _parse_routes(document, known)
     workspaces = _parse_workspaces(document)
     all_routes = [route for host_routes in routes.values() for route in host_routes]
     return Configuration(
@@ -322,7 +325,7 @@
         A `Configuration`, an `Endpoint` or an `Evacuation`; None if the key belongs to
         none of them; or an `ItemError` if the document is not valid.
     """
-    parts = _decode_in_parts(item)
+    parts = decode_in_parts(item, {})
     while True:
         try:
             next(parts)
@@ -330,10 +333,18 @@
             return end.value
 
 
-def _decode_in_parts(
-    item: Item,
+def decode_in_parts(
+    item: Item, known: dict[str, Route]
 ) -> Generator[None, None, Result[DecodedItem, ItemError]]:
-    """Decode an item like `decode_item`, and yield where other work may run."""
+    """Decode an item like `decode_item`, and yield where other work may run.
+
+    Parameters
+    ----------
+    item : Item
+        Item with a value.
+    known : dict of Route
+        Parsed routes by their text; those of the item are added.
+    """
     if item.key.startswith(EVACUATION_PREFIX):
         # Its existence counts, whatever its value is.
         data_center = item.key.removeprefix(EVACUATION_PREFIX)
@@ -349,43 +360,7 @@
     try:
         document = _Document(fields=fields, path=item.key)
         if is_configuration:
-            return Ok((yield from _parse_configuration(document)))
+            return Ok((yield from _parse_configuration(document, known)))
         return Ok(_parse_endpoint(name, document))
     except ItemError as error:
         return Err(error)
-
-
-class DocumentDecoder:
-    """Decodes items, the large ones in parts between which other work runs.
-
-    Attributes
-    ----------
-    prepared : dict of tuple
-        Large items that were decoded and not asked for yet, with the results, by key.
-    """
-
-    __slots__ = ("prepared",)
-
-    def __init__(self):
-        self.prepared: dict[str, tuple[Item, Result[DecodedItem, ItemError]]] = {}
-
-    async def prepare(self, snapshot: Snapshot) -> None:
-        """Decode the large items of a snapshot, which is to be applied next."""
-        for item in snapshot.items:
-            if item.value is None or len(item.value) < LARGE_ANSWER_BYTES:
-                continue
-            parts = _decode_in_parts(item)
-            while True:
-                try:
-                    next(parts)
-                except StopIteration as end:
-                    self.prepared[item.key] = item, end.value
-                    break
-                await asyncio.sleep(0)
-
-    def decode(self, item: Item) -> Result[DecodedItem, ItemError]:
-        """Return what `decode_item` does; at once if the item was prepared."""
-        prepared = self.prepared.pop(item.key, None)
-        if prepared is not None and prepared[0] == item:
-            return prepared[1]
-        return decode_item(item)
