Report errors in the simulation of links

Since the simulation awaited the None that a transfer returns for bytes which aren't held, and every simulated gateway ended at once; the play dropped these errors, so that the feature failed without saying why. Errors of the tasks are raised now.

--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from result import Ok
+from tornado.iostream import StreamClosedError
 
 from features.freshness.play import (
     FIRST_REVISION,
@@ -249,7 +250,8 @@
             for start in range(0, size, PIECE_BYTES):
                 piece = bytes(min(PIECE_BYTES, size - start))
                 await asyncio.sleep(host.down.carry(len(piece)))
-                await transfer.record_bytes(piece)
+                if held := transfer.record_bytes(piece):
+                    await held
         finally:
             transfer.finish()
         return Ok(snapshot)
@@ -312,7 +314,10 @@
     await asyncio.sleep(load.seconds)
     for task in tasks:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=True)
+    ended = await asyncio.gather(*tasks, return_exceptions=True)
+    for error in ended:
+        if isinstance(error, Exception) and not isinstance(error, StreamClosedError):
+            raise error
     size = answer_bytes([one for one in store.changes if one.key == CONFIGURATION][:1])
     report.copy_seconds = [size / host.down.rate for host in hosts]
     report.copies = [host.down.carried / size for host in hosts]
