--- a/zinniaramp/peers/core.py
+++ b/zinniaramp/peers/core.py
@@ -16,6 +16,7 @@
 from ..sockets import Address, bind_listeners, open_stream, parse_address
 from ..warmup import Membership
 from .catch_up import CatchUp
+from .choice import choose_peers, has_wider_link
 from .codec import encode
 from .events import PEER_CONNECTED, PEER_DISCONNECTED
 from .messages import Heartbeat, Hello, LoadEvent, Message, SendEnded
@@ -67,10 +68,6 @@
 A connection whose peer reads too slowly is closed and opened again.
 """
 
-WIDER_LINK_RATIO = 4.0
-"""Ratio of two links' rates from which a copy over the wider one, and on in compressed
-form, takes much less time than over the narrower one."""
-
 LoadListener = Callable[[str, LoadEvent | None], None]
 """Receives a connection's name and a load event, or None when the connection closed."""
 
@@ -369,31 +366,20 @@
         self.catch_up.start_if_behind(revision)
 
     def _newer_peers(self) -> list[str]:
-        """Return the connected peers with a later revision, the best ones if any.
-
-        These are the nearest, and those with a wide link among them.
-        """
+        """Return the connected peers with a later revision, the best ones if any."""
         current = self.registry.cache.revision
         newer = [
             name
             for name, revision in self.peer_revisions.items()
             if revision > current and name in self.write_queues
         ]
-        hellos = self.inbound_peers.values()
-        near = {one.address for one in hellos if one.data_center == self.data_center}
-        wide = {one.address for one in hellos if self._has_wider_link(one)}
-        newer = [name for name in newer if name in near] or newer
-        return [name for name in newer if name in wide] or newer
-
-    def _has_wider_link(self, peer: Hello) -> bool:
-        if self.link_mbps is None or peer.link_mbps is None:
-            return False
-        return peer.link_mbps >= WIDER_LINK_RATIO * self.link_mbps
+        return choose_peers(newer, self.inbound_peers.values(), own=self._hello(()))
 
     def has_wider_peer(self) -> bool:
         """Return whether a connected peer has a much wider link than this host."""
+        own = self._hello(())
         return any(
-            self._has_wider_link(one) and one.address in self.write_queues
+            has_wider_link(one, own) and one.address in self.write_queues
             for one in self.inbound_peers.values()
         )
 
--- a/zinniaramp/platform/configuration_check.py
+++ b/zinniaramp/platform/configuration_check.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from ..registry.core import ItemError
+from ..registry.endpoints import ItemError
 from ..registry.items import Item
 from ..routes import Configuration, RetryPolicy, Route
 from .documents import CONFIGURATION_KEY, decode_item
--- a/zinniaramp/platform/decoder.py
+++ b/zinniaramp/platform/decoder.py
@@ -8,7 +8,7 @@
 from result import Ok, Result
 
 from ..reads import LARGE_ANSWER_BYTES
-from ..registry.core import DecodedItem, ItemError
+from ..registry.endpoints import DecodedItem, ItemError
 from ..registry.items import Item, Snapshot
 from ..routes import Configuration, Route
 from .documents import decode_in_parts, decode_item
--- a/zinniaramp/platform/documents.py
+++ b/zinniaramp/platform/documents.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ..registry.core import DecodedItem, Endpoint, EndpointState, ItemError
+from ..registry.endpoints import DecodedItem, Endpoint, EndpointState, ItemError
 from ..registry.evacuations import Evacuation
 from ..registry.items import Item
 from ..routes import (
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -24,8 +24,8 @@
     make_http_reader,
     make_transfer_reader,
 )
-from ..registry.follower import Source
 from ..registry.items import History, Item, Snapshot, StoreRevision
+from ..registry.source import Source
 from ..sockets import Address, open_stream
 from .documents import ENDPOINT_PREFIX
 
--- a/zinniaramp/registry/__init__.py
+++ b/zinniaramp/registry/__init__.py
@@ -2,11 +2,13 @@
 
 from .barrier import ReadBarrier
 from .copies import Copies
-from .core import Endpoint, EndpointState, Registry
-from .follower import Source, StoreFollower
+from .core import Registry
+from .endpoints import Endpoint, EndpointState
+from .follower import StoreFollower
 from .freshness import Freshness
 from .items import Item, ItemCache, Snapshot, StoreRevision
 from .revision_checks import RevisionChecker
+from .source import Source
 
 __all__ = [
     "Copies",
--- a/zinniaramp/registry/core.py
+++ b/zinniaramp/registry/core.py
@@ -1,17 +1,24 @@
 """Registered endpoints and the active configuration, from the store's items."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field, replace
+from collections.abc import Callable
+from dataclasses import replace
 from datetime import datetime, timedelta
-from enum import Enum
 
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from ..clock import Clock
 from ..observability import emit
 from ..routes import Configuration
-from ..sockets import Address
 from .copies import Copies
+from .departures import Departures
+from .endpoints import (
+    Endpoint,
+    EndpointState,
+    ItemDecoder,
+    PrepareItems,
+    prepare_nothing,
+)
+from .eras import check_era
 from .evacuations import Evacuation, Evacuations
 from .events import (
     CONFIGURATION_IN_FORCE,
@@ -25,102 +32,12 @@
     EVACUATION_IN_FORCE,
     EVACUATION_REVOKED,
     ITEM_REFUSED,
-    STORE_ANSWER_OLD,
-    STORE_RESTORED,
 )
 from .freshness import Freshness
 from .items import History, Item, ItemCache, Snapshot
-from .versions import ServedVersions
-
-__all__ = [
-    "DecodedItem",
-    "Endpoint",
-    "EndpointState",
-    "ItemDecoder",
-    "ItemError",
-    "Registry",
-]
-
-
-class ItemError(Exception):
-    """An item can't be decoded; the message names the field, its value and a remedy."""
-
-
-class EndpointState(Enum):
-    """Whether an endpoint accepts new requests."""
-
-    READY = "ready"
-    LEAVING = "leaving"
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Endpoint:
-    """One incarnation of an endpoint, from its start to its exit.
-
-    Parameters
-    ----------
-    id : str
-        Id of the endpoint, which it compares with the id that a request expects.
-    started : int
-        Time of its start in Unix milliseconds; distinguishes incarnations of one id.
-    service : str
-        Name of its service.
-    version : str
-        Version of its software.
-    data_center : str
-        Name of its data centre.
-    address : Address
-        Address on which it listens.
-    slots : int
-        Number of requests that it runs concurrently.
-    state : EndpointState
-        State that it reports.
-    cold_remaining : timedelta
-        How much longer it is cold, as of its entry.  It changes with each write of the
-        entry, and does not distinguish endpoints.
-    """
-
-    id: str
-    started: int
-    service: str
-    version: str
-    data_center: str
-    address: Address
-    slots: int
-    state: EndpointState
-    cold_remaining: timedelta = field(default=timedelta(), compare=False)
-
-    @property
-    def incarnation(self) -> str:
-        """Name that is unique to this start of the endpoint."""
-        return f"{self.id}@{self.started}"
-
-
-DEPARTURE_MEMORY = timedelta(minutes=10)
-"""Time for which the departure of an endpoint is remembered.  A copy from which the
-store is restored is some seconds old."""
-
-
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Departure:
-    """Removal of an endpoint's entry: the store's era, and when it was learnt."""
+from .versions import ServedVersions, find_served_versions
 
-    era: int
-    at: datetime
-
-
-DecodedItem = Endpoint | Configuration | Evacuation | None
-"""Result of decoding an item; None if items of its kind are not used."""
-
-ItemDecoder = Callable[[Item], Result[DecodedItem, ItemError]]
-"""Function that decodes an item with a value."""
-
-PrepareItems = Callable[[Snapshot], Awaitable[None]]
-"""Decodes the large items of a snapshot without making other work wait for long."""
-
-
-async def _prepare_nothing(_: Snapshot) -> None:
-    """Leave all decoding to the application of a snapshot."""
+__all__ = ["Registry"]
 
 
 class Registry:
@@ -165,12 +82,8 @@
     lapsed_until : dict of datetime
         End of the grace period of endpoints whose entries expired because of an
         outage, by the key of their item.
-    departed : dict of Departure
-        Incarnations whose entries were removed in the last `DEPARTURE_MEMORY`.
-    held_until : dict of datetime
-        Incarnations that had departed before the store was restored from a copy that
-        still has their entries, with the time at which such an entry counts again: the
-        store removes it earlier unless the endpoint still writes it.
+    departures : Departures
+        Endpoints whose entries were removed, and entries that a copy has brought back.
     store_returned_at : datetime or None
         End of the last outage of the store.
     by_service : dict of list of Endpoint
@@ -205,8 +118,7 @@
         "endpoints",
         "leaving",
         "lapsed_until",
-        "departed",
-        "held_until",
+        "departures",
         "store_returned_at",
         "by_service",
         "incarnations",
@@ -225,7 +137,7 @@
         lapse_grace: timedelta,
         entry_lifetime: timedelta,
         clock: Clock,
-        prepare_items: PrepareItems = _prepare_nothing,
+        prepare_items: PrepareItems = prepare_nothing,
     ):
         self.decode = decode
         self.prepare_items = prepare_items
@@ -240,8 +152,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.leaving: set[str] = set()
         self.lapsed_until: dict[str, datetime] = {}
-        self.departed: dict[str, Departure] = {}
-        self.held_until: dict[str, datetime] = {}
+        self.departures = Departures(clock=lambda: self.clock())
         self.store_returned_at: datetime | None = None
         self.by_service: dict[str, list[Endpoint]] = {}
         self.incarnations: dict[str, Endpoint] = {}
@@ -263,7 +174,8 @@
 
     def apply(self, snapshot: Snapshot) -> None:
         """Apply the new items of a snapshot; one of an older era has none."""
-        self._check_era(snapshot)
+        if check_era(snapshot, known=self.cache.revision):
+            self.start_lapse_grace()
         if snapshot.is_complete:
             # It doesn't show what came and went since the items that are known.
             self.versions.record_gap()
@@ -294,41 +206,19 @@
         """
         if history.revision.era != self.cache.revision.era:
             return False
-        pairs, written = [], set(self.endpoints)
-        for item in history.items:
-            if item.value is None:
-                if item.key not in written:
-                    return False
-                continue
-            match self.decode(item):
-                case Ok(Endpoint() as endpoint):
-                    pairs.append((endpoint.service, endpoint.version))
-            written.add(item.key)
+        pairs = find_served_versions(history, self.decode, known=set(self.endpoints))
+        if pairs is None:
+            return False
         self.versions.add_history(pairs, since=since)
         return True
 
-    def _check_era(self, snapshot: Snapshot) -> None:
-        """Log a restore of the store, or that an answer is older than the last one."""
-        known, received = self.cache.revision, snapshot.revision
-        if received.era < known.era:
-            emit(STORE_ANSWER_OLD, era=received.era, known=known.era)
-        if received.era > known.era and known.number and snapshot.is_complete:
-            emit(
-                STORE_RESTORED,
-                era=received.era,
-                before=known.era,
-                revision=received.number,
-                revision_before=known.number,
-            )
-            self.start_lapse_grace()
-
     def start_lapse_grace(self) -> None:
         """Start the grace period for endpoints whose entries expired in an outage."""
         self.store_returned_at = self.clock()
 
     def ready(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service to which new requests may be sent."""
-        if self.lapsed_until or self.held_until or self.evacuations.in_force:
+        if self.lapsed_until or self.departures.held_until or self.evacuations.in_force:
             self._end_waits()
         return self.by_service.get(service, [])
 
@@ -404,25 +294,15 @@
         )
 
     def _hold_if_departed(self, item: Item, endpoint: Endpoint) -> None:
-        """Don't use an endpoint again because of an entry that a copy brought back.
-
-        An entry with a revision after the first read of the era was written since, so
-        its endpoint has returned.  The one of the copy counts only once it has lasted
-        longer than the store keeps an entry that is not written.
-        """
+        cache, wait = self.cache, self.entry_lifetime + self.lapse_grace
         name = endpoint.incarnation
-        departure = self.departed.get(name)
-        if departure is None:
-            return
-        cache = self.cache
-        is_written = item.revision > cache.era_start
-        if departure.era == cache.revision.era or is_written:
-            del self.departed[name]
-            self.held_until.pop(name, None)
-            return
-        if name not in self.held_until:
-            wait = self.entry_lifetime + self.lapse_grace
-            self.held_until[name] = self.clock() + wait
+        is_held = self.departures.hold(
+            name,
+            era=cache.revision.era,
+            is_written=item.revision > cache.era_start,
+            wait=wait,
+        )
+        if is_held:
             emit(ENDPOINT_HELD, endpoint=name, seconds=wait.total_seconds())
 
     def _activate(self, configuration: Configuration, decoding: timedelta) -> None:
@@ -479,7 +359,7 @@
         self._unregister(item.key)
 
     def _is_unused(self, name: str) -> bool:
-        return name in self.leaving or name in self.held_until
+        return name in self.leaving or name in self.departures.held_until
 
     def _is_in_lapse_grace(self, now: datetime) -> bool:
         if self.store_returned_at is None:
@@ -490,12 +370,9 @@
         """Remove endpoints whose grace period is over; admit those held long enough."""
         now = self.clock()
         expired = [key for key, until in self.lapsed_until.items() if now >= until]
-        admitted = [name for name, until in self.held_until.items() if now >= until]
+        admitted = self.departures.end_holds()
         for key in expired:
             self._unregister(key)
-        for name in admitted:
-            del self.held_until[name]
-            self.departed.pop(name, None)
         ended = self.evacuations.end_holds()
         for data_center in ended:
             self._announce_revoked(data_center)
@@ -505,13 +382,8 @@
     def _unregister(self, key: str) -> None:
         self.lapsed_until.pop(key, None)
         name = self.endpoints.pop(key).incarnation
-        self.held_until.pop(name, None)
         emit(ENDPOINT_GONE, endpoint=name)
-        now = self.clock()
-        oldest = now - DEPARTURE_MEMORY
-        recent = {one: gone for one, gone in self.departed.items() if gone.at > oldest}
-        self.departed = recent
-        self.departed[name] = Departure(era=self.cache.revision.era, at=now)
+        self.departures.record(name, era=self.cache.revision.era)
 
     def _rebuild_indexes(self) -> None:
         by_service: dict[str, list[Endpoint]] = {}
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -1,16 +1,15 @@
 """Replication from the store: one full read, followed by watches."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from datetime import datetime, timedelta
 from random import Random
 
 from result import Err, Ok, Result
 
-from ..clock import Clock, monotonic_clock
+from ..clock import Clock
 from ..observability import emit
-from ..reads import Backoff, ReadError, Transfer
+from ..reads import Backoff, ReadError
 from .core import Registry
 from .events import (
     HISTORY_READ,
@@ -20,9 +19,10 @@
     WATCH_RENEWED,
 )
 from .items import NO_REVISION, History, Snapshot, StoreRevision
-from .large_answers import LargeAnswers, WatchEndpoints
+from .large_answers import LargeAnswers
+from .source import Source
 
-__all__ = ["Source", "StoreFollower"]
+__all__ = ["StoreFollower"]
 
 WATCH_TIMEOUT = timedelta(seconds=20)
 """Long-poll timeout of one watch.
@@ -64,42 +64,6 @@
 """Unit of durations in the log."""
 
 
-@dataclass(slots=True, kw_only=True, frozen=True)
-class Source:
-    """Calls to the store.
-
-    Parameters
-    ----------
-    read_all : callable
-        Returns all items.
-    watch : callable
-        Takes a revision and a timeout; returns the changes after the revision, at
-        the latest after the timeout.  Returns `Ok(None)` if the store's history no
-        longer covers the revision.
-    read_revision : callable
-        Returns the store's current revision.
-    read_history : callable
-        Returns the changes of the endpoints' entries that the store still has.
-    transfer : Transfer
-        Progress of the answer to the latest call of `read_all` or `watch`, of which one
-        runs at a time.
-    watch_endpoints : callable or None
-        Like `watch`, for the changes of the endpoints' entries only, beside another
-        call; None if that is not possible.
-    """
-
-    read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
-    watch: Callable[
-        [StoreRevision, timedelta], Awaitable[Result[Snapshot | None, ReadError]]
-    ]
-    read_revision: Callable[[], Awaitable[Result[StoreRevision, ReadError]]]
-    read_history: Callable[[], Awaitable[Result[History, ReadError]]]
-    transfer: Transfer = field(
-        default_factory=lambda: Transfer(clock=monotonic_clock())
-    )
-    watch_endpoints: WatchEndpoints | None = None
-
-
 class StoreFollower:
     """Keeps a registry up to date from the store.
 
--- a/zinniaramp/registry/large_answers.py
+++ b/zinniaramp/registry/large_answers.py
@@ -1,18 +1,19 @@
 """What a process does while a large answer of the store is on its way."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from datetime import datetime, timedelta
 
-from result import Ok, Result
+from result import Ok
 
 from ..observability import emit
-from ..reads import ReadError, Transfer
+from ..reads import Transfer
 from .core import Registry
 from .events import CHANGES_AHEAD, LARGE_ANSWER_BEGAN, LARGE_ANSWER_ENDED
 from .items import Snapshot, StoreRevision
+from .source import WatchEndpoints
 
-__all__ = ["LargeAnswers", "WatchEndpoints"]
+__all__ = ["LargeAnswers"]
 
 HOLD_TIME = timedelta(milliseconds=400)
 """Time for which an answer is held until a peer has its content.
@@ -33,11 +34,6 @@
 RETRY_PAUSE = timedelta(milliseconds=250)
 """Pause after an answer to such a watch, or after a failed one."""
 
-WatchEndpoints = Callable[
-    [StoreRevision, timedelta], Awaitable[Result[Snapshot | None, ReadError]]
-]
-"""Like a watch, but for the changes of the endpoints' entries only."""
-
 
 class LargeAnswers:
     """Keeps changes of endpoints, and other traffic, from waiting for a large answer.
--- a/zinniaramp/registry/versions.py
+++ b/zinniaramp/registry/versions.py
@@ -3,9 +3,13 @@
 from collections.abc import Iterable
 from datetime import datetime, timedelta
 
+from result import Ok
+
 from ..clock import Clock
+from .endpoints import Endpoint, ItemDecoder
+from .items import History
 
-__all__ = ["ServedVersions"]
+__all__ = ["ServedVersions", "find_served_versions"]
 
 
 class ServedVersions:
@@ -93,3 +97,35 @@
         if self.known_since is None:
             return False
         return self.known_since <= self.clock() - max_age
+
+
+def find_served_versions(
+    history: History, decode: ItemDecoder, *, known: set[str]
+) -> list[tuple[str, str]] | None:
+    """Return the service and version of each endpoint whose entry a history has.
+
+    Parameters
+    ----------
+    history : History
+        Changes of the endpoints' entries.
+    decode : callable
+        Decodes an item.
+    known : set of str
+        Keys of the endpoints that are registered.
+
+    Returns
+    -------
+    list of tuple or None
+        None if an entry was removed that is neither known nor in the history.
+    """
+    pairs, written = [], set(known)
+    for item in history.items:
+        if item.value is None:
+            if item.key not in written:
+                return None
+            continue
+        match decode(item):
+            case Ok(Endpoint() as endpoint):
+                pairs.append((endpoint.service, endpoint.version))
+        written.add(item.key)
+    return pairs
