End an answer that is too large while it arrives

The connection is now closed once the body is over the 4 MiB that are parsed; answers of the store had that limit in the client.

--- a/features/configuration/follower.feature
+++ b/features/configuration/follower.feature
@@ -52,3 +52,9 @@
     When "attempts = 3" is published as "attempts = 4" with 3000 workspaces more
     Then the process has 4 attempts in force
     And the service was read once for it
+
+  Scenario: An answer of the service that does not end is given up
+    Given a configuration service whose answers do not end
+    When a process follows it
+    Then an event "configuration-unreachable" is logged
+    And at most 16 MB were sent to it
--- a/features/steps/follower_steps.py
+++ b/features/steps/follower_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from contextlib import suppress
 from datetime import timedelta
 
 from behave import given, then, when
@@ -14,6 +15,7 @@
 
 ATTEMPTS = "attempts = 3"
 LINK_BYTES_PER_SECOND = 100_000
+PIECE = b" " * 65536
 
 
 def attempts_in_force(store):
@@ -35,6 +37,37 @@
         bench.wait_until(lambda: bench.store.revision().index == 3)
 
 
+@given("a configuration service whose answers do not end")
+def start_endless_service(context):
+    context.bench = ConfigurationBench()
+    context.add_cleanup(context.bench.close)
+    context.sent = []
+
+    async def write_endlessly(_, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        with suppress(ConnectionError):
+            while True:
+                writer.write(PIECE)
+                await writer.drain()
+                context.sent.append(len(PIECE))
+
+    async def listen():
+        return await asyncio.start_server(write_endlessly, "127.0.0.1", 0)
+
+    context.server = context.bench.runner.run(listen())
+
+
+@when("a process follows it")
+def follow_endless_service(context):
+    port = context.server.sockets[0].getsockname()[1]
+    context.bench.start_follower(port=port)
+
+
+@then("at most {count:d} MB were sent to it")
+def check_sent_bytes(context, count):
+    assert sum(context.sent) <= count * 1_000_000, sum(context.sent)
+
+
 @given("a process that follows it over a narrow link")
 def follow_over_link(context):
     bench = context.bench
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -178,6 +178,8 @@
                 # What is left of a call that was ended must not count for the next one.
                 return None
             body.extend(chunk)
+            if len(body) > MAX_ANSWER_BYTES:
+                close()
             return transfer.record_bytes(chunk)
 
         transfer.start()
