--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -14,7 +14,7 @@
     Load,
     MemoryStream,
     SimulatedGateway,
-    connect,
+    join_ends,
 )
 from features.support.virtual_time import VirtualTimeLoop
 from zinniaramp.reads import Transfer
@@ -307,7 +307,7 @@
         for far, other in zip(gateways, hosts, strict=True):
             if far is not near:
                 ends = LinkStream(loop, host, other), LinkStream(loop, other, host)
-                work += connect(near, far, ends)
+                work += join_ends(near, far, ends)
     report = LinkReport()
     work.append(_change(load, loop, store, gateways, report))
     tasks = [asyncio.create_task(one) for one in work]
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -3,4 +3,4 @@
 source "$(dirname "${BASH_SOURCE[0]}")/setup.sh"
 ruff format --check --quiet .
 ruff check --quiet .
-exec timeout 1200 python scripts/run_features.py
+exec timeout 1800 python scripts/run_features.py
