--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -1,8 +1,6 @@
 """The endpoint process's streams and the dispatch of messages received on them."""
 
-import asyncio
 from collections.abc import Iterator
-from dataclasses import dataclass
 from datetime import timedelta
 
 from result import Err, Ok
@@ -25,36 +23,23 @@
     RefusalReason,
     Refused,
     Resume,
-    TicketIssued,
     TicketRequest,
 )
 from ..links import Connection
 from ..observability import emit
-from ..tickets import sign_ticket
 from .attempts import DISCARDED_DETAIL, Attempt, Delivery, deliver
-from .events import ATTEMPT_PLACED, ATTEMPT_RESUMED, STREAM_SILENT, TICKET_DECIDED
+from .deferrals import DeferredOffers
+from .events import ATTEMPT_PLACED, ATTEMPT_RESUMED, STREAM_SILENT
 from .executor import Executor
 from .metrics import PLACEMENTS
 from .placement import AnswerDiscarded, Placed, Placement, Refusal
+from .ticketing import issue_ticket
 
 __all__ = ["Streams"]
 
 MOVED_DETAIL = "continued-elsewhere"
 """Detail of the `End` sent to an entry process when another one resumes the answer."""
 
-MAX_DEFERRAL = timedelta(seconds=0.5)
-"""Longest time that an offer waits for its revision.
-
-This is half of the time that an entry process waits for a response to its offer."""
-
-
-@dataclass(slots=True, kw_only=True, frozen=True, eq=False)
-class DeferredOffer:
-    """An offer that waits because its revision is not in force here yet."""
-
-    connection: Connection
-    offer: Offer
-
 
 class Streams:
     """Serves the streams opened by entry processes.
@@ -78,7 +63,7 @@
         Open streams.
     last_ping_number : int
         Number of the last `Ping` sent to request acknowledgements.
-    deferred : list of DeferredOffer
+    deferred : DeferredOffers
         Offers that wait for their revision.
     """
 
@@ -98,7 +83,7 @@
         self.clock = clock
         self.connections: set[Connection] = set()
         self.last_ping_number = 0
-        self.deferred: list[DeferredOffer] = []
+        self.deferred = DeferredOffers(place=self.place_offer)
 
     async def serve(self, connection: Connection) -> None:
         """Serve one stream until it is closed."""
@@ -141,7 +126,9 @@
             case Cancel(attempt_id=attempt_id):
                 self.cancel(connection, attempt_id)
             case TicketRequest():
-                self.issue_ticket(connection, message)
+                reason = issue_ticket(self.placement, connection, message)
+                if reason is not None:
+                    self.refuse(connection, message.request_id, reason, timedelta(0))
             case Ping(number=number):
                 self.answer_ping(connection, number)
             case Pong(number=number):
@@ -196,31 +183,13 @@
             if request is not None:
                 connection.send(request)
             if self.revisions.is_behind():
-                self.defer(connection, offer)
+                self.deferred.add(connection, offer)
                 return
         self.place_offer(connection, offer)
 
-    def defer(self, connection: Connection, offer: Offer) -> None:
-        """Defer an offer until its revision arrives, for at most `MAX_DEFERRAL`."""
-        deferred = DeferredOffer(connection=connection, offer=offer)
-        self.deferred.append(deferred)
-        loop = asyncio.get_running_loop()
-        loop.call_later(MAX_DEFERRAL.total_seconds(), self.place_deferred, deferred)
-
-    def place_deferred(self, deferred: DeferredOffer) -> None:
-        """Place a deferred offer unless already placed or its stream is closed."""
-        if deferred not in self.deferred:
-            return
-        self.deferred.remove(deferred)
-        if not deferred.connection.is_closed:
-            self.place_offer(deferred.connection, deferred.offer)
-
     def place_all_deferred(self) -> None:
         """Place the deferred offers whose revision is in force."""
-        in_force = self.revisions.revision().index
-        for deferred in list(self.deferred):
-            if deferred.offer.revision_index <= in_force:
-                self.place_deferred(deferred)
+        self.deferred.release(self.revisions.revision().index)
 
     def place_offer(self, connection: Connection, offer: Offer) -> None:
         """Accept or refuse an offer; if accepted, deliver its answer on this stream."""
@@ -366,43 +335,6 @@
             return True
         return self.executor.cancel(attempt)
 
-    def issue_ticket(self, connection: Connection, request: TicketRequest) -> None:
-        """Issue a ticket, or refuse it with a reason, and log the decision."""
-        reason = self.send_ticket(connection, request)
-        if reason is not None:
-            self.refuse(connection, request.request_id, reason, timedelta(0))
-        emit(
-            TICKET_DECIDED,
-            request=request.request_id,
-            decision="refuse" if reason else "issue",
-            reason=str(reason or ""),
-            **{"class": request.class_name},
-            workspace=request.workspace,
-        )
-
-    def send_ticket(
-        self, connection: Connection, request: TicketRequest
-    ) -> RefusalReason | None:
-        """Issue and send a ticket, or return the reason for refusing it."""
-        if self.placement.is_leaving():
-            return RefusalReason.LEAVING
-        tickets = self.placement.tickets
-        issued = tickets.issue(
-            class_name=request.class_name, workspace=request.workspace
-        )
-        match issued:
-            case Err(_):
-                return RefusalReason.TICKET_TABLE_FULL
-            case Ok(ticket):
-                connection.send(
-                    TicketIssued(
-                        request_id=request.request_id,
-                        ticket=sign_ticket(ticket, key=self.placement.key),
-                        expires_s=tickets.lifetime.total_seconds(),
-                    )
-                )
-                return None
-
     def announce_leaving(self, incarnation: str) -> None:
         """Notify every peer that this process accepts no new attempts."""
         for connection in self.connections:
