Don't request sections again while they arrive

A process that knows of a newer revision requests the sections from a peer, and 2 s later again from the next one that reports the revision, though the reply may be arriving: a reply has up to 2 MiB, which take 3.4 s at 5 Mbit/s. Each repetition sends it once more over the same link, and it is decoded and refused as not newer.

Change: a connection knows whether a message has arrived in part and its bytes still arrive, and the request isn't repeated meanwhile. A reply that pauses for 2 s is requested again, as is a still newer revision.

--- a/features/configuration/revisions.feature
+++ b/features/configuration/revisions.feature
@@ -17,6 +17,11 @@
     Then the encoded reply is below half of the largest frame
     And the peer has the same revision
 
+  Scenario: Sections that are still arriving aren't requested again
+    Given a store that has requested sections over a stream of a peer
+    When part of the reply arrives each second for 10 s, and the peer reports its revision
+    Then the sections are requested again only 2 s after the last part
+
   Scenario: Few hosts of each data centre read the service
     Given any list of hosts
     When each host determines whether it is a reader
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,8 +1,9 @@
 """Steps about the order of revisions, which compare the store with a reference."""
 
+import asyncio
 from collections import Counter
 from dataclasses import dataclass
-from datetime import UTC, datetime
+from datetime import UTC, datetime, timedelta
 from random import Random
 
 from behave import given, then, when
@@ -24,9 +25,11 @@
 from zinniaramp.contracts import MAX_FRAME_BYTES, RevisionId, SectionsRequest, encode
 from zinniaramp.declarations import read_declarations
 from zinniaramp.hosts import Host, HostState, HostView
+from zinniaramp.links import Connection
 
 INITIAL_REVISION = RevisionId(index=0, digest="")
 NOW = datetime(2026, 1, 1, tzinfo=UTC)
+REPLY_PART_BYTES = 10_000
 
 CONTENTS = (
     ("[class a]\ntier = 1\n",),
@@ -253,6 +256,63 @@
     assert context.peer.revision() == context.store.revision()
 
 
+class PartialStream:
+    """Stream that returns given bytes, for a connection."""
+
+    max_write_buffer_size = None
+
+    def __init__(self, data):
+        self.data = data
+
+    def set_nodelay(self, value):
+        """Accept the option."""
+
+    async def read_bytes(self, count, partial):
+        """Return the next part of the bytes."""
+        part, self.data = self.data[:REPLY_PART_BYTES], self.data[REPLY_PART_BYTES:]
+        return part
+
+
+@given("a store that has requested sections over a stream of a peer")
+def request_over_stream(context):
+    context.now = NOW
+    store = make_store()
+    store.clock = lambda: context.now
+    peer = make_store()
+    accept_revision(peer, make_revision(1, ["#" * 200_000]), source="test").unwrap()
+    context.report = lambda: store.record_peer_revision(
+        peer.revision(), is_receiving=context.connection.is_receiving
+    )
+    context.connection = Connection(
+        stream=PartialStream(b""), peer="peer", clock=store.clock
+    )
+    context.request = context.report()
+    reply = make_sections_reply(peer, context.request)
+    context.connection.stream.data = encode(reply)
+
+
+@when(
+    "part of the reply arrives each second for {count:d} s, "
+    "and the peer reports its revision"
+)
+def receive_parts(context, count):
+    context.requests = []
+    for _ in range(count):
+        context.now += timedelta(seconds=1)
+        messages = asyncio.run(context.connection.receive()).unwrap()
+        context.requests.append(context.report())
+        assert not messages
+
+
+@then("the sections are requested again only {count:d} s after the last part")
+def check_requests(context, count):
+    for _ in range(count):
+        assert not any(context.requests), context.requests
+        context.now += timedelta(seconds=1)
+        context.requests.append(context.report())
+    assert context.requests[-1] == context.request
+
+
 HOSTS = st.lists(
     st.builds(
         Host,
--- a/zinniaramp/configuration/__init__.py
+++ b/zinniaramp/configuration/__init__.py
@@ -1,6 +1,6 @@
 """Revisions of the published configuration, fetched from the service or from peers."""
 
-from .core import ConfigurationError, RevisionStore
+from .core import ConfigurationError, RevisionStore, receives_nothing
 from .exchange import (
     accept_revision,
     apply_sections,
@@ -30,5 +30,6 @@
     "is_reader",
     "make_section",
     "make_sections_reply",
+    "receives_nothing",
     "verify_published",
 ]
--- a/zinniaramp/configuration/core.py
+++ b/zinniaramp/configuration/core.py
@@ -13,15 +13,22 @@
 __all__ = ["ConfigurationError", "RevisionStore"]
 
 Subscriber = Callable[[Declarations], None]
+IsReceiving = Callable[[], bool]
+"""Returns whether a message is arriving over a peer's stream."""
 
 SECTIONS_REQUEST_TIMEOUT = timedelta(seconds=2)
-"""Time after which the sections are requested again, from any peer that has them."""
-
+"""Time after which the sections are requested again, from any peer that has them,
+unless a reply is arriving."""
 
 MAX_RETAINED_REVISIONS = 8
 """Revisions retained for requests that started under them."""
 
 
+def receives_nothing() -> bool:
+    """Return False: nothing is arriving over a stream that is not known."""
+    return False
+
+
 class ConfigurationError(Exception):
     """A revision was rejected, and the one in force is unchanged."""
 
@@ -50,6 +57,8 @@
         The newer revision whose sections were last requested from a peer.
     requested_at : datetime
         When those sections were requested.
+    is_reply_arriving : callable
+        Returns whether a message is arriving from the peer they were requested from.
     behind_since : datetime
         When a peer first reported a newer revision; meaningful while `is_behind`.
     """
@@ -71,6 +80,7 @@
         self.has_peer_report = False
         self.requested_revision: RevisionId | None = None
         self.requested_at: datetime = self.last_report_at
+        self.is_reply_arriving: IsReceiving = receives_nothing
         self.behind_since: datetime = self.last_report_at
 
     def current(self) -> Declarations:
@@ -136,12 +146,21 @@
             self.requested_revision
         )
 
-    def record_peer_index(self, index: int) -> SectionsRequest | None:
+    def record_peer_index(
+        self, index: int, *, is_receiving: IsReceiving = receives_nothing
+    ) -> SectionsRequest | None:
         """Record the index of the revision under which a peer handles a request.
 
         An index alone cannot be compared with the digest of a refused revision.
         Indexes up to that of the refused revision are therefore ignored.
 
+        Parameters
+        ----------
+        index : int
+            Index of the peer's revision.
+        is_receiving : callable, optional
+            As for `record_peer_revision`.
+
         Returns
         -------
         SectionsRequest or None
@@ -149,7 +168,8 @@
         """
         if self.refused is not None and index <= self.refused.index:
             return None
-        return self.record_peer_revision(RevisionId(index=index, digest=""))
+        revision = RevisionId(index=index, digest="")
+        return self.record_peer_revision(revision, is_receiving=is_receiving)
 
     def time_behind(self) -> timedelta:
         """Return how long a peer's newer revision has been known here; zero if none."""
@@ -157,7 +177,12 @@
             return timedelta(0)
         return self.clock() - self.behind_since
 
-    def record_peer_revision(self, peer_revision: RevisionId) -> SectionsRequest | None:
+    def record_peer_revision(
+        self,
+        peer_revision: RevisionId,
+        *,
+        is_receiving: IsReceiving = receives_nothing,
+    ) -> SectionsRequest | None:
         """Record the revision that a peer reports.
 
         Called with the revision of each `Hello`, `Welcome`, `Ping` and `Pong`.
@@ -166,13 +191,15 @@
         ----------
         peer_revision : RevisionId
             Revision in force at the peer.
+        is_receiving : callable, optional
+            Returns whether a message is arriving over the peer's stream.
 
         Returns
         -------
         SectionsRequest or None
             Request to send to that peer; ``None`` if its revision is not newer, or
             if sections of the same or a newer revision were requested less than
-            `SECTIONS_REQUEST_TIMEOUT` ago.
+            `SECTIONS_REQUEST_TIMEOUT` ago or are arriving.
         """
         now = self.clock()
         self.last_report_at = now
@@ -183,9 +210,14 @@
             self.behind_since = now
         elif (
             peer_revision.index <= self.requested_revision.index
-            and now - self.requested_at < SECTIONS_REQUEST_TIMEOUT
+            and self._is_reply_expected(now)
         ):
             return None
+        self.is_reply_arriving = is_receiving
         self.requested_revision = peer_revision
         self.requested_at = now
         return make_sections_request(self.sections)
+
+    def _is_reply_expected(self, now: datetime) -> bool:
+        is_recent = now - self.requested_at < SECTIONS_REQUEST_TIMEOUT
+        return is_recent or self.is_reply_arriving()
--- a/zinniaramp/configuration/exchange.py
+++ b/zinniaramp/configuration/exchange.py
@@ -13,7 +13,7 @@
 )
 from ..declarations import read_declarations
 from ..observability import emit
-from .core import ConfigurationError, RevisionStore
+from .core import ConfigurationError, IsReceiving, RevisionStore, receives_nothing
 from .events import (
     REVISION_ACCEPTED,
     REVISION_CONFLICT,
@@ -157,7 +157,11 @@
 
 
 def handle_revision_message(
-    store: RevisionStore, message: Message, *, source: str
+    store: RevisionStore,
+    message: Message,
+    *,
+    source: str,
+    is_receiving: IsReceiving = receives_nothing,
 ) -> SectionsRequest | SectionsReply | None:
     """Handle the configuration part of a peer's message.
 
@@ -172,6 +176,8 @@
         The message received.
     source : str
         Name of the peer, for the log.
+    is_receiving : callable, optional
+        Returns whether a message is arriving over the peer's stream.
 
     Returns
     -------
@@ -180,7 +186,9 @@
     """
     match message:
         case Hello() | Welcome() | Ping() | Pong():
-            return store.record_peer_revision(message.revision)
+            return store.record_peer_revision(
+                message.revision, is_receiving=is_receiving
+            )
         case SectionsRequest():
             return make_sections_reply(store, message)
         case SectionsReply():
--- a/zinniaramp/contracts/codec.py
+++ b/zinniaramp/contracts/codec.py
@@ -124,9 +124,11 @@
     ----------
     control_bytes : int
         Bytes of the control messages decoded so far.
+    received_bytes : int
+        Bytes received so far.
     """
 
-    __slots__ = ("unpacker", "control_bytes")
+    __slots__ = ("unpacker", "control_bytes", "received_bytes")
 
     def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES):
         self.unpacker = msgpack.Unpacker(
@@ -136,6 +138,7 @@
             max_ext_len=0,
         )
         self.control_bytes = 0
+        self.received_bytes = 0
 
     def feed(self, data: bytes) -> Result[list[Message], ContractError]:
         """Decode the messages that ``data`` completes.
@@ -151,6 +154,7 @@
             The messages in order; or `ContractError`, after which the decoder must
             not be used again.
         """
+        self.received_bytes += len(data)
         try:
             self.unpacker.feed(data)
             return Ok(list(self._decode_messages()))
@@ -161,6 +165,10 @@
         except (msgpack.UnpackException, ValueError, RecursionError) as error:
             return Err(ContractError(f"invalid MessagePack: {error}"[:400]))
 
+    def has_partial_message(self) -> bool:
+        """Return whether a message has arrived in part."""
+        return self.received_bytes > self.unpacker.tell()
+
     def _decode_messages(self) -> Iterator[Message]:
         start = self.unpacker.tell()
         for frame in self.unpacker:
--- a/zinniaramp/endpoint/streams.py
+++ b/zinniaramp/endpoint/streams.py
@@ -109,8 +109,12 @@
 
     def sync_revisions(self, connection: Connection, message: Message) -> None:
         """Pass a message to the exchange of revisions, and send its reply if any."""
-        source = connection.incarnation
-        answer = handle_revision_message(self.revisions, message, source=source)
+        answer = handle_revision_message(
+            self.revisions,
+            message,
+            source=connection.incarnation,
+            is_receiving=connection.is_receiving,
+        )
         if answer is not None:
             connection.send(answer)
 
@@ -179,7 +183,9 @@
     def receive_offer(self, connection: Connection, offer: Offer) -> None:
         """Place an offer, or defer it until its revision is in force here."""
         if offer.revision_index > self.revisions.revision().index:
-            request = self.revisions.record_peer_index(offer.revision_index)
+            request = self.revisions.record_peer_index(
+                offer.revision_index, is_receiving=connection.is_receiving
+            )
             if request is not None:
                 connection.send(request)
             if self.revisions.is_behind():
--- a/zinniaramp/entry/peers.py
+++ b/zinniaramp/entry/peers.py
@@ -8,7 +8,12 @@
 from tornado.httputil import split_host_and_port
 
 from ..clock import Clock
-from ..configuration import RevisionStore, apply_sections, make_sections_reply
+from ..configuration import (
+    RevisionStore,
+    apply_sections,
+    make_sections_reply,
+    receives_nothing,
+)
 from ..contracts import (
     Accepted,
     Cancel,
@@ -256,7 +261,11 @@
 
     def handle_revision(self, revision) -> None:
         """Request the peer's revision if it is newer and not already requested."""
-        request = self.revisions.record_peer_revision(revision)
+        connection = self.connection
+        is_receiving = connection.is_receiving if connection else receives_nothing
+        request = self.revisions.record_peer_revision(
+            revision, is_receiving=is_receiving
+        )
         if request is not None:
             self.send(request)
 
--- a/zinniaramp/links/core.py
+++ b/zinniaramp/links/core.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from datetime import datetime
+from datetime import datetime, timedelta
 
 from result import Err, Ok, Result
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
@@ -30,6 +30,9 @@
 MAX_WRITE_BUFFER_BYTES = 16 * 1024 * 1024
 """Maximum number of bytes buffered for a peer; a stream that exceeds it is closed."""
 
+ARRIVAL_TIMEOUT = timedelta(seconds=2)
+"""Time without bytes after which the rest of a message is not expected any more."""
+
 
 class LinkError(Exception):
     """A stream could not be opened, failed or was closed."""
@@ -139,6 +142,12 @@
         count = min(len(self.received), MAX_MESSAGES_PER_TURN)
         return Ok([self.received.popleft() for _ in range(count)])
 
+    def is_receiving(self) -> bool:
+        """Return whether a message has arrived in part and its bytes still arrive."""
+        if self.is_closed or not self.decoder.has_partial_message():
+            return False
+        return self.clock() - self.last_received < ARRIVAL_TIMEOUT
+
     async def _read(self) -> Result[list[Message], LinkError]:
         """Wait for bytes and return all messages that they complete."""
         try:
