--- a/features/steps/large_configurations_steps.py
+++ b/features/steps/large_configurations_steps.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from features.gateway.configurations import configuration, route
+from features.steps.gateway_freshness_steps import wait_for_watches
 from features.support.narrow_link import NarrowLink
 from zinniaramp.platform.decoder import DocumentDecoder
 from zinniaramp.registry import Item, Snapshot, StoreRevision
@@ -41,12 +42,6 @@
     return await context.rig.add_daemon(store=make_link(context), wait=wait, **fields)
 
 
-def wait_for_watches(rig):
-    """Wait until the watch of every gateway waits at the store."""
-    count = len(rig.daemons)
-    rig.run(rig.wait_until(lambda: len(rig.store.waiting) == count))
-
-
 @given("a gateway behind a narrow link")
 def start_gateway(context):
     context.rig.run(add_gateway(context))
