End a call to the store whose connection is reset within the answer

No large configuration is played. edge-tt-north-b-8's connections are reset at 8.42, and from then on it learns nothing more of the store or from its peers: requests are handled by version 13 until the end, and sent to endpoints 4.3 s after their leaving.

Cause: SimpleAsyncHTTPClient raises the error of a stream that closes within the body of an answer, and Tornado 6.6 logs that ("Uncaught exception") without ending the call. Its request timeout ended it before.

Change: the client's streams forget their error once they are closed and those who wait have it, so that the call ends at once. A transfer has an upper bound of 60 s again, so that no fault of a client stops the follower for good.

The new scenario failed before, with version 9 not there after its 20 s, and passes now. large_configurations, gateway/freshness, configuration, standins/platform: 39 scenarios passed.

--- a/features/gateway/large_configurations.feature
+++ b/features/gateway/large_configurations.feature
@@ -27,6 +27,11 @@
     When the link loses an answer with a large configuration after 200000 bytes
     Then the gateway has version 9
 
+  Scenario: An answer whose connection is reset while it arrives is read again
+    Given a gateway behind a narrow link
+    When the link resets an answer with a large configuration after 200000 bytes
+    Then the gateway has version 9
+
   Scenario: Other work goes on while a large configuration is decoded
     When a large configuration is decoded beside another task
     Then the task has run 30 times meanwhile, and the configuration is decoded once
--- a/features/steps/large_configurations_steps.py
+++ b/features/steps/large_configurations_steps.py
@@ -88,10 +88,16 @@
 
 @when("the link loses an answer with a large configuration after {count:d} bytes")
 def lose_answer(context, count):
-    context.link.stalls_at = context.link.carried + count
+    context.link.breaks_at = context.link.carried + count
     publish_large(context, 9)
 
 
+@when("the link resets an answer with a large configuration after {count:d} bytes")
+def reset_answer(context, count):
+    context.link.is_reset = True
+    lose_answer(context, count)
+
+
 @then("the gateway has version {version:d}")
 def wait_for_version(context, version):
     rig = context.rig
--- a/features/support/narrow_link.py
+++ b/features/support/narrow_link.py
@@ -1,6 +1,8 @@
 """Forwarder with a limited rate, for a link that is shared by all connections."""
 
 import asyncio
+import socket
+import struct
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpclient import TCPClient
@@ -25,9 +27,11 @@
     ----------
     carried : int
         Bytes that have passed.
-    stalls_at : int or None
-        Number of passed bytes from which the open connections are silent for good; new
-        ones are not.
+    breaks_at : int or None
+        Number of passed bytes at which the connection that carries them breaks; others
+        don't.
+    is_reset : bool
+        Whether a connection that breaks is reset; else it is silent for good.
     """
 
     def __init__(self, *, port, bytes_per_second):
@@ -35,7 +39,8 @@
         self.target = port
         self.bytes_per_second = bytes_per_second
         self.carried = 0
-        self.stalls_at = None
+        self.breaks_at = None
+        self.is_reset = False
         self.turn = asyncio.Lock()
         listener, self.port = bind_unused_port()
         self.add_socket(listener)
@@ -62,9 +67,18 @@
                 async with self.turn:
                     await asyncio.sleep(len(piece) / self.bytes_per_second)
                 self.carried += len(piece)
-                if self.stalls_at is not None and self.carried >= self.stalls_at:
-                    self.stalls_at = None
-                    await asyncio.Event().wait()
+                if self.breaks_at is not None and self.carried >= self.breaks_at:
+                    self.breaks_at = None
+                    await self._break(source, sink)
                 await sink.write(piece)
         except StreamClosedError:
             sink.close()
+
+    async def _break(self, source: IOStream, sink: IOStream):
+        if not self.is_reset:
+            await asyncio.Event().wait()
+        # Closing a socket that doesn't linger resets its connection.
+        option = struct.pack("ii", 1, 0)
+        sink.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+        sink.close()
+        source.close()
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -4,6 +4,7 @@
 from base64 import b64decode
 from datetime import timedelta
 from functools import partial
+from typing import Any
 from urllib.parse import urlencode
 
 from result import Err, Ok, Result
@@ -73,6 +74,19 @@
 """Status of a watch whose start revision has been compacted."""
 
 
+class _ClientStream(IOStream):
+    """Stream of a `SimpleAsyncHTTPClient`, whose call ends when the stream closes.
+
+    The client raises the error of a stream that closes within the body of an answer.
+    Tornado only logs that, and the call would not end before its timeout.
+    """
+
+    def close(self, exc_info: Any = False) -> None:
+        """Close the stream, and report the error only to those who wait for it now."""
+        super().close(exc_info)
+        self.error = None
+
+
 class _DirectConnections:
     """TCP client that connects to IP addresses without a DNS resolver.
 
@@ -102,6 +116,7 @@
         opened = await open_stream(
             Address(ip=host, port=port),
             timeout=CONNECT_TIMEOUT,
+            stream_class=_ClientStream,
             receive_buffer=self.receive_buffer,
         )
         match opened:
--- a/zinniaramp/reads/core.py
+++ b/zinniaramp/reads/core.py
@@ -33,6 +33,10 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 """Largest answer that is parsed; a megabyte of content as JSON with digests fits."""
 
+MAX_TRANSFER_TIME = timedelta(seconds=60)
+"""Longest time that an answer may take once it has begun; the largest one takes 7 s at
+5 Mbit/s."""
+
 MAX_RETRY_AFTER_SECONDS = 24 * 3600
 """Largest ``Retry-After`` that is followed; a longer one is taken for an error."""
 
@@ -147,7 +151,7 @@
     """Return a function like that of `make_answer_reader`, for answers of any size.
 
     Its timeout is the one of the answer's beginning.  An answer that has begun is given
-    up when no more bytes arrive for `STALL_TIMEOUT`.
+    up when no more bytes arrive for `STALL_TIMEOUT`, or after `MAX_TRANSFER_TIME`.
 
     Parameters
     ----------
@@ -186,7 +190,7 @@
         fetching = client.fetch(
             url,
             connect_timeout=min(CONNECT_TIMEOUT, timeout).total_seconds(),
-            request_timeout=0,
+            request_timeout=(timeout + MAX_TRANSFER_TIME).total_seconds(),
             follow_redirects=False,
             header_callback=receive_header,
             streaming_callback=receive_body,
