Resume streams while a large configuration arrives

What callers see: a stream whose origin no gateway knows is refused rather than resumed, while the gateway that takes it up receives a large configuration.

Cause: the read barrier before such a conclusion waits 0.7 s for the store's revision, which isn't reached before the last byte of the large answer has arrived. Only the endpoints have to be known, and their changes are small.

Two of the three examples of the new scenario in large_changes.feature fail without the change; with two wide links of nine, peers' copies arrive within 0.7 s. The scenario of a real gateway behind a narrow link fails without it as well.

Change: if a large answer is on its way, the barrier reads the changes of the endpoints' entries up to now, and applies them. It is still false if the store doesn't answer, was restored, or its history is too short.

--- a/features/freshness/large_changes.feature
+++ b/features/freshness/large_changes.feature
@@ -42,6 +42,19 @@
       | one narrow gateway | 1        |
       | all narrow         | 9        |
 
+  Scenario Outline: A read barrier doesn't wait for a large configuration: <what>
+    Given <gateways> gateways of which <wide> have wide links
+    And large configurations at seconds 8, 11.5
+    And each gateway waits for the read barrier each 0.1 s from second 7.5 to 13
+    When the links are played with 4 seeds
+    Then every wait ends with all endpoints known
+
+    Examples:
+      | what                  | gateways | wide |
+      | one narrow gateway    | 1        | 0    |
+      | two wide, seven not   | 9        | 2    |
+      | all narrow            | 9        | 0    |
+
   Scenario: Gateways that are cut off from the store get a large configuration once
     Given 9 gateways of which 2 have wide links
     And 3 of them are cut off from the store
--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -18,7 +18,13 @@
 )
 from features.support.virtual_time import VirtualTimeLoop
 from zinniaramp.reads import LARGE_ANSWER_BYTES, ReadError, Transfer
-from zinniaramp.registry import Item, Snapshot, Source, StoreRevision
+from zinniaramp.registry import (
+    Item,
+    ReadBarrier,
+    Snapshot,
+    Source,
+    StoreRevision,
+)
 
 CONFIGURATION = "op/config"
 ENDPOINTS = "servers/"
@@ -53,6 +59,8 @@
         Times at which an endpoint's entry changes.
     routes : int
         Routes in a large configuration.
+    barriers : tuple of float
+        Times at which each gateway waits for the read barrier.
     breaks_watches : bool
         Whether the last bytes of each large answer to a watch are lost, so that all
         items are read instead.
@@ -70,6 +78,7 @@
     large: tuple[float, ...] = ()
     small: tuple[float, ...] = ()
     routes: int = 1700
+    barriers: tuple[float, ...] = ()
     breaks_watches: bool = False
     cut_off: int = 0
     cut_at: float = 5.0
@@ -89,11 +98,15 @@
         Time that one copy of a large change takes on the link of each gateway.
     copies : list of float
         Bytes that each gateway received, in copies of a large change.
+    barriers : list of tuple
+        For each wait, whether the gateway counted as current, and then whether it had
+        the endpoints' entries that the store had at its begin.
     """
 
     delays: dict[float, list[float]] = field(default_factory=dict)
     copy_seconds: list[float] = field(default_factory=list)
     copies: list[float] = field(default_factory=list)
+    barriers: list[tuple[bool, bool]] = field(default_factory=list)
 
 
 def make_configuration(routes, seed):
@@ -205,13 +218,16 @@
                 return Err(ReadError("connection closed", has_begun=True))
             return delivered
 
-        async def watch_endpoints(after, wait):
-            await self._wait(after, wait, ENDPOINTS)
+        async def read_endpoint_changes(after):
             newer = (one for one in self.changes if one.revision > after.number)
             changes = [one for one in newer if one.key.startswith(ENDPOINTS)]
             own = Transfer(clock=self.loop.clock)
             return await self._deliver(host, own, changes, False)
 
+        async def watch_endpoints(after, wait):
+            await self._wait(after, wait, ENDPOINTS)
+            return await read_endpoint_changes(after)
+
         async def read_revision():
             await self._reach(host)
             await asyncio.sleep(STORE_SECONDS + host.down.carry(ANSWER_BYTES))
@@ -226,6 +242,7 @@
             read_revision=read_revision,
             read_history=read_history,
             watch_endpoints=watch_endpoints,
+            read_endpoint_changes=read_endpoint_changes,
             transfer=transfer,
         )
 
@@ -318,6 +335,8 @@
                 work += join_ends(near, far, ends)
     report = LinkReport()
     work.append(_change(load, loop, store, gateways, report))
+    for at in load.barriers:
+        work += [_wait_for_barrier(one, store, loop, at, report) for one in gateways]
     tasks = [asyncio.create_task(one) for one in work]
     await asyncio.sleep(load.seconds)
     for task in tasks:
@@ -349,6 +368,20 @@
         awaited.append((at, key, store.add(key, value)))
 
 
+async def _wait_for_barrier(gateway, store, loop, at, report):
+    """Wait for the read barrier, and record what the gateway knows then."""
+    await asyncio.sleep(at)
+    entries = [item for item in store.changes if item.key.startswith(ENDPOINTS)]
+    barrier = ReadBarrier(
+        cache=gateway.registry.cache,
+        read_revision=gateway.follower.read_revision,
+        large_answers=gateway.follower.large_answers,
+    )
+    is_current = await barrier.wait()
+    known = gateway.registry.cache.items
+    report.barriers.append((is_current, all(one.key in known for one in entries)))
+
+
 def _make_listener(cache, number, awaited, loop, report):
     def record():
         for at, key, revision in awaited:
--- a/features/gateway/large_configurations.feature
+++ b/features/gateway/large_configurations.feature
@@ -22,6 +22,11 @@
     And the server "s-1" reports that it is draining once the configuration arrives
     Then the gateway stops to use "s-1" before it has version 9
 
+  Scenario: A read barrier is passed while a large configuration arrives
+    Given a gateway behind a narrow link
+    When a large configuration with version 9 is published
+    Then the gateway passes a read barrier before it has version 9
+
   Scenario: An answer that stops arriving is read again
     Given a gateway behind a narrow link
     When the link loses an answer with a large configuration after 200000 bytes
--- a/features/resumption/world.py
+++ b/features/resumption/world.py
@@ -242,7 +242,9 @@
             ),
             read_history=self.follower.read_history,
             wait_until_current=ReadBarrier(
-                cache=self.registry.cache, read_revision=self.follower.read_revision
+                cache=self.registry.cache,
+                read_revision=self.follower.read_revision,
+                large_answers=self.follower.large_answers,
             ).wait,
         )
         checker = RevisionChecker(
--- a/features/steps/barrier_steps.py
+++ b/features/steps/barrier_steps.py
@@ -1,6 +1,7 @@
 """Steps for the read barrier, in virtual time."""
 
 import asyncio
+from types import SimpleNamespace
 
 from behave import given, then, when
 from result import Err, Ok
@@ -40,7 +41,9 @@
     seconds = milliseconds / 1000
     context.store = ReadStore(seconds, refuses=answers == "refuses")
     context.barrier = ReadBarrier(
-        cache=context.store.cache, read_revision=context.store.read
+        cache=context.store.cache,
+        read_revision=context.store.read,
+        large_answers=SimpleNamespace(is_arriving=lambda: False),
     )
 
 
--- a/features/steps/large_changes_steps.py
+++ b/features/steps/large_changes_steps.py
@@ -1,5 +1,6 @@
 """Steps for the simulation of large changes over narrow links."""
 
+from collections import Counter
 from dataclasses import replace
 
 from behave import given, then, when
@@ -34,6 +35,15 @@
     context.load.large = tuple(float(time) for time in times.split(","))
 
 
+@given(
+    "each gateway waits for the read barrier each 0.1 s from second {first:g} to "
+    "{last:g}"
+)
+def wait_for_barriers(context, first, last):
+    count = round((last - first) * 10)
+    context.load.barriers = tuple(first + 0.1 * number for number in range(count))
+
+
 @when("the links are played with {count:d} seeds")
 def play_seeds(context, count):
     seeds = range(1, count + 1)
@@ -65,3 +75,11 @@
         for at in context.load.small:
             delays = report.delays[at]
             assert max(delays) <= seconds, (seed, at, delays)
+
+
+@then("every wait ends with all endpoints known")
+def check_barriers(context):
+    for seed, report in enumerate(context.reports, start=1):
+        waits = len(context.load.barriers) * context.load.gateways
+        assert len(report.barriers) == waits, (seed, len(report.barriers), waits)
+        assert set(report.barriers) == {(True, True)}, (seed, Counter(report.barriers))
--- a/features/steps/large_configurations_steps.py
+++ b/features/steps/large_configurations_steps.py
@@ -136,6 +136,16 @@
     assert not is_used()
 
 
+@then("the gateway passes a read barrier before it has version {version:d}")
+def pass_barrier(context, version):
+    rig = context.rig
+    (daemon,) = rig.daemons
+    rig.run(rig.wait_until(lambda: rig.logged_events("large-answer-began")))
+    assert rig.run(daemon.gateway.pool.resumption.wait_until_current())
+    assert daemon.registry.configuration.version < version
+    wait_for_version(context, version)
+
+
 @then("the gateway has version {version:d} from its peer, and under half of the answer")
 def check_replaced(context, version):
     wait_for_version(context, version)
--- a/zinniaramp/daemon/gateway_daemon.py
+++ b/zinniaramp/daemon/gateway_daemon.py
@@ -124,7 +124,9 @@
             has_wider_peer=lambda: self.gateway.mesh.has_wider_peer(),
         )
         barrier = ReadBarrier(
-            cache=self.registry.cache, read_revision=self.follower.read_revision
+            cache=self.registry.cache,
+            read_revision=self.follower.read_revision,
+            large_answers=self.follower.large_answers,
         )
         STORE_LOST.set_function(
             lambda: float(self.follower.unreachable_since is not None)
--- a/zinniaramp/platform/store.py
+++ b/zinniaramp/platform/store.py
@@ -225,6 +225,11 @@
         page = answer.and_then(partial(_parse_snapshot, field="items"))
         return page.map(lambda snapshot: snapshot.revision)
 
+    async def read_endpoint_changes(
+        after: StoreRevision,
+    ) -> Result[Snapshot, ReadError]:
+        return await _read_changes(read, base, after.number)
+
     async def read_history() -> Result[History, ReadError]:
         newest = await read_revision()
         if isinstance(newest, Err):
@@ -237,6 +242,7 @@
         read_revision=read_revision,
         read_history=read_history,
         watch_endpoints=watch_endpoints,
+        read_endpoint_changes=read_endpoint_changes,
         transfer=transfer,
     )
 
--- a/zinniaramp/registry/barrier.py
+++ b/zinniaramp/registry/barrier.py
@@ -1,4 +1,4 @@
-"""Read barrier: wait until everything is known that the store has had so far."""
+"""Read barrier: wait until all endpoints are known that the store has had so far."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -8,6 +8,7 @@
 
 from ..reads import ReadError
 from .items import ItemCache, StoreRevision
+from .large_answers import LargeAnswers
 
 __all__ = ["ReadBarrier"]
 
@@ -20,7 +21,7 @@
 
 
 class ReadBarrier:
-    """Waits until a process knows all changes that the store had at a certain time.
+    """Waits until a process knows all endpoints that the store had at a certain time.
 
     What the process has heard before doesn't show that: answers and peers' messages may
     have been on their way, or unread, for as long as the process stood still or was cut
@@ -32,6 +33,8 @@
         Items that the process has.
     read_revision : callable
         Returns the store's current revision.
+    large_answers : LargeAnswers
+        What is done while a large answer is on its way, for which nobody waits.
 
     Attributes
     ----------
@@ -41,21 +44,23 @@
         Held during a read, so that one runs at a time.
     """
 
-    __slots__ = ("cache", "read_revision", "next_read", "lock")
+    __slots__ = ("cache", "read_revision", "large_answers", "next_read", "lock")
 
     def __init__(
         self,
         *,
         cache: ItemCache,
         read_revision: Callable[[], Awaitable[Result[StoreRevision, ReadError]]],
+        large_answers: LargeAnswers,
     ):
         self.cache = cache
         self.read_revision = read_revision
+        self.large_answers = large_answers
         self.next_read: asyncio.Task | None = None
         self.lock = asyncio.Lock()
 
     async def wait(self) -> bool:
-        """Return whether all changes made before this call are known.
+        """Return whether all changes of endpoints made before this call are known.
 
         It is false if the store can't be read, or the changes don't arrive in time.
         """
@@ -76,7 +81,15 @@
             return await self.read_revision()
 
     async def _arrival(self, revision: StoreRevision) -> bool:
-        """Wait until a revision is known, and return true."""
+        """Wait until a revision is known, or all endpoints up to it are.
+
+        Returns
+        -------
+        bool
+            Whether they are known.
+        """
         while self.cache.revision < revision:
+            if self.large_answers.is_arriving():
+                return await self.large_answers.update_endpoints()
             await asyncio.sleep(POLL_INTERVAL.total_seconds())
         return True
--- a/zinniaramp/registry/follower.py
+++ b/zinniaramp/registry/follower.py
@@ -150,6 +150,7 @@
             registry=registry,
             transfer=source.transfer,
             watch_endpoints=source.watch_endpoints,
+            read_endpoint_changes=source.read_endpoint_changes,
             has_wider_peer=has_wider_peer,
             on_replaced=self._end_replaced_watch,
         )
--- a/zinniaramp/registry/large_answers.py
+++ b/zinniaramp/registry/large_answers.py
@@ -11,7 +11,7 @@
 from .core import Registry
 from .events import CHANGES_AHEAD, LARGE_ANSWER_BEGAN, LARGE_ANSWER_ENDED
 from .items import NO_REVISION, Snapshot, StoreRevision
-from .source import WatchEndpoints
+from .source import ReadEndpointChanges, WatchEndpoints
 
 __all__ = ["LargeAnswers"]
 
@@ -50,6 +50,9 @@
         Progress of the answers.
     watch_endpoints : callable or None
         Watches the endpoints' entries; None if that is not possible.
+    read_endpoint_changes : callable or None
+        Reads the changes of the endpoints' entries that have been made; None if that is
+        not possible.
     has_wider_peer : callable
         Returns whether a connected peer has a much wider link than this process.
     on_replaced : callable
@@ -69,6 +72,7 @@
         "registry",
         "transfer",
         "watch_endpoints",
+        "read_endpoint_changes",
         "has_wider_peer",
         "on_replaced",
         "began_at",
@@ -82,12 +86,14 @@
         registry: Registry,
         transfer: Transfer,
         watch_endpoints: WatchEndpoints | None,
+        read_endpoint_changes: ReadEndpointChanges | None,
         has_wider_peer: Callable[[], bool],
         on_replaced: Callable[[], None],
     ):
         self.registry = registry
         self.transfer = transfer
         self.watch_endpoints = watch_endpoints
+        self.read_endpoint_changes = read_endpoint_changes
         self.has_wider_peer = has_wider_peer
         self.on_replaced = on_replaced
         self.began_at: datetime | None = None
@@ -138,6 +144,29 @@
             problem=problem,
         )
 
+    def is_arriving(self) -> bool:
+        """Return whether a large answer is on its way."""
+        return self.began_at is not None
+
+    async def update_endpoints(self) -> bool:
+        """Apply the changes of endpoints that the store has now.
+
+        Returns
+        -------
+        bool
+            Whether all of them are known.  They are not if the store doesn't answer,
+            its history doesn't reach back to what is known, or it was restored.
+        """
+        known = self.registry.cache.revision
+        if self.read_endpoint_changes is None or known == NO_REVISION:
+            return False
+        match await self.read_endpoint_changes(known):
+            case Ok(changes) if changes.revision.era == known.era:
+                self._apply(changes)
+                return True
+            case _:
+                return False
+
     def _may_hold(self) -> bool:
         """Return whether to hold an answer, which a peer may be about to replace."""
         if self.registry.copies.is_peer_sending:
--- a/zinniaramp/registry/source.py
+++ b/zinniaramp/registry/source.py
@@ -10,7 +10,7 @@
 from ..reads import ReadError, Transfer
 from .items import History, Snapshot, StoreRevision
 
-__all__ = ["Source", "WatchEndpoints"]
+__all__ = ["ReadEndpointChanges", "Source", "WatchEndpoints"]
 
 WatchEndpoints = Callable[
     [StoreRevision, timedelta], Awaitable[Result[Snapshot | None, ReadError]]
@@ -18,6 +18,10 @@
 """Like a watch, but for the changes of the endpoints' entries only."""
 
 
+ReadEndpointChanges = Callable[[StoreRevision], Awaitable[Result[Snapshot, ReadError]]]
+"""Returns the changes of the endpoints' entries after a revision."""
+
+
 @dataclass(slots=True, kw_only=True, frozen=True)
 class Source:
     """Calls to the store.
@@ -40,6 +44,9 @@
     watch_endpoints : callable or None
         Like `watch`, for the changes of the endpoints' entries only, beside another
         call; None if that is not possible.
+    read_endpoint_changes : callable or None
+        Takes a revision; returns the changes of the endpoints' entries that have been
+        made after it, without waiting for further ones; None if that is not possible.
     """
 
     read_all: Callable[[], Awaitable[Result[Snapshot, ReadError]]]
@@ -52,3 +59,4 @@
         default_factory=lambda: Transfer(clock=monotonic_clock())
     )
     watch_endpoints: WatchEndpoints | None = None
+    read_endpoint_changes: ReadEndpointChanges | None = None
