--- a/features/freshness/links.py
+++ b/features/freshness/links.py
@@ -18,13 +18,7 @@
 )
 from features.support.virtual_time import VirtualTimeLoop
 from zinniaramp.reads import LARGE_ANSWER_BYTES, ReadError, Transfer
-from zinniaramp.registry import (
-    Item,
-    ReadBarrier,
-    Snapshot,
-    Source,
-    StoreRevision,
-)
+from zinniaramp.registry import Item, ReadBarrier, Snapshot, Source, StoreRevision
 
 CONFIGURATION = "op/config"
 ENDPOINTS = "servers/"
